--- /dev/null
+++ b/Libraries/LibCore/settings.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "LibCore/located_error.h"
+#include "LibCore/logger.h"
+
+#include <chrono>
+#include <cstdint>
+#include <filesystem>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace quetzalcleat::core {
+
+/// An IP address and a TCP port, for example 127.0.0.1:8080.
+struct socket_address
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    bool operator==(const socket_address &) const = default;
+    std::string text() const { return ip + ':' + std::to_string(port); }
+};
+
+/// Another process of the same deployment.
+struct peer_settings
+{
+    std::string name;
+    std::string dataCentre;
+    socket_address address;
+    bool control = false; ///< Whether the peer holds the replicated log.
+};
+
+/// What a process learns from its own settings file. Everything shared between hosts is in the
+/// inventory instead.
+struct settings
+{
+    std::string clusterName;
+    std::string hostName;
+    std::string dataCentre;
+    std::string region;
+    bool entry = false;
+    bool control = false;
+    socket_address callerAddress;
+    socket_address operatorAddress;
+    socket_address peerAddress;
+    std::filesystem::path dataFolder; ///< Only used by the control role.
+    std::vector<peer_settings> peers; ///< The process itself is not in the list.
+    std::vector<std::string> peerKeys; ///< The first one signs; all of them verify. At most two.
+    std::string operatorKey;
+    log_level logLevel = log_level::Information;
+    std::filesystem::path seedInventory; ///< First configuration of a new cluster; may be empty.
+    std::string platformListAddress; ///< ip:port of the platform's host list; may be empty.
+    /// How long a stopping process keeps accepting, so that the balancer sees it leave.
+    std::chrono::milliseconds balancerNoticeTime{2000};
+    /// Longest wait of a stopping process for work in flight.
+    std::chrono::milliseconds stopGraceTime{120000};
+};
+
+/// Parses a settings file. Every problem is listed with its place; unknown keys are refused.
+std::variant<settings, std::vector<located_error>> parseSettings(std::string_view text,
+                                                                 std::string_view fileName);
+
+/// Reads and parses a settings file of at most 1 MiB.
+std::variant<settings, std::vector<located_error>> loadSettings(const std::filesystem::path &path);
+
+} // namespace quetzalcleat::core
--- /dev/null
+++ b/Libraries/LibPolicy/policy_types.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "LibCore/entity_id.h"
+#include "LibCore/time.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace quetzalcleat::policy {
+
+using endpoint_id = core::entity_id<struct endpoint_tag>; ///< Index into document::endpoints.
+using caller_id = core::entity_id<struct caller_tag>; ///< Index into document::callers.
+using class_id = core::entity_id<struct class_tag>; ///< Index into document::classes.
+
+/// Identifies a request inside one decision core; never used twice.
+struct request_id
+{
+    std::uint64_t value = 0;
+
+    auto operator<=>(const request_id &) const = default;
+};
+
+/// Where the process with the decision core stands.
+struct placement_self
+{
+    std::string hostName;
+    std::string dataCentre;
+};
+
+struct request_spec
+{
+    std::string requestId; ///< X-Request-Id, for explanations.
+    caller_id caller;
+    class_id requestClass;
+    std::string model; ///< Empty for a call to a service.
+    std::string adapter;
+    std::string service; ///< Empty for a call to an engine.
+    std::uint32_t promptTokens = 0;
+    std::uint32_t maximumOutputTokens = 0;
+    std::vector<std::uint64_t>
+        prefixBlocks; ///< Chained hashes of prompt blocks, first block first.
+    std::uint32_t bytes = 0; ///< Size of the request, for cross-region cost.
+    bool repeatable = true; ///< Whether a failed attempt may be sent again.
+};
+
+enum class decision_kind {
+    Dispatch, ///< Send the request to the endpoint.
+    Shed, ///< Refuse a queued request in favour of the beneficiary.
+    Preempt, ///< Cancel a running request in favour of the beneficiary; it is queued again.
+    Expire, ///< Refuse a queued request that can no longer be answered in time.
+};
+
+/// Why a decision was made, for explanations and metrics.
+enum class decision_reason {
+    LowestScore,
+    CachedPrefix,
+    OnlyCandidate,
+    Probe,
+    Retry,
+    QueueFull,
+    HigherTierWaiting,
+    MinimumShare,
+    WaitLimit,
+    DeadlinePassed,
+    NoEndpoint,
+};
+
+struct decision
+{
+    decision_kind kind = decision_kind::Dispatch;
+    request_id request;
+    endpoint_id endpoint;
+    std::optional<request_id> beneficiary; ///< Set for Shed and Preempt.
+    decision_reason reason = decision_reason::LowestScore;
+    std::chrono::milliseconds retryAfter{0}; ///< For Shed and Expire.
+    std::uint32_t priority = 0; ///< Passed to the engine; lower is more urgent.
+};
+
+enum class attempt_outcome {
+    Completed,
+    Failed, ///< Not to be retried.
+    RetryBeforeFirstByte, ///< Failed before a byte reached the caller; may be queued again.
+    Cancelled,
+};
+
+/// State of an endpoint as the endpoint reported it.
+struct load_report
+{
+    std::uint64_t incarnation = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t usedBlocks = 0;
+    std::uint32_t totalBlocks = 0;
+    std::chrono::milliseconds age{0}; ///< Between the sample and its arrival.
+    std::vector<std::string> models; ///< Models that are loaded.
+};
+
+enum class cache_event_kind { Stored, Evicted, Cleared };
+
+struct cache_event
+{
+    std::uint64_t sequence = 0; ///< Grows by one per event of an endpoint.
+    cache_event_kind kind = cache_event_kind::Stored;
+    std::uint64_t block = 0;
+};
+
+enum class state_source { Platform, Endpoint, Operator };
+enum class endpoint_state { Live, Leaving };
+
+} // namespace quetzalcleat::policy
--- /dev/null
+++ b/Libraries/LibState/claims.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace quetzalcleat::state {
+
+/// Identifies a non-repeatable call: the caller's name and its Idempotency-Key.
+struct claim_key
+{
+    std::string caller;
+    std::string key;
+
+    auto operator<=>(const claim_key &) const = default;
+};
+
+/// One try of one host to run the call of a key.
+struct claim_attempt
+{
+    claim_key key;
+    std::string attemptId; ///< 16 random bytes, never used again.
+    std::string host;
+    std::uint64_t hostIncarnation = 0;
+};
+
+struct claim_request
+{
+    claim_attempt attempt;
+    std::string bodyHash; ///< SHA-256 over method, path and body.
+};
+
+/// An answer of a service, kept for duplicates of its call.
+struct stored_answer
+{
+    std::uint16_t status = 0;
+    std::string contentType;
+    std::string body;
+    bool truncated = false; ///< The body was larger than the ledger's bound and is not kept.
+
+    bool operator==(const stored_answer &) const = default;
+};
+
+enum class claim_verdict_kind {
+    Granted, ///< This attempt may be sent, once.
+    InProgress, ///< Another attempt holds the claim.
+    Finished, ///< The call ran; the answer is in claim_verdict::answer.
+    Unknown, ///< The owner failed after it may have sent the call.
+    Closed, ///< The call never ran and never will.
+    BodyMismatch, ///< The key was used with another body.
+    AttemptAbandoned, ///< This attempt was given up before and must not be sent.
+};
+
+struct claim_verdict
+{
+    claim_verdict_kind kind = claim_verdict_kind::InProgress;
+    stored_answer answer;
+};
+
+/// How an attempt that was sent ended.
+struct claim_result
+{
+    claim_attempt attempt;
+    bool known = false; ///< False if the outcome of the call is unknown.
+    stored_answer answer;
+};
+
+} // namespace quetzalcleat::state
--- /dev/null
+++ b/Tests/Core/test_core.cpp
@@ -0,0 +1,43 @@
+#include "LibCore/core_error.h"
+#include "LibCore/counter_registry.h"
+#include "LibCore/hash.h"
+#include "LibCore/result.h"
+
+#include <gtest/gtest.h>
+
+namespace core = quetzalcleat::core;
+
+// Guards against a hash of tokens that differs from the standard one (FIPS 180-4, "abc").
+TEST(Hash, Sha256MatchesTheStandard)
+{
+    EXPECT_EQ(core::sha256Hex("abc"),
+              "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
+// Guards against a prefix of a secret being accepted as the secret.
+TEST(Hash, ComparisonOfSecretsRejectsPrefixes)
+{
+    EXPECT_TRUE(core::equalInConstantTime("secret", "secret"));
+    EXPECT_FALSE(core::equalInConstantTime("secret", "secre"));
+    EXPECT_FALSE(core::equalInConstantTime("secret", "secreT"));
+}
+
+// Guards against metric lines that a Prometheus server cannot parse.
+TEST(CounterRegistry, WritesExpositionFormat)
+{
+    core::counter_registry registry;
+    ++registry.counter("requests_total", "class=\"booking\"");
+    registry.gauge("queue_length") = 2;
+    EXPECT_EQ(registry.text(),
+              "# TYPE requests_total counter\nrequests_total{class=\"booking\"} 1\n"
+              "# TYPE queue_length gauge\nqueue_length 2\n");
+}
+
+// Guards against an error that is lost on the way through a result.
+TEST(Result, CarriesErrors)
+{
+    const core::result<int> failed = core::core_error::UnknownKey;
+    EXPECT_FALSE(failed);
+    EXPECT_EQ(failed.error(), core::core_error::UnknownKey);
+    EXPECT_FALSE(core::result<int>(4).error());
+}
