LibCore: Parse settings files

The daemon could not read its settings, and there was no parser for the inventory either.

parseToml() hides toml++ behind one source file and gives tables with line numbers; table_reader checks types and ranges on top of it and is shared by parseSettings() and inventory::parse(). The inventory gains validation across entities, diff(), addDrain() and the two example deployments.

The text is checked before the library sees it, and its assertions are off.

--- a/Libraries/LibCore/core_error.cpp
+++ b/Libraries/LibCore/core_error.cpp
@@ -36,6 +36,10 @@
             return "name is used twice";
         case core_error::WeakKey:
             return "key is shorter than 16 bytes";
+        case core_error::DuplicateAddress:
+            return "address is used twice";
+        case core_error::InvalidName:
+            return "not a name of 1 to 64 letters, digits, '.', '_' or '-'";
         }
         return "unknown error";
     }
--- a/Libraries/LibCore/core_error.h
+++ b/Libraries/LibCore/core_error.h
@@ -17,6 +17,8 @@
     InvalidRole,
     DuplicateName,
     WeakKey,
+    DuplicateAddress,
+    InvalidName,
 };
 
 const std::error_category &coreCategory();
--- a/Libraries/LibCore/settings.h
+++ b/Libraries/LibCore/settings.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <filesystem>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -20,9 +21,20 @@
     std::uint16_t port = 0;
 
     bool operator==(const socket_address &) const = default;
-    std::string text() const { return ip + ':' + std::to_string(port); }
+    std::string text() const
+    {
+        const bool isVersion6 = ip.find(':') != std::string::npos;
+        return (isVersion6 ? '[' + ip + ']' : ip) + ':' + std::to_string(port);
+    }
 };
 
+/// Parses "127.0.0.1:8080" or "[::1]:8080". Host names and port 0 are refused.
+std::optional<socket_address> parseSocketAddress(std::string_view text);
+
+/// Whether the text is a valid name of a host or another entity: 1 to 64 letters, digits, '.', '_'
+/// or '-'. Names stand in URLs, headers and metric labels without escaping.
+bool isName(std::string_view text);
+
 /// Another process of the same deployment.
 struct peer_settings
 {
@@ -58,7 +70,8 @@
     std::chrono::milliseconds stopGraceTime{120000};
 };
 
-/// Parses a settings file. Every problem is listed with its place; unknown keys are refused.
+/// Parses a settings file of at most 1 MiB. Every problem is listed with its place; unknown keys
+/// are refused.
 std::variant<settings, std::vector<located_error>> parseSettings(std::string_view text,
                                                                  std::string_view fileName);
 
