--- /dev/null
+++ b/Tests/Fakes/test_engine_model.cpp
@@ -0,0 +1,154 @@
+#include "LibFakes/engine_model.h"
+#include "LibFakes/fakes_error.h"
+#include "LibFakes/generated_text.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace core = quetzalcleat::core;
+namespace fakes = quetzalcleat::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::instant start{};
+
+fakes::engine_options smallEngine()
+{
+    fakes::engine_options options;
+    options.models = {"m"};
+    options.capacity = 4;
+    options.totalBlocks = 64;
+    return options;
+}
+
+fakes::generation_request request(std::uint64_t id, std::uint32_t blocks, std::uint32_t output)
+{
+    fakes::generation_request made;
+    made.id = id;
+    made.model = "m";
+    made.promptTokens = blocks * fakes::tokensPerBlock;
+    made.prefixBlocks.resize(blocks);
+    std::iota(made.prefixBlocks.begin(), made.prefixBlocks.end(), 1000 * id);
+    made.outputTokens = output;
+    return made;
+}
+
+std::vector<std::uint32_t> tokensOf(const std::vector<fakes::engine_event> &events,
+                                    std::uint64_t id)
+{
+    std::vector<std::uint32_t> indices;
+    for (const auto &event : events) {
+        if (event.request == id && event.kind == fakes::engine_event_kind::Token)
+            indices.push_back(event.index);
+    }
+    return indices;
+}
+
+} // namespace
+
+// Guards against answers with missing, repeated or reordered tokens when memory runs out and
+// sequences lose their place.
+TEST(EngineModel, DeliversEveryTokenOnceInOrderUnderMemoryPressure)
+{
+    fakes::engine_model engine(smallEngine(), start);
+    for (std::uint64_t id = 1; id <= 8; ++id)
+        ASSERT_TRUE(engine.submit(request(id, 10, 200), start));
+    const auto events = engine.advance(start + 1h);
+    std::vector<std::uint32_t> expected(200);
+    std::iota(expected.begin(), expected.end(), 0U);
+    for (std::uint64_t id = 1; id <= 8; ++id)
+        EXPECT_EQ(tokensOf(events, id), expected);
+    EXPECT_GT(engine.totals().repeatedPrefillTokens, 0U);
+    EXPECT_EQ(engine.totals().generatedTokens, 1600U);
+}
+
+// Guards against a prefix cache that saves no work, which would hide a router without affinity.
+TEST(EngineModel, SecondRequestWithTheSamePrefixSkipsPrefill)
+{
+    fakes::engine_model engine(smallEngine(), start);
+    ASSERT_TRUE(engine.submit(request(1, 20, 1), start));
+    (void)engine.advance(start + 1min);
+    auto again = request(1, 20, 1);
+    again.id = 2;
+    ASSERT_TRUE(engine.submit(again, start + 1min));
+    (void)engine.advance(start + 2min);
+    EXPECT_EQ(engine.totals().prefilledTokens, 320U);
+    EXPECT_EQ(engine.totals().cachedPromptTokens, 320U);
+}
+
+// Guards against urgent work that waits behind less urgent work which arrived earlier.
+TEST(EngineModel, MoreUrgentRequestsStartFirst)
+{
+    fakes::engine_model engine(smallEngine(), start);
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        auto made = request(id, 1, 50);
+        made.priority = id == 6 ? 0 : 5;
+        ASSERT_TRUE(engine.submit(made, start));
+    }
+    const auto events = engine.advance(start + 1h);
+    const auto firstToken = [&](std::uint64_t id) {
+        return std::ranges::find_if(events, [&](const auto &event) { return event.request == id; })
+            ->at;
+    };
+    EXPECT_LT(firstToken(6), firstToken(5));
+}
+
+// Guards against a resume that repeats tokens the caller already has.
+TEST(EngineModel, ResumeContinuesAfterTheDeliveredTokens)
+{
+    fakes::engine_model engine(smallEngine(), start);
+    auto made = request(1, 2, 10);
+    made.resumeFrom = 7;
+    ASSERT_TRUE(engine.submit(made, start));
+    EXPECT_EQ(tokensOf(engine.advance(start + 1min), 1), (std::vector<std::uint32_t>{7, 8, 9}));
+}
+
+// Guards against stand-ins that accept an order of a former leader.
+TEST(EngineModel, RefusesOldFencingNumbersOnlyIfItChecksThem)
+{
+    auto options = smallEngine();
+    fakes::engine_model checking(options, start);
+    options.checksFencing = false;
+    fakes::engine_model ignoring(options, start);
+    const fakes::engine_order newer{7, "b", fakes::engine_order_kind::LoadModel, "n", "1"};
+    const fakes::engine_order older{6, "a", fakes::engine_order_kind::UnloadModel, "m", "1"};
+    ASSERT_TRUE(checking.order(newer, start));
+    ASSERT_TRUE(ignoring.order(newer, start));
+    EXPECT_EQ(checking.order(older, start).error(), fakes::fakes_error::StaleFencing);
+    EXPECT_TRUE(ignoring.order(older, start));
+}
+
+// Guards against reports that are fresher than the lag under test.
+TEST(EngineModel, LoadReportsLag)
+{
+    auto options = smallEngine();
+    options.loadReportLag = 5s;
+    fakes::engine_model engine(options, start);
+    ASSERT_TRUE(engine.submit(request(1, 1, 2000), start + 10s));
+    (void)engine.advance(start + 12s);
+    EXPECT_EQ(engine.load(start + 12s).running, 0U);
+    EXPECT_EQ(engine.currentLoad(start + 12s).running, 1U);
+    (void)engine.advance(start + 18s);
+    EXPECT_EQ(engine.load(start + 18s).running, 1U);
+}
+
+// Guards against a crash that leaves a sequence without an end, or events without a gap.
+TEST(EngineModel, CrashAbortsEverySequenceAndChangesTheIncarnation)
+{
+    auto options = smallEngine();
+    options.cacheEventLoss = 0.5;
+    fakes::engine_model engine(options, start);
+    for (std::uint64_t id = 1; id <= 6; ++id)
+        ASSERT_TRUE(engine.submit(request(id, 5, 500), start));
+    (void)engine.advance(start + 2s);
+    const auto events = engine.crash(start + 2s);
+    EXPECT_EQ(events.size(), 6U);
+    EXPECT_EQ(engine.incarnation(), 2U);
+    EXPECT_FALSE(engine.nextStepEnd());
+    const auto published = engine.cacheEventsAfter(0, start + 1h);
+    EXPECT_GT(published.size(), 0U);
+    EXPECT_LT(published.size(), engine.cache().lastSequence());
+}
