--- a/Libraries/LibPolicy/policy_types.h
+++ b/Libraries/LibPolicy/policy_types.h
@@ -20,7 +20,9 @@
 {
     std::uint64_t value = 0;
 
-    auto operator<=>(const request_id &) const = default;
+    // Not operator<=>: clang-tidy 14 reports its use by ordered containers (modernize-use-nullptr).
+    bool operator==(const request_id &) const = default;
+    bool operator<(const request_id &other) const { return value < other.value; }
 };
 
 /// Where the process with the decision core stands.
@@ -44,6 +46,8 @@
         prefixBlocks; ///< Chained hashes of prompt blocks, first block first.
     std::uint32_t bytes = 0; ///< Size of the request, for cross-region cost.
     bool repeatable = true; ///< Whether a failed attempt may be sent again.
+    std::optional<std::chrono::milliseconds>
+        deadline; ///< For the whole answer, from submit; may only shorten the class's deadline.
 };
 
 enum class decision_kind {
@@ -77,12 +81,14 @@
     decision_reason reason = decision_reason::LowestScore;
     std::chrono::milliseconds retryAfter{0}; ///< For Shed and Expire.
     std::uint32_t priority = 0; ///< Passed to the engine; lower is more urgent.
+    std::uint32_t resumeFrom = 0; ///< For Dispatch: tokens that the caller already has.
 };
 
 enum class attempt_outcome {
     Completed,
     Failed, ///< Not to be retried.
     RetryBeforeFirstByte, ///< Failed before a byte reached the caller; may be queued again.
+    ResumeElsewhere, ///< Broke after a byte reached the caller; may go on where engines can resume.
     Cancelled,
 };
 
