LibConsensus: Add public headers of the replicated log and the state

Cause: the peer runtime is built at the same time and needs the interfaces. Conclusion: interfaces only; the implementation follows.

--- /dev/null
+++ b/Libraries/LibConsensus/log_store.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "LibConsensus/consensus_error.h"
+#include "LibConsensus/file_system.h"
+#include "LibConsensus/raft_core.h"
+#include "LibConsensus/raft_message.h"
+#include "LibCore/result.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace quetzalcleat::consensus {
+
+struct log_store_options
+{
+    /// A new segment is started when the current one is larger.
+    std::uint64_t segmentBytes = std::uint64_t{8} * 1024 * 1024;
+    std::uint64_t maximumSnapshotBytes = std::uint64_t{512} * 1024 * 1024;
+};
+
+/// Whose folder it is.
+struct store_identity
+{
+    group_id group = 0;
+    member_id self = 0; ///< newMemberId() for a new folder.
+
+    bool operator==(const store_identity &) const = default;
+};
+
+/// Where and why a folder was refused, for the operator.
+struct store_problem
+{
+    std::error_code code;
+    std::filesystem::path file;
+    std::uint64_t offset = 0;
+    std::string repair; ///< What to do about it.
+};
+
+/// A member id from the operating system's random source; never 0.
+member_id newMemberId();
+
+/// Log, hard state and snapshots of one member of one group in one folder.
+///
+/// The log is a sequence of batches in segment files. A batch holds the hard state and entries, has
+/// a number that grows by one, and is synced before the next one is written; so only the last batch
+/// can be torn. After each sync its number is noted in a hint file. A batch that cannot be read is
+/// dropped only if it is the last one and the hint does not show it as synced. Otherwise the folder
+/// is refused.
+///
+/// After a failed write or sync the operating system may report data as written that never reaches
+/// the disk. The store then refuses everything until it is reopened; opening reads the last segment
+/// back and writes it to a new, synced file before it trusts it.
+///
+/// Not thread-safe; meant for one disk thread. Objects do not copy.
+template <file_system Files>
+class basic_log_store
+{
+public:
+    /// Prepares an empty folder. `initial` is given on the first members of a new cluster and must
+    /// be equal on all of them; a member that joins later has none.
+    /// Errors: FolderNotEmpty, FolderInUse, IdentityMissing and errors of the disk.
+    static core::result<basic_log_store> create(const std::filesystem::path &folder,
+                                                const store_identity &identity,
+                                                const std::optional<membership> &initial,
+                                                log_store_options options, Files files = {});
+
+    /// Reads a folder back. EmptyFolder if no member has run there. If `problem` is given, it
+    /// receives the place and the repair of an error.
+    static core::result<basic_log_store> open(const std::filesystem::path &folder,
+                                              log_store_options options, Files files = {},
+                                              store_problem *problem = nullptr);
+
+    basic_log_store(basic_log_store &&other) noexcept;
+    basic_log_store &operator=(basic_log_store &&other) noexcept;
+    basic_log_store(const basic_log_store &) = delete;
+    basic_log_store &operator=(const basic_log_store &) = delete;
+    ~basic_log_store();
+
+    const store_identity &identity() const { return m_identity; }
+
+    /// What was read back; to be taken once.
+    restored_state takeRestored();
+
+    /// Writes the parts of a ready and syncs them: snapshotToInstall, hardState, entries. After an
+    /// error the store has failed.
+    core::result<void> write(const ready &work);
+
+    /// Writes a snapshot of the own state machine and syncs it, then removes segments and snapshots
+    /// that are not needed any more. Entries above `keepFrom` stay.
+    core::result<void> saveSnapshot(const snapshot &saved, log_index keepFrom);
+
+    bool failed() const { return m_failed; }
+    std::uint64_t bytesWritten() const { return m_bytesWritten; }
+    std::uint64_t syncs() const { return m_syncs; }
+    std::size_t segmentCount() const { return m_segments.size(); }
+
+private:
+    struct segment
+    {
+        std::uint64_t firstBatch = 0;
+        log_index highestIndex = 0; ///< Of the entries in it; 0 if there is none.
+        std::uint64_t bytes = 0;
+    };
+
+    basic_log_store(std::filesystem::path folder, log_store_options options, Files files);
+
+    std::filesystem::path m_folder;
+    log_store_options m_options;
+    Files m_files;
+    store_identity m_identity;
+    restored_state m_restored;
+    hard_state m_hardState;
+    log_position m_last;
+    std::vector<segment> m_segments;
+    std::optional<typename Files::file_handle> m_current;
+    std::uint64_t m_nextBatch = 1;
+    std::uint64_t m_bytesWritten = 0;
+    std::uint64_t m_syncs = 0;
+    bool m_failed = false;
+};
+
+using log_store = basic_log_store<posix_files>;
+
+extern template class basic_log_store<posix_files>;
+
+} // namespace quetzalcleat::consensus
--- /dev/null
+++ b/Libraries/LibConsensus/raft_core.h
@@ -0,0 +1,236 @@
+#pragma once
+
+#include "LibConsensus/consensus_error.h"
+#include "LibConsensus/membership.h"
+#include "LibConsensus/raft_message.h"
+#include "LibCore/result.h"
+#include "LibCore/time.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace quetzalcleat::consensus {
+
+struct raft_options
+{
+    group_id group = 0;
+    member_id self = 0;
+    /// A member that heard from a leader gives no vote for this long. Elections start after a
+    /// random time between once and twice this value. With 20 ms between regions, 1 s leaves room
+    /// for several lost heartbeats.
+    std::chrono::milliseconds electionTimeout{1000};
+    std::chrono::milliseconds heartbeatInterval{150};
+    /// The lease is shorter than the election timeout by this many parts in a thousand, so that
+    /// clocks may run at different rates.
+    std::uint32_t leaseMarginPermille = 100;
+    std::size_t maximumCommandBytes = std::size_t{900} * 1024;
+    /// Payload of one append request. An entry that is larger is sent alone.
+    std::size_t maximumAppendBytes = std::size_t{256} * 1024;
+    std::size_t maximumAppendEntries = 1024;
+    /// Append requests on their way to one member.
+    std::size_t maximumInFlight = 16;
+    /// Proposals beyond this many uncommitted bytes are refused as Overloaded.
+    std::size_t maximumUncommittedBytes = std::size_t{16} * 1024 * 1024;
+    std::size_t snapshotChunkBytes = std::size_t{256} * 1024;
+    /// A larger snapshot is refused before any of it is stored.
+    std::uint64_t maximumSnapshotBytes = std::uint64_t{512} * 1024 * 1024;
+    /// A learner with at most this many entries missing has caught up.
+    log_index catchUpEntries = 64;
+    /// Entries kept behind a snapshot, so that a member that lags a little needs no snapshot.
+    log_index trailingEntries = 1000;
+};
+
+/// What log_store has read back.
+struct restored_state
+{
+    hard_state hardState;
+    std::optional<snapshot> latestSnapshot;
+    std::vector<log_entry> entries; ///< Consecutive; the first is at most last.index + 1.
+};
+
+/// Work for the owner of raft_core. The parts are handled in this order: send `messages` at any
+/// time; hand `snapshotToInstall`, `hardState` and `entries` to the store and sync them; send
+/// `messagesAfterSync`; call raft_core::synced; restore the state machine from
+/// `snapshotToInstall`; apply `committed`. If writing or syncing fails, the rest is dropped and
+/// raft_core::halt called.
+struct ready
+{
+    std::uint64_t number = 0; ///< Grows by one with each ready; for raft_core::synced.
+    std::optional<hard_state> hardState;
+    std::optional<snapshot> snapshotToInstall;
+    /// The first entry may replace entries with the same or a higher index.
+    std::vector<log_entry> entries;
+    std::vector<raft_message> messages;
+    std::vector<raft_message> messagesAfterSync; ///< Promises that rest on the synced state.
+    std::vector<log_entry> committed; ///< In order, each once. Safe to apply: synced here before.
+
+    bool needsSync() const
+    {
+        return hardState.has_value() || snapshotToInstall.has_value() || !entries.empty();
+    }
+};
+
+enum class raft_role { Follower, PreCandidate, Candidate, Leader };
+
+struct raft_status
+{
+    raft_role role = raft_role::Follower;
+    term_number term = 0;
+    member_id leader = 0; ///< 0 if unknown.
+    log_index lastIndex = 0;
+    log_index commit = 0;
+    log_index applied = 0; ///< Handed out in ready::committed.
+    log_index snapshotIndex = 0;
+    bool halted = false;
+    membership members;
+    log_index membershipIndex = 0; ///< Where `members` was written.
+    /// Leader only: synced index of each other member.
+    std::map<member_id, log_index> matches;
+};
+
+/// The Raft algorithm as a pure state machine: no I/O, no clock, no thread.
+///
+/// Follows Diego Ongaro, "Consensus: Bridging Theory and Practice" (2014): elections and
+/// replication (chapter 3), single-server membership changes and learners (4.1, 4.2.1), leader
+/// transfer (3.10), snapshots (5), leases (6.4.1), check quorum (6.2) and pre-vote (9.6).
+///
+/// The lease rests on three rules. A member that heard from a leader gives no vote for
+/// electionTimeout by its own monotonic clock, also not after a restart. The leader counts its
+/// lease from the time at which it sent the messages that a majority answered. A leader that asks
+/// another member to take over gives up its lease first. The monotonic clock must keep running
+/// while the process is paused.
+class raft_core
+{
+public:
+    raft_core(raft_options options, restored_state restored, std::uint64_t seed, core::instant now);
+
+    /// Drives timeouts. To be called at least every quarter of a heartbeat interval.
+    void tick(core::instant now);
+
+    /// Messages of other groups, other receivers or impossible content are ignored.
+    void receive(const raft_message &message, core::instant now);
+
+    /// Appends a command if this member leads. It is accepted only once it appears in
+    /// ready::committed at the returned position, with the same term.
+    /// Errors: NotLeader, Overloaded, CommandTooLarge, Halted.
+    core::result<log_position> propose(std::vector<std::byte> command, core::instant now);
+
+    /// Errors: NotLeader, Halted, ChangeInProgress, ReplacementPending, UnknownMember,
+    /// AlreadyMember, NotCaughtUp, QuorumAtRisk, InvalidMembership.
+    core::result<log_position> proposeMembership(membership_change change, core::instant now);
+
+    /// Hands leadership to a caught-up voter. The lease ends at once.
+    /// Errors: NotLeader, Halted, UnknownMember, NotCaughtUp, ChangeInProgress.
+    core::result<void> transferLeadership(member_id target, core::instant now);
+
+    bool hasReady() const;
+    /// May be called again before the previous ready is synced; syncs happen in order.
+    ready takeReady();
+
+    /// Everything in the ready with this number and in earlier ones is synced.
+    void synced(std::uint64_t readyNumber, core::instant now);
+
+    /// A snapshot of the own state machine is synced on disk; entries that it covers are dropped
+    /// but for raft_options::trailingEntries.
+    void snapshotSaved(snapshot saved);
+
+    /// The store failed: the member answers and sends nothing any more.
+    void halt();
+
+    /// True if this member leads, has committed an entry of its own term, and no other leader can
+    /// have been elected before `now`.
+    bool leaseValid(core::instant now) const;
+
+    /// The index that must be applied before the state may be read, or NotLeader or LeaseExpired.
+    core::result<log_index> readIndex(core::instant now) const;
+
+    /// Members as of an index that is not above the applied index, for a snapshot.
+    membership membershipAt(log_index index) const;
+    /// Term of an entry in memory or of the snapshot; 0 if the entry is not known.
+    term_number termAt(log_index index) const;
+
+    raft_status status() const;
+
+private:
+    enum class replication_mode { Probe, Replicate, Snapshot };
+
+    struct progress
+    {
+        replication_mode mode = replication_mode::Probe;
+        log_index match = 0;
+        log_index next = 1;
+        std::size_t inFlight = 0;
+        std::uint64_t snapshotOffset = 0;
+        bool probeSent = false;
+        core::instant lastAnswer; ///< Arrival of the last answer.
+        core::instant leaseFrom; ///< Sending time of the newest message that was answered.
+        core::instant lastSend;
+    };
+
+    struct pending_sync
+    {
+        std::uint64_t number = 0;
+        std::optional<hard_state> hardState;
+        log_position last;
+    };
+
+    struct incoming_snapshot
+    {
+        member_id from = 0;
+        log_position last;
+        std::uint64_t contentHash = 0;
+        std::uint64_t totalBytes = 0;
+        std::vector<std::byte> content;
+    };
+
+    struct membership_record
+    {
+        log_index index = 0;
+        membership members;
+    };
+
+    raft_options m_options;
+    std::mt19937_64 m_random;
+
+    hard_state m_hardState;
+    hard_state m_handedOut; ///< Last hard state in a ready.
+    hard_state m_durable; ///< Last hard state known to be synced.
+    raft_role m_role = raft_role::Follower;
+    member_id m_leader = 0;
+    bool m_halted = false;
+
+    std::optional<snapshot> m_snapshot;
+    log_position m_base; ///< The entry before the first one in memory.
+    std::deque<log_entry> m_log;
+    log_index m_unstable = 1; ///< First index that no ready has handed out.
+    log_index m_persisted = 0; ///< Synced here.
+    log_index m_applied = 0; ///< Handed out as committed.
+    std::vector<membership_record> m_memberships; ///< By index; the last one is in force.
+
+    core::instant m_lastLeaderContact;
+    core::instant m_electionDeadline;
+    core::instant m_leaderSince;
+    log_index m_termStart = 0; ///< The leader's first entry of its term.
+    bool m_leaseForfeited = false;
+    member_id m_transferTarget = 0;
+    core::instant m_transferDeadline;
+    bool m_campaignByTransfer = false;
+    std::set<member_id> m_votes;
+    std::map<member_id, progress> m_progress;
+    std::size_t m_uncommittedBytes = 0;
+
+    std::uint64_t m_readyNumber = 0;
+    std::deque<pending_sync> m_pendingSyncs;
+    std::vector<raft_message> m_messages;
+    std::vector<raft_message> m_messagesAfterSync;
+    std::optional<snapshot> m_snapshotToInstall;
+    std::optional<incoming_snapshot> m_incoming;
+};
+
+} // namespace quetzalcleat::consensus
--- /dev/null
+++ b/Libraries/LibState/replicated_state.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "LibCore/result.h"
+#include "LibCore/time.h"
+#include "LibState/command.h"
+#include "LibState/command_result.h"
+#include "LibState/state_error.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace quetzalcleat::state {
+
+/// Bounds of the tables. The same in every process of a version, because replicas must agree.
+struct table_limits
+{
+    static constexpr std::size_t edits = 20'000; ///< 1,200 edits a day for 16 days.
+    static constexpr std::size_t history = 10'000;
+    static constexpr std::size_t claims = 4'000'000;
+    static constexpr std::size_t abandonedAttempts = 1'000'000;
+    static constexpr std::size_t hosts = 8'192;
+    static constexpr std::size_t openOrders = 10'000;
+    static constexpr std::size_t orders = 50'000;
+    static constexpr std::size_t members = 64;
+    /// Sum of the kept answer bodies. The oldest are dropped first and become `truncated`.
+    static constexpr std::uint64_t answerBytes = std::uint64_t{256} * 1024 * 1024;
+
+    static constexpr std::chrono::hours editRetention{48};
+    /// A key must not be reused, nor its call resent, after this time.
+    static constexpr std::chrono::hours claimRetention{24 * 7};
+    /// A claim that runs longer becomes unknown: its owner may have failed without a successor.
+    static constexpr std::chrono::minutes runningLimit{30};
+    static constexpr std::chrono::hours attemptRetention{48};
+    static constexpr std::chrono::hours hostRetention{24 * 30};
+    static constexpr std::chrono::hours orderRetention{48};
+    static constexpr std::chrono::minutes maximumLease{5};
+    /// Longest time that an order may be under way to an endpoint.
+    static constexpr std::chrono::seconds orderDeliveryDelay{30};
+};
+
+enum class claim_state : std::uint8_t {
+    Running = 0,
+    Finished = 1,
+    OutcomeUnknown = 2,
+    ClosedNotRun = 3,
+};
+
+struct claim_record
+{
+    claim_state state = claim_state::Running;
+    claim_attempt attempt; ///< Key only for ClosedNotRun.
+    std::string bodyHash;
+    stored_answer answer;
+    core::wall_time changedAt;
+};
+
+struct edit_record
+{
+    std::string documentHash; ///< SHA-256 over document and base revision.
+    edit_verdict verdict;
+    core::wall_time decidedAt;
+};
+
+struct history_record
+{
+    std::uint64_t revision = 0;
+    std::string editId;
+    std::string author;
+    std::string documentHash;
+    core::wall_time acceptedAt;
+
+    bool operator==(const history_record &) const = default;
+};
+
+struct lease_record
+{
+    std::string holder; ///< Empty if nobody holds it.
+    std::uint64_t incarnation = 0;
+    std::uint64_t fencing = 0;
+    core::wall_time expiresAt;
+
+    bool operator==(const lease_record &) const = default;
+};
+
+struct order_record
+{
+    order_begin order;
+    order_state state = order_state::Started;
+    core::wall_time changedAt;
+};
+
+struct host_record
+{
+    std::uint64_t incarnation = 0;
+    core::wall_time changedAt;
+};
+
+/// The replicated state machine. Deterministic: its content depends only on the commands and their
+/// log indexes.
+class replicated_state
+{
+public:
+    /// Indexes must grow; an index that was applied before gives OutOfOrder.
+    command_result apply(std::uint64_t logIndex, const command &value);
+
+    /// Decodes and applies. If the error is UnsupportedVersion, the process must stop applying,
+    /// because replicas of the newer version did not skip the command.
+    command_result applyEncoded(std::uint64_t logIndex, std::span<const std::byte> bytes);
+
+    /// Every table, in a form that is the same on every replica.
+    std::vector<std::byte> snapshot() const;
+    /// Error: MalformedSnapshot, UnsupportedVersion.
+    static core::result<replicated_state> restore(std::span<const std::byte> bytes);
+
+    std::uint64_t appliedIndex() const { return m_appliedIndex; }
+    /// Highest command time so far.
+    core::wall_time time() const { return m_time; }
+    const configuration &currentConfiguration() const { return m_configuration; }
+    const std::deque<history_record> &history() const { return m_history; }
+    const ledger_limits &limits() const { return m_limits; }
+    const claim_record *findClaim(const claim_key &key) const;
+    const edit_record *findEdit(const std::string &editId) const;
+    const lease_record &lease() const { return m_lease; }
+    const std::map<std::string, order_record> &orders() const { return m_orders; }
+    const std::map<std::uint64_t, member_note> &members() const { return m_members; }
+    std::size_t claimCount() const { return m_claims.size(); }
+    std::size_t abandonedCount() const { return m_abandoned.size(); }
+
+private:
+    enum class expiry_kind : std::uint8_t { Edit, Claim, Answer, Attempt, Host, Order };
+
+    struct expiry
+    {
+        core::wall_time at;
+        expiry_kind kind = expiry_kind::Edit;
+        claim_key key; ///< `caller` stays empty for tables with a single key.
+
+        auto operator<=>(const expiry &) const = default;
+    };
+
+    struct abandoned_record
+    {
+        core::wall_time at;
+    };
+
+    std::uint64_t m_appliedIndex = 0;
+    core::wall_time m_time;
+    configuration m_configuration;
+    ledger_limits m_limits;
+    std::deque<history_record> m_history;
+    std::map<std::string, edit_record> m_edits;
+    std::map<claim_key, claim_record> m_claims;
+    std::map<std::string, abandoned_record> m_abandoned;
+    std::map<std::string, host_record> m_hosts;
+    /// Running claims by host, so that a new incarnation need not visit the whole table.
+    std::map<std::string, std::set<claim_key>> m_runningByHost;
+    lease_record m_lease;
+    std::map<std::string, order_record> m_orders;
+    std::size_t m_openOrders = 0;
+    std::map<std::uint64_t, member_note> m_members;
+    std::uint64_t m_answerBytes = 0;
+    std::set<expiry> m_expiries; ///< Derived from the tables.
+};
+
+} // namespace quetzalcleat::state
