LibPeer: Add the public headers of the control plane

The daemon is built at the same time as the transport and needs the interface of the control client.

--- /dev/null
+++ b/Libraries/LibPeer/control_client.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "LibPeer/control_plane.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace quetzalcleat::peer {
+
+class configuration_feed;
+class peer_network;
+
+struct control_client_options
+{
+    /// Interval between two transmissions of the same proposal, each to another control host.
+    std::chrono::milliseconds resendInterval{400};
+    /// How long an abandon or finish of a claim is repeated until a majority has committed it.
+    std::chrono::milliseconds backgroundTime{60'000};
+    /// Interval of subscriptions; each one also asks for a revision that a lost push carried.
+    std::chrono::milliseconds subscribeInterval{1000};
+    /// Age of the last confirmation by a control host from which on the revision is called stale.
+    std::chrono::milliseconds staleAfter{3000};
+};
+
+/// Access to the replicated state from any host: proposes through any control host, keeps the
+/// newest configuration, and reports on the fleet.
+///
+/// All calls and callbacks run on the thread of the event loop. A callback is never called from
+/// within the call that registers it, is called exactly once, and gets peer_error::Undecided if no
+/// verdict arrived in time. A verdict that arrives later is delivered to nobody; the attempt of a
+/// claim that timed out is abandoned, so it must not be sent.
+class control_client : public std::enable_shared_from_this<control_client>
+{
+public:
+    static std::shared_ptr<control_client> create(std::shared_ptr<peer_network> network,
+                                                  std::shared_ptr<configuration_feed> feed,
+                                                  control_client_options options = {});
+    ~control_client();
+
+    control_client(const control_client &) = delete;
+    control_client &operator=(const control_client &) = delete;
+
+    /// Subscribes to the configuration and registers this host's incarnation.
+    void start();
+
+    /// Fails every waiting call with peer_error::Undecided.
+    void stop();
+
+    void claim(state::claim_request request, std::chrono::milliseconds timeout,
+               claim_handler handler);
+
+    /// Records how the call of a granted attempt ended; repeated in the background.
+    void finishClaim(state::claim_result result);
+
+    /// Frees the key of an attempt of which no byte was and will be sent; repeated in the
+    /// background.
+    void abandonClaim(state::claim_attempt attempt);
+
+    void closeClaim(state::claim_key key, std::chrono::milliseconds timeout, claim_handler handler);
+
+    void applyEdit(state::edit edit, std::chrono::milliseconds timeout, edit_handler handler);
+
+    /// Calls the handler with the revision in force, if there is one, and with each later one.
+    void onConfiguration(configuration_handler handler);
+
+    fleet_status status() const;
+
+private:
+    struct implementation;
+
+    explicit control_client(std::unique_ptr<implementation> content);
+
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace quetzalcleat::peer
--- /dev/null
+++ b/Libraries/LibPeer/control_runtime.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "LibCore/counter_registry.h"
+#include "LibCore/result.h"
+#include "LibCore/settings.h"
+#include "LibPeer/control_client.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <asio/io_context.hpp>
+
+namespace quetzalcleat::peer {
+
+class control_service;
+
+struct control_runtime_options
+{
+    bool initialiseCluster = false; ///< See control_service_options.
+    std::string seedDocument; ///< First configuration of a new cluster; may be empty.
+    /// Start number of this process; greater than those of its predecessors on this host. 0 stands
+    /// for the current calendar time in microseconds.
+    std::uint64_t incarnation = 0;
+};
+
+/// Everything that a process needs to take part in the fleet: the connections to the other
+/// processes, the replicated log if it is a control host, and the client of the replicated state.
+///
+/// Belongs to the thread that runs the context; the context must outlive it.
+class control_runtime
+{
+public:
+    /// Listens on the peer address and opens the data folder of a control host. Nothing is sent
+    /// before start().
+    static core::result<std::unique_ptr<control_runtime>>
+    create(asio::io_context &context, const core::settings &settings,
+           core::counter_registry &counters, control_runtime_options options = {});
+    ~control_runtime();
+
+    control_runtime(const control_runtime &) = delete;
+    control_runtime &operator=(const control_runtime &) = delete;
+
+    void start();
+
+    /// Closes all connections and files. Waiting calls get peer_error::Undecided.
+    void stop();
+
+    control_client &client();
+    std::uint64_t incarnation() const;
+    bool isLeader() const; ///< False on hosts without the control role.
+
+private:
+    struct implementation;
+
+    explicit control_runtime(std::unique_ptr<implementation> content);
+
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace quetzalcleat::peer
--- /dev/null
+++ b/Libraries/LibPeer/messages.h
@@ -0,0 +1,189 @@
+#pragma once
+
+#include "LibState/edits.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace quetzalcleat::peer {
+
+/// First message of a connection, from the side that connects.
+struct hello
+{
+    std::string cluster;
+    std::string host;
+    std::string expectedHost; ///< The host that the sender means to reach.
+    std::uint64_t incarnation = 0;
+    std::string nonce; ///< 32 random bytes.
+
+    bool operator==(const hello &) const = default;
+};
+
+/// Answer to hello, with the proof that the sender knows a key.
+struct challenge
+{
+    std::string cluster;
+    std::string host;
+    std::uint64_t incarnation = 0;
+    std::string nonce; ///< 32 random bytes.
+    std::string proof; ///< HMAC-SHA-256 over the hello and the fields above.
+
+    bool operator==(const challenge &) const = default;
+};
+
+/// Answer to challenge; from here on every frame carries an authentication tag.
+struct challenge_response
+{
+    std::string proof;
+
+    bool operator==(const challenge_response &) const = default;
+};
+
+struct heartbeat
+{
+    std::uint64_t sequence = 0;
+    std::uint64_t echo = 0; ///< Highest sequence received from the other side.
+
+    bool operator==(const heartbeat &) const = default;
+};
+
+/// Part of an encoded message that does not fit into one frame. The parts of a message follow each
+/// other; other messages may come between them.
+struct fragment
+{
+    std::uint64_t totalBytes = 0;
+    std::string bytes;
+
+    bool operator==(const fragment &) const = default;
+};
+
+/// A message of the replicated log, encoded by LibConsensus.
+struct raft_payload
+{
+    std::string bytes;
+
+    bool operator==(const raft_payload &) const = default;
+};
+
+/// Asks a control host to have a command committed. A control host that is not the leader forwards
+/// it to the leader once.
+struct propose
+{
+    std::uint64_t requestId = 0; ///< Unique within the sender's incarnation.
+    bool forwarded = false;
+    std::string command; ///< Encoded by LibState.
+
+    bool operator==(const propose &) const = default;
+};
+
+enum class propose_outcome : std::uint8_t {
+    Committed,
+    Undecided, ///< Repeat the command.
+};
+
+struct propose_result
+{
+    std::uint64_t requestId = 0;
+    propose_outcome outcome = propose_outcome::Undecided;
+    std::string result; ///< Encoded by LibState; empty unless committed.
+
+    bool operator==(const propose_result &) const = default;
+};
+
+/// Asks for configurations newer than the one in force at the sender.
+struct subscribe
+{
+    std::uint64_t revision = 0;
+
+    bool operator==(const subscribe &) const = default;
+};
+
+/// A newer configuration. Without a document it only confirms that the subscriber is up to date.
+struct configuration_update
+{
+    state::configuration configuration;
+    bool hasDocument = false;
+    bool confirmed = false; ///< The sender is a control host that follows a leader.
+    std::string leader; ///< Host name; empty if unknown.
+
+    bool operator==(const configuration_update &other) const
+    {
+        return configuration.revision == other.configuration.revision
+            && configuration.document == other.configuration.document
+            && configuration.editId == other.configuration.editId
+            && configuration.author == other.configuration.author
+            && hasDocument == other.hasDocument && confirmed == other.confirmed
+            && leader == other.leader;
+    }
+};
+
+enum class gossip_kind : std::uint8_t {
+    Probe,
+    Acknowledge,
+    ProbeRequest, ///< Asks the receiver to probe the target for the sender.
+};
+
+enum class member_state : std::uint8_t { Alive, Suspect, Dead };
+
+/// What the sender believes about one host.
+struct member_update
+{
+    std::string host;
+    member_state state = member_state::Alive;
+    std::uint64_t incarnation = 0; ///< Start number of the host's process.
+    std::uint32_t refutation = 0; ///< Raised by a host that refutes a suspicion.
+    std::uint64_t revision = 0; ///< Configuration revision in force.
+
+    bool operator==(const member_update &) const = default;
+};
+
+struct gossip
+{
+    gossip_kind kind = gossip_kind::Probe;
+    std::uint64_t sequence = 0;
+    std::string target; ///< Host that a probe request or its acknowledgement is about.
+    std::vector<member_update> updates; ///< The first one is about the sender.
+
+    bool operator==(const gossip &) const = default;
+};
+
+/// Asks a control host for the revisions in force on all hosts that it knows.
+struct status_request
+{
+    bool operator==(const status_request &) const = default;
+};
+
+struct host_report
+{
+    std::string host;
+    std::uint64_t incarnation = 0;
+    std::uint64_t revision = 0;
+    std::uint64_t ageMilliseconds = 0;
+
+    bool operator==(const host_report &) const = default;
+};
+
+/// Answer to a status request, and exchange between control hosts.
+struct status_report
+{
+    std::vector<host_report> hosts;
+
+    bool operator==(const status_report &) const = default;
+};
+
+/// Asks the leader to take the sender's member id in as a learner, in place of earlier ids of the
+/// same host.
+struct join
+{
+    std::uint64_t memberId = 0;
+
+    bool operator==(const join &) const = default;
+};
+
+using message = std::variant<hello, challenge, challenge_response, heartbeat, fragment,
+                             raft_payload, propose, propose_result, subscribe, configuration_update,
+                             gossip, status_request, status_report, join>;
+
+} // namespace quetzalcleat::peer
