LibPeer: Add frames, message codec and handshake

Cause: the router's processes need a transport that survives hostile bytes and strangers. Two keys are valid at once.

--- /dev/null
+++ b/Libraries/LibPeer/message_codec.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "LibCore/result.h"
+#include "LibPeer/messages.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace quetzalcleat::peer {
+
+/// Largest encoded message. Messages above the size of a frame travel in fragments.
+constexpr std::size_t maximumMessageBytes = 16 * 1024 * 1024;
+
+/// Largest number of elements of a list in a message. The decoder allocates a list before it has
+/// seen the elements, so this bounds what a short hostile message can make it allocate.
+constexpr std::size_t maximumListLength = 4096;
+
+/// The msgpack form of a message: an array of the type number and the fields.
+std::string encodeMessage(const message &content);
+
+/// Errors: MessageTooLarge, MalformedBody, UnknownMessage.
+core::result<message> decodeMessage(std::string_view bytes);
+
+} // namespace quetzalcleat::peer
--- /dev/null
+++ b/Libraries/LibPeer/message_fields.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "LibPeer/messages.h"
+
+#include <tuple>
+#include <type_traits>
+
+/// The fields of each message in the order of the wire. A change raises the version of the frame.
+namespace quetzalcleat::peer::detail {
+
+// clang-format off
+constexpr auto fieldsOf(std::type_identity<hello>)
+{ return std::tuple(&hello::cluster, &hello::host, &hello::expectedHost, &hello::incarnation, &hello::nonce); }
+constexpr auto fieldsOf(std::type_identity<challenge>)
+{ return std::tuple(&challenge::cluster, &challenge::host, &challenge::incarnation, &challenge::nonce, &challenge::proof); }
+constexpr auto fieldsOf(std::type_identity<challenge_response>)
+{ return std::tuple(&challenge_response::proof); }
+constexpr auto fieldsOf(std::type_identity<heartbeat>)
+{ return std::tuple(&heartbeat::sequence, &heartbeat::echo); }
+constexpr auto fieldsOf(std::type_identity<fragment>)
+{ return std::tuple(&fragment::totalBytes, &fragment::bytes); }
+constexpr auto fieldsOf(std::type_identity<raft_payload>)
+{ return std::tuple(&raft_payload::bytes); }
+constexpr auto fieldsOf(std::type_identity<propose>)
+{ return std::tuple(&propose::requestId, &propose::forwarded, &propose::command); }
+constexpr auto fieldsOf(std::type_identity<propose_result>)
+{ return std::tuple(&propose_result::requestId, &propose_result::outcome, &propose_result::result); }
+constexpr auto fieldsOf(std::type_identity<subscribe>)
+{ return std::tuple(&subscribe::revision); }
+constexpr auto fieldsOf(std::type_identity<state::configuration>)
+{ return std::tuple(&state::configuration::revision, &state::configuration::document, &state::configuration::editId, &state::configuration::author); }
+constexpr auto fieldsOf(std::type_identity<configuration_update>)
+{ return std::tuple(&configuration_update::configuration, &configuration_update::hasDocument, &configuration_update::confirmed, &configuration_update::leader); }
+constexpr auto fieldsOf(std::type_identity<member_update>)
+{ return std::tuple(&member_update::host, &member_update::state, &member_update::incarnation, &member_update::refutation, &member_update::revision); }
+constexpr auto fieldsOf(std::type_identity<gossip>)
+{ return std::tuple(&gossip::kind, &gossip::sequence, &gossip::target, &gossip::updates); }
+constexpr auto fieldsOf(std::type_identity<status_request>)
+{ return std::tuple(); }
+constexpr auto fieldsOf(std::type_identity<host_report>)
+{ return std::tuple(&host_report::host, &host_report::incarnation, &host_report::revision, &host_report::ageMilliseconds); }
+constexpr auto fieldsOf(std::type_identity<status_report>)
+{ return std::tuple(&status_report::hosts); }
+constexpr auto fieldsOf(std::type_identity<join>)
+{ return std::tuple(&join::memberId); }
+// clang-format on
+
+template <typename Message>
+constexpr auto fields = fieldsOf(std::type_identity<Message>{});
+
+template <typename Message>
+constexpr std::size_t fieldCount
+    = std::tuple_size_v<std::remove_const_t<decltype(fields<Message>)>>;
+
+} // namespace quetzalcleat::peer::detail
--- /dev/null
+++ b/Tests/Peer/test_frames.cpp
@@ -0,0 +1,184 @@
+#include "LibCore/hash.h"
+#include "LibPeer/frame.h"
+#include "LibPeer/handshake.h"
+#include "LibPeer/message_codec.h"
+#include "LibPeer/peer_error.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace peer = quetzalcleat::peer;
+
+namespace {
+
+constexpr auto keyOne = "key number one, 16+ bytes";
+constexpr auto keyTwo = "key number two, 16+ bytes";
+
+std::string arbitraryBytes()
+{
+    return *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+}
+
+peer::message arbitraryMessage()
+{
+    peer::gossip gossip{peer::gossip_kind::ProbeRequest,
+                        *rc::gen::arbitrary<std::uint64_t>(),
+                        arbitraryBytes(),
+                        {}};
+    gossip.updates.push_back(
+        {arbitraryBytes(), peer::member_state::Dead, 7, *rc::gen::arbitrary<std::uint32_t>(), 9});
+    const peer::configuration_update update{
+        {*rc::gen::arbitrary<std::uint64_t>(), arbitraryBytes(), arbitraryBytes(), "author"},
+        true,
+        *rc::gen::arbitrary<bool>(),
+        arbitraryBytes()};
+    const peer::propose_result result{*rc::gen::arbitrary<std::uint64_t>(),
+                                      peer::propose_outcome::Undecided, arbitraryBytes()};
+    const peer::status_report report{{{arbitraryBytes(), 1, 2, 3}, {"b", 4, 5, 6}}};
+    return *rc::gen::element<peer::message>(
+        gossip, update, result, report, peer::status_request{}, peer::join{7},
+        peer::hello{"c", "h", "e", 5, arbitraryBytes()}, peer::propose{1, true, arbitraryBytes()});
+}
+
+peer::handshake_identity identity(std::string host, std::vector<std::string> keys)
+{
+    return {"cluster", std::move(host), 1, std::move(keys)};
+}
+
+/// The first error of a whole handshake, or a default error code.
+std::error_code handshakeError(peer::client_handshake &client, peer::server_handshake &server)
+{
+    const auto challenge = server.receive(client.start());
+    if (!challenge)
+        return challenge.error();
+    const auto response = client.receive(challenge.value());
+    if (!response)
+        return response.error();
+    return server.receive(response.value()).error();
+}
+
+} // namespace
+
+// Guards against a field that is lost, or read in another order than it was written.
+RC_GTEST_PROP(MessageCodec, DecodesWhatItEncodes, ())
+{
+    const auto content = arbitraryMessage();
+    const auto decoded = peer::decodeMessage(peer::encodeMessage(content));
+    RC_ASSERT(decoded.hasValue());
+    RC_ASSERT(decoded.value() == content);
+}
+
+// Guards against a crash, or a message out of nothing, on bytes that are no message.
+RC_GTEST_PROP(MessageCodec, RefusesHostileBytes, ())
+{
+    const auto decoded = peer::decodeMessage(arbitraryBytes());
+    if (!decoded)
+        RC_ASSERT(&decoded.error().category() == &peer::peerCategory());
+}
+
+// Guards against a crash, or an accepted cut message, when bytes of a valid message are changed or
+// missing at the end.
+RC_GTEST_PROP(MessageCodec, SurvivesDamagedMessages, ())
+{
+    auto bytes = peer::encodeMessage(arbitraryMessage());
+    const auto length = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    RC_ASSERT(!peer::decodeMessage(std::string_view(bytes).substr(0, length)).hasValue());
+    bytes[length] = *rc::gen::arbitrary<char>();
+    (void)peer::decodeMessage(bytes);
+}
+
+// Guards against a list length in a few bytes that makes the decoder allocate gigabytes.
+TEST(MessageCodec, RefusesHugeListBeforeAllocation)
+{
+    const std::string hugeArray("\xdd\xff\xff\xff\xff", 5);
+    EXPECT_EQ(peer::decodeMessage(hugeArray).error(), peer::peer_error::MalformedBody);
+    EXPECT_EQ(peer::decodeMessage("\x92\x0c" + hugeArray).error(), peer::peer_error::MalformedBody);
+    const std::string nested(100000, '\x91');
+    EXPECT_EQ(peer::decodeMessage(nested).error(), peer::peer_error::MalformedBody);
+}
+
+// Guards against an allocation of the announced size before the limit is checked.
+TEST(Frame, RefusesLengthsOutsideTheLimit)
+{
+    EXPECT_EQ(
+        peer::decodeFrameLength({'\x00', '\x10', '\x00', '\x01'}, peer::maximumFrameBytes).error(),
+        peer::peer_error::FrameTooLarge);
+    EXPECT_EQ(
+        peer::decodeFrameLength({'\x00', '\x10', '\x00', '\x00'}, peer::maximumFrameBytes).value(),
+        peer::maximumFrameBytes);
+    EXPECT_EQ(peer::decodeFrameLength({}, peer::maximumFrameBytes).error(),
+              peer::peer_error::FrameTooShort);
+}
+
+// Guards against an altered, repeated, skipped or reflected frame that is taken as authentic.
+RC_GTEST_PROP(Frame, AcceptsEachFrameOnceAndInOrder, ())
+{
+    peer::frame_authenticator sender("key"), receiver("key"), other("another key");
+    const auto body = arbitraryBytes();
+    const auto first = sender.seal(body).substr(peer::frameLengthBytes);
+    const auto second = sender.seal(body).substr(peer::frameLengthBytes);
+    RC_ASSERT(receiver.open(second).error() == peer::peer_error::FrameNotAuthentic);
+    RC_ASSERT(other.open(first).error() == peer::peer_error::FrameNotAuthentic);
+    RC_ASSERT(receiver.open(first).value() == body);
+    RC_ASSERT(receiver.open(first).error() == peer::peer_error::FrameNotAuthentic);
+    auto altered = second;
+    const auto position = *rc::gen::inRange<std::size_t>(1, altered.size());
+    altered[position] = static_cast<char>(altered[position] ^ 1);
+    RC_ASSERT(receiver.open(altered).error() == peer::peer_error::FrameNotAuthentic);
+    RC_ASSERT(receiver.open(second).value() == body);
+}
+
+// Guards against a rotation of keys that cuts hosts off from each other half way.
+TEST(Handshake, SucceedsInEveryStepOfARotation)
+{
+    const std::vector<std::vector<std::string>> steps{
+        {keyOne}, {keyOne, keyTwo}, {keyTwo, keyOne}, {keyTwo}};
+    for (std::size_t step = 0; step + 1 < steps.size(); ++step) {
+        for (const auto &[client, server] :
+             {std::pair(step, step + 1), std::pair(step + 1, step)}) {
+            peer::client_handshake left(identity("a", steps[client]), "b");
+            peer::server_handshake right(identity("b", steps[server]));
+            EXPECT_EQ(handshakeError(left, right), std::error_code()) << client << server;
+            EXPECT_EQ(left.keys().fromClient, right.keys().fromClient);
+            EXPECT_EQ(left.keys().fromServer, right.keys().fromServer);
+            EXPECT_NE(left.keys().fromServer, left.keys().fromClient);
+        }
+    }
+}
+
+// Guards against a peer that is let in without a valid key, or from another cluster or host.
+TEST(Handshake, RefusesStrangers)
+{
+    peer::client_handshake stranger(identity("a", {keyTwo}), "b");
+    peer::server_handshake server(identity("b", {keyOne}));
+    EXPECT_EQ(handshakeError(stranger, server), peer::peer_error::AuthenticationFailed);
+
+    peer::client_handshake wrongHost(identity("a", {keyOne}), "c");
+    EXPECT_EQ(handshakeError(wrongHost, server), peer::peer_error::WrongHost);
+
+    auto other = identity("a", {keyOne});
+    other.cluster = "other";
+    peer::client_handshake wrongCluster(other, "b");
+    EXPECT_EQ(handshakeError(wrongCluster, server), peer::peer_error::WrongCluster);
+
+    peer::client_handshake noKey(identity("a", {}), "b");
+    EXPECT_EQ(handshakeError(noKey, server), peer::peer_error::AuthenticationFailed);
+}
+
+// Guards against a proof that is recorded and used again in a later connection, or sent back to
+// the side that made it.
+TEST(Handshake, RefusesReplayedAndReflectedProofs)
+{
+    peer::client_handshake client(identity("a", {keyOne}), "b");
+    peer::server_handshake server(identity("b", {keyOne}));
+    const auto challenge = server.receive(client.start());
+    ASSERT_TRUE(challenge);
+    const auto response = client.receive(challenge.value());
+    ASSERT_TRUE(response);
+
+    peer::server_handshake later(identity("b", {keyOne}));
+    ASSERT_TRUE(later.receive(client.start()));
+    EXPECT_EQ(later.receive(response.value()).error(), peer::peer_error::AuthenticationFailed);
+    EXPECT_EQ(server.receive(peer::challenge_response{challenge.value().proof}).error(),
+              peer::peer_error::AuthenticationFailed);
+}
