LibHttp: Add the endpoint client and the caller server

libcurl's multi interface runs on Asio sockets and timers; RESTinio serves on the shared io_context. RESTinio 0.6.16 notices a closed connection only while a read is pending, so the server allows two pipelined requests; it gives up an accept slot after an error, so there are eight slots and a limit on connections. A call that must be sent once gets a fresh connection that is not reused, because libcurl repeats a request by itself on a reused connection that proves dead.

--- /dev/null
+++ b/Libraries/LibHttp/caller_server.cpp
@@ -0,0 +1,408 @@
+#include "LibHttp/caller_server.h"
+
+#include "LibHttp/http_error.h"
+
+#include <restinio/all.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace quetzalcleat::http {
+
+namespace {
+
+// RESTinio closes the connection without an answer when one of its limits is exceeded. The margin
+// lets requests that are slightly too large get a proper answer.
+constexpr std::uint64_t bodyLimitMargin = 1024 * 1024;
+constexpr std::size_t maximumTargetBytes = 8 * 1024;
+constexpr std::size_t maximumHeaderNameBytes = 256;
+constexpr std::size_t maximumHeaderValueBytes = 16 * 1024;
+constexpr std::size_t maximumHeaderCount = 100;
+
+/// RESTinio reads on while a request is handled only if it may take another one; without that
+/// pending read it does not notice that a caller has gone.
+constexpr std::size_t pipelinedRequests = 2;
+
+/// RESTinio 0.6.16 gives up an accept slot for good after an error such as "too many open files",
+/// so there are several and the number of connections is limited.
+constexpr std::size_t acceptSlots = 8;
+
+/// Sessions have their own deadlines; RESTinio's must not come first.
+constexpr std::chrono::hours handlingTimeLimit{24};
+
+/// Forwards the end of a connection.
+class connection_listener
+{
+public:
+    explicit connection_listener(std::function<void(std::uint64_t, bool)> changed)
+        : m_changed(std::move(changed))
+    {
+    }
+
+    // The name is prescribed by RESTinio.
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    void state_changed(const restinio::connection_state::notice_t &notice) noexcept
+    {
+        const auto cause = notice.cause();
+        m_changed(notice.connection_id(),
+                  restinio::holds_alternative<restinio::connection_state::accepted_t>(cause));
+    }
+
+private:
+    std::function<void(std::uint64_t, bool)> m_changed;
+};
+
+struct server_traits : public restinio::default_single_thread_traits_t
+{
+    using request_handler_t
+        = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+    using connection_state_listener_t = connection_listener;
+    static constexpr bool use_connection_count_limiter = true; // NOLINT
+};
+
+using server = restinio::http_server_t<server_traits>;
+
+struct shared_state
+{
+    asio::io_context &context;
+    std::size_t openExchanges = 0;
+    std::size_t openConnections = 0;
+    bool closeAfterAnswers = false;
+};
+
+/// Headers that RESTinio writes itself.
+bool isFramingHeader(const std::string &name)
+{
+    const header_list one{{name, {}}};
+    return findHeader(one, "Content-Length") || findHeader(one, "Transfer-Encoding")
+        || findHeader(one, "Connection");
+}
+
+} // namespace
+
+class restinio_exchange final : public caller_exchange,
+                                public std::enable_shared_from_this<restinio_exchange>
+{
+public:
+    restinio_exchange(std::shared_ptr<shared_state> state, restinio::request_handle_t handle)
+        : m_state(std::move(state)), m_handle(std::move(handle))
+    {
+        const auto &source = m_handle->header();
+        m_request.method = source.method().c_str();
+        m_request.path = std::string(source.path());
+        m_request.query = std::string(source.query());
+        source.for_each_field([this](const auto &field) {
+            m_request.headers.push_back({field.name(), field.value()});
+        });
+        m_request.body = m_handle->body();
+        ++m_state->openExchanges;
+    }
+
+    ~restinio_exchange() override { close(); }
+
+    restinio_exchange(const restinio_exchange &) = delete;
+    restinio_exchange &operator=(const restinio_exchange &) = delete;
+
+    const caller_request &request() const override { return m_request; }
+
+    void releaseBody() override { m_request.body = {}; }
+
+    void respond(response_head head, std::string body) override
+    {
+        if (!m_handle)
+            return;
+        auto response = m_handle->create_response(statusLine(head.status));
+        m_handle.reset();
+        setHeaders(response, head);
+        response.set_body(std::move(body));
+        response.done(completion({}));
+    }
+
+    void startStream(response_head head) override
+    {
+        if (!m_handle)
+            return;
+        m_stream.emplace(
+            m_handle->create_response<restinio::chunked_output_t>(statusLine(head.status)));
+        m_handle.reset();
+        setHeaders(*m_stream, head);
+    }
+
+    void write(std::string chunk, written_callback written) override
+    {
+        if (!m_stream || m_gone) {
+            asio::post(m_state->context, [written = std::move(written)] {
+                written(make_error_code(http_error::CallerGone));
+            });
+            return;
+        }
+        m_stream->append_chunk(std::move(chunk));
+        m_stream->flush([&context = m_state->context,
+                         written = std::move(written)](const asio::error_code &error) {
+            // Posted, so that a session never runs inside RESTinio's own write handling.
+            asio::post(context, [written, failed = static_cast<bool>(error)] {
+                written(failed ? make_error_code(http_error::CallerGone) : std::error_code());
+            });
+        });
+    }
+
+    void finishStream() override
+    {
+        if (!m_stream)
+            return;
+        auto stream = std::move(*m_stream);
+        m_stream.reset();
+        stream.done(completion({}));
+    }
+
+    void onDisconnect(std::function<void()> callback) override
+    {
+        m_onDisconnect = std::move(callback);
+    }
+
+    void connectionClosed()
+    {
+        if (m_closed || m_gone)
+            return;
+        m_gone = true;
+        asio::post(m_state->context, [self = shared_from_this()] {
+            const auto callback = std::move(self->m_onDisconnect);
+            self->m_onDisconnect = {};
+            self->close();
+            if (callback)
+                callback();
+        });
+    }
+
+private:
+    static restinio::http_status_line_t statusLine(std::uint16_t status)
+    {
+        return {restinio::http_status_code_t{status}, reasonPhrase(status)};
+    }
+
+    static std::string reasonPhrase(std::uint16_t status)
+    {
+        switch (status) {
+        case 200:
+            return "OK";
+        case 400:
+            return "Bad Request";
+        case 401:
+            return "Unauthorized";
+        case 404:
+            return "Not Found";
+        case 409:
+            return "Conflict";
+        case 413:
+            return "Content Too Large";
+        case 422:
+            return "Unprocessable Content";
+        case 429:
+            return "Too Many Requests";
+        case 502:
+            return "Bad Gateway";
+        case 503:
+            return "Service Unavailable";
+        case 504:
+            return "Gateway Timeout";
+        default:
+            return "Status";
+        }
+    }
+
+    template <typename Response>
+    void setHeaders(Response &response, const response_head &head)
+    {
+        for (const auto &field : head.headers) {
+            if (!isFramingHeader(field.name))
+                response.append_header(field.name, field.value);
+        }
+        if (m_state->closeAfterAnswers)
+            response.connection_close();
+    }
+
+    restinio::write_status_cb_t completion(written_callback)
+    {
+        return [self = shared_from_this()](const asio::error_code &) { self->close(); };
+    }
+
+    /// Counts the exchange as complete.
+    void close()
+    {
+        if (std::exchange(m_closed, true))
+            return;
+        --m_state->openExchanges;
+        m_onDisconnect = {};
+    }
+
+    std::shared_ptr<shared_state> m_state;
+    restinio::request_handle_t m_handle;
+    caller_request m_request;
+    std::optional<restinio::response_builder_t<restinio::chunked_output_t>> m_stream;
+    std::function<void()> m_onDisconnect;
+    bool m_gone = false;
+    bool m_closed = false;
+};
+
+class caller_server::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(asio::io_context &context, caller_server_options options,
+                   request_handler handler)
+        : m_options(std::move(options)), m_handler(std::move(handler)),
+          m_state(std::make_shared<shared_state>(shared_state{context}))
+    {
+    }
+
+    core::result<void> open();
+
+    void closeListener()
+    {
+        if (m_server)
+            m_server->close_sync();
+    }
+
+    shared_state &state() { return *m_state; }
+    std::uint16_t port() const { return m_port; }
+
+private:
+    restinio::server_settings_t<server_traits> serverSettings();
+    restinio::request_handling_status_t handle(restinio::request_handle_t request);
+    void connectionChanged(std::uint64_t connection, bool opened);
+
+    caller_server_options m_options;
+    request_handler m_handler;
+    std::shared_ptr<shared_state> m_state;
+    std::unique_ptr<server> m_server;
+    std::unordered_map<std::uint64_t, std::vector<std::weak_ptr<restinio_exchange>>> m_connections;
+    std::uint16_t m_port = 0;
+};
+
+restinio::server_settings_t<server_traits> caller_server::implementation::serverSettings()
+{
+    restinio::server_settings_t<server_traits> settings;
+    settings.port(m_options.address.port)
+        .address(asio::ip::make_address(m_options.address.ip))
+        .protocol(m_options.address.ip.find(':') == std::string::npos ? asio::ip::tcp::v4()
+                                                                      : asio::ip::tcp::v6())
+        .max_parallel_connections(m_options.maximumConnections)
+        .concurrent_accepts_count(acceptSlots)
+        .max_pipelined_requests(pipelinedRequests)
+        .handle_request_timeout(handlingTimeLimit)
+        .write_http_response_timelimit(m_options.writeProgressTimeout)
+        .read_next_http_message_timelimit(m_options.idleTimeout)
+        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                      .max_body_size(maximumRequestBytes + bodyLimitMargin)
+                                      .max_url_size(maximumTargetBytes)
+                                      .max_field_name_size(maximumHeaderNameBytes)
+                                      .max_field_value_size(maximumHeaderValueBytes)
+                                      .max_field_count(maximumHeaderCount))
+        .acceptor_options_setter(
+            [](auto &options) { options.set_option(asio::ip::tcp::acceptor::reuse_address(true)); })
+        .socket_options_setter(
+            [](auto &options) { options.set_option(asio::ip::tcp::no_delay(true)); })
+        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) {
+            m_port = acceptor.local_endpoint().port();
+        })
+        .connection_state_listener(std::make_shared<connection_listener>(
+            [weak = weak_from_this()](std::uint64_t connection, bool opened) {
+                if (const auto self = weak.lock())
+                    self->connectionChanged(connection, opened);
+            }))
+        .request_handler([weak = weak_from_this()](restinio::request_handle_t request) {
+            const auto self = weak.lock();
+            return self ? self->handle(std::move(request)) : restinio::request_rejected();
+        });
+    return settings;
+}
+
+core::result<void> caller_server::implementation::open()
+{
+    try {
+        m_server = std::make_unique<server>(restinio::external_io_context(m_state->context),
+                                            serverSettings());
+        m_server->open_sync();
+    } catch (const std::system_error &error) {
+        return error.code();
+    }
+    return {};
+}
+
+restinio::request_handling_status_t
+caller_server::implementation::handle(restinio::request_handle_t request)
+{
+    const auto connection = request->connection_id();
+    auto exchange = std::make_shared<restinio_exchange>(m_state, std::move(request));
+    auto &exchanges = m_connections[connection];
+    std::erase_if(exchanges, [](const auto &weak) { return weak.expired(); });
+    exchanges.push_back(exchange);
+    // Posted, so that a session never runs inside RESTinio's own read handling.
+    asio::post(m_state->context,
+               [self = shared_from_this(), exchange] { self->m_handler(exchange); });
+    return restinio::request_accepted();
+}
+
+void caller_server::implementation::connectionChanged(std::uint64_t connection, bool opened)
+{
+    if (opened) {
+        ++m_state->openConnections;
+        m_connections[connection];
+        return;
+    }
+    const auto found = m_connections.find(connection);
+    if (found == m_connections.end())
+        return;
+    --m_state->openConnections;
+    const auto exchanges = std::move(found->second);
+    m_connections.erase(found);
+    for (const auto &weak : exchanges) {
+        if (const auto exchange = weak.lock())
+            exchange->connectionClosed();
+    }
+}
+
+caller_server::caller_server(asio::io_context &context, caller_server_options options,
+                             request_handler handler)
+    : m_implementation(
+        std::make_shared<implementation>(context, std::move(options), std::move(handler)))
+{
+}
+
+caller_server::~caller_server()
+{
+    closeListener();
+}
+
+core::result<void> caller_server::open()
+{
+    return m_implementation->open();
+}
+
+void caller_server::closeListener()
+{
+    m_implementation->closeListener();
+}
+
+void caller_server::closeConnectionsAfterAnswers()
+{
+    m_implementation->state().closeAfterAnswers = true;
+}
+
+std::uint16_t caller_server::port() const
+{
+    return m_implementation->port();
+}
+
+std::size_t caller_server::openExchanges() const
+{
+    return m_implementation->state().openExchanges;
+}
+
+std::size_t caller_server::openConnections() const
+{
+    return m_implementation->state().openConnections;
+}
+
+} // namespace quetzalcleat::http
--- /dev/null
+++ b/Libraries/LibHttp/endpoint_client.cpp
@@ -0,0 +1,601 @@
+#include "LibHttp/endpoint_client.h"
+
+#include "LibCore/time.h"
+#include "LibHttp/http_error.h"
+
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace quetzalcleat::http {
+
+namespace {
+
+/// Idle connections older than this are not used again.
+constexpr std::chrono::seconds maximumIdleTime{30};
+
+/// How many idle connections are kept in all; about one for each open stream of a busy host.
+constexpr long maximumIdleConnections = 4096;
+
+/// libcurl allocates this for each transfer with a body; it is the smallest size it accepts.
+constexpr long uploadBufferBytes = 16 * 1024;
+
+class shared_library
+{
+public:
+    shared_library() { curl_global_init(CURL_GLOBAL_DEFAULT); }
+    ~shared_library() { curl_global_cleanup(); }
+
+    shared_library(const shared_library &) = delete;
+    shared_library &operator=(const shared_library &) = delete;
+};
+
+std::string urlFor(const endpoint_request &request)
+{
+    const auto &address = request.address;
+    const auto host
+        = address.ip.find(':') == std::string::npos ? address.ip : '[' + address.ip + ']';
+    return "http://" + host + ':' + std::to_string(address.port) + request.target;
+}
+
+std::error_code toError(CURLcode code, bool answerStarted)
+{
+    switch (code) {
+    case CURLE_OK:
+        return {};
+    case CURLE_COULDNT_CONNECT:
+        return http_error::ConnectFailed;
+    case CURLE_OPERATION_TIMEDOUT:
+        return http_error::ConnectTimeout;
+    case CURLE_GOT_NOTHING:
+    case CURLE_PARTIAL_FILE:
+    case CURLE_RECV_ERROR:
+    case CURLE_SEND_ERROR:
+        return http_error::ConnectionBroken;
+    default:
+        return answerStarted ? http_error::ConnectionBroken : http_error::InvalidResponse;
+    }
+}
+
+/// Only errors of connecting are certain to come before the first byte of the request. The client
+/// sets no libcurl timeout but the one for connecting.
+bool maybeSent(CURLcode code)
+{
+    return code != CURLE_COULDNT_CONNECT && code != CURLE_OPERATION_TIMEDOUT
+        && code != CURLE_URL_MALFORMAT;
+}
+
+struct watched_socket
+{
+    explicit watched_socket(asio::io_context &context, curl_socket_t socket)
+        : descriptor(context, socket)
+    {
+    }
+
+    asio::posix::stream_descriptor descriptor;
+    int wanted = 0; ///< CURL_POLL_... flags.
+    bool waitsForRead = false;
+    bool waitsForWrite = false;
+};
+
+} // namespace
+
+class endpoint_client::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    explicit implementation(asio::io_context &context);
+    ~implementation();
+
+    implementation(const implementation &) = delete;
+    implementation &operator=(const implementation &) = delete;
+
+    class transfer;
+
+    std::shared_ptr<endpoint_transfer> start(endpoint_request request, transfer_handler handler);
+    void shutDown();
+    void add(const std::shared_ptr<transfer> &added);
+    void remove(transfer &removed);
+    void perform(curl_socket_t socket, int events);
+    void markSuspect(const std::string &address);
+    void applyReuseRules(CURL *easy, const endpoint_request &request);
+    asio::io_context &context() { return m_context; }
+
+private:
+    static int onSocket(CURL *easy, curl_socket_t socket, int what, void *self, void *);
+    static int onTimer(CURLM *multi, long milliseconds, void *self);
+
+    void watch(curl_socket_t socket, int what);
+    void unwatch(curl_socket_t socket);
+    void arm(curl_socket_t socket, const std::shared_ptr<watched_socket> &watched);
+    void onReady(curl_socket_t socket, const std::shared_ptr<watched_socket> &watched, int events);
+    void collectEnded();
+
+    shared_library m_library;
+    asio::io_context &m_context;
+    CURLM *m_multi = nullptr;
+    asio::steady_timer m_timer;
+    std::unordered_map<curl_socket_t, std::shared_ptr<watched_socket>> m_sockets;
+    std::unordered_map<CURL *, std::shared_ptr<transfer>> m_transfers;
+    std::unordered_map<std::string, core::instant> m_suspectBefore; ///< By address.
+};
+
+class endpoint_client::implementation::transfer final
+    : public endpoint_transfer,
+      public std::enable_shared_from_this<transfer>
+{
+public:
+    transfer(std::weak_ptr<implementation> owner, asio::io_context &context,
+             endpoint_request request, transfer_handler handler)
+        : m_owner(std::move(owner)), m_context(context), m_timer(context),
+          m_request(std::move(request)), m_handler(std::move(handler))
+    {
+    }
+
+    ~transfer() override
+    {
+        if (m_easy)
+            curl_easy_cleanup(m_easy);
+        curl_slist_free_all(m_headers);
+    }
+
+    transfer(const transfer &) = delete;
+    transfer &operator=(const transfer &) = delete;
+
+    void pause() override
+    {
+        if (m_ended || m_paused)
+            return;
+        m_paused = true;
+        if (m_easy)
+            curl_easy_pause(m_easy, CURLPAUSE_RECV);
+    }
+
+    void resume() override
+    {
+        if (m_ended || !m_paused)
+            return;
+        m_paused = false;
+        m_lastActivity = std::chrono::steady_clock::now();
+        // Unpausing delivers kept bytes at once; posting keeps that out of the calling handler.
+        asio::post(m_context, [self = shared_from_this()] { self->unpause(); });
+    }
+
+    void cancel() override
+    {
+        if (m_ended)
+            return;
+        m_ended = true;
+        // libcurl must not be entered again from its own callbacks.
+        asio::post(m_context, [self = shared_from_this()] { self->detach(); });
+    }
+
+    CURL *prepare(implementation &owner);
+    void startTimer();
+
+    void end(const transfer_end &ending)
+    {
+        const auto self = shared_from_this();
+        const bool wasEnded = std::exchange(m_ended, true);
+        detach();
+        if (!wasEnded) {
+            const auto onEnd = std::move(m_handler.onEnd);
+            m_handler = {};
+            onEnd(ending);
+        }
+    }
+
+    void endWith(CURLcode code) { end({toError(code, m_headDelivered), maybeSent(code)}); }
+
+private:
+    static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *self)
+    {
+        static_cast<transfer *>(self)->takeHeaderLine({data, size * count});
+        return size * count;
+    }
+
+    static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self)
+    {
+        auto &target = *static_cast<transfer *>(self);
+        if (target.m_ended)
+            return 0;
+        target.m_bodyStarted = true;
+        target.m_lastActivity = std::chrono::steady_clock::now();
+        target.m_handler.onPiece({data, size * count});
+        return size * count;
+    }
+
+    void takeHeaderLine(std::string_view line);
+    void setUpHeaders();
+    void setUpBody();
+    void checkTimeouts();
+
+    void unpause()
+    {
+        if (m_ended || m_paused || !m_easy)
+            return;
+        const auto owner = m_owner.lock();
+        if (!owner)
+            return;
+        curl_easy_pause(m_easy, CURLPAUSE_CONT);
+        owner->perform(CURL_SOCKET_TIMEOUT, 0);
+    }
+
+    void detach()
+    {
+        m_timer.cancel();
+        const auto owner = m_owner.lock();
+        if (owner && m_easy)
+            owner->remove(*this);
+        if (m_ended)
+            releaseLater();
+    }
+
+    /// The handlers may hold the session that holds this transfer.
+    void releaseLater()
+    {
+        asio::post(m_context, [self = shared_from_this()] { self->m_handler = {}; });
+    }
+
+    core::instant deadline() const
+    {
+        return m_bodyStarted ? m_lastActivity + m_request.timeouts.progress
+                             : m_started + m_request.timeouts.firstByte;
+    }
+
+    friend class endpoint_client::implementation;
+
+    std::weak_ptr<implementation> m_owner;
+    asio::io_context &m_context;
+    asio::steady_timer m_timer;
+    endpoint_request m_request;
+    transfer_handler m_handler;
+    CURL *m_easy = nullptr;
+    curl_slist *m_headers = nullptr;
+    response_head m_head;
+    core::instant m_started;
+    core::instant m_lastActivity;
+    bool m_headDelivered = false;
+    bool m_bodyStarted = false;
+    bool m_paused = false;
+    bool m_ended = false;
+};
+
+CURL *endpoint_client::implementation::transfer::prepare(implementation &owner)
+{
+    m_easy = curl_easy_init();
+    if (!m_easy)
+        return nullptr;
+    curl_easy_setopt(m_easy, CURLOPT_URL, urlFor(m_request).c_str());
+    curl_easy_setopt(m_easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(m_easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(m_easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(m_easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(m_easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(m_easy, CURLOPT_BUFFERSIZE, static_cast<long>(maximumPieceBytes));
+    curl_easy_setopt(m_easy, CURLOPT_UPLOAD_BUFFERSIZE, uploadBufferBytes);
+    curl_easy_setopt(m_easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(m_easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(m_request.timeouts.connect.count()));
+    curl_easy_setopt(m_easy, CURLOPT_MAXAGE_CONN, static_cast<long>(maximumIdleTime.count()));
+    curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, &transfer::onHeader);
+    curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, &transfer::onBody);
+    curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(m_easy, CURLOPT_PRIVATE, this);
+    setUpBody();
+    setUpHeaders();
+    owner.applyReuseRules(m_easy, m_request);
+    return m_easy;
+}
+
+void endpoint_client::implementation::transfer::setUpBody()
+{
+    if (m_request.method == "HEAD") {
+        curl_easy_setopt(m_easy, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    if (m_request.method != "GET" || !m_request.body.empty()) {
+        curl_easy_setopt(m_easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, m_request.body.data());
+        curl_easy_setopt(m_easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(m_request.body.size()));
+    }
+    curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, m_request.method.c_str());
+}
+
+void endpoint_client::implementation::transfer::setUpHeaders()
+{
+    const auto append = [this](const std::string &line) {
+        m_headers = curl_slist_append(m_headers, line.c_str());
+    };
+    for (const auto &field : m_request.headers) {
+        // libcurl takes "Name:" as "leave this header out" and "Name;" as an empty value.
+        append(field.value.empty() ? field.name + ';' : field.name + ": " + field.value);
+    }
+    if (!findHeader(m_request.headers, "Content-Type"))
+        append("Content-Type:");
+    // With "Expect: 100-continue" libcurl would send a request again after a 417.
+    append("Expect:");
+    curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, m_headers);
+}
+
+void endpoint_client::implementation::transfer::takeHeaderLine(std::string_view line)
+{
+    while (line.ends_with('\n') || line.ends_with('\r'))
+        line.remove_suffix(1);
+    if (m_headDelivered || m_ended)
+        return; // Trailers of a chunked body.
+    if (line.starts_with("HTTP/")) {
+        m_head = {};
+        return;
+    }
+    if (!line.empty()) {
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos)
+            return;
+        auto value = line.substr(colon + 1);
+        value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+        m_head.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+        return;
+    }
+    long status = 0;
+    curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
+    if (status < 200)
+        return;
+    m_head.status = static_cast<std::uint16_t>(status);
+    m_headDelivered = true;
+    m_handler.onHead(m_head);
+}
+
+void endpoint_client::implementation::transfer::startTimer()
+{
+    m_started = m_lastActivity = std::chrono::steady_clock::now();
+    checkTimeouts();
+}
+
+void endpoint_client::implementation::transfer::checkTimeouts()
+{
+    if (m_ended)
+        return;
+    const auto now = std::chrono::steady_clock::now();
+    if (!m_paused && now >= deadline()) {
+        if (const auto owner = m_owner.lock())
+            owner->markSuspect(m_request.address.text());
+        end({m_bodyStarted ? http_error::ProgressTimeout : http_error::FirstByteTimeout, true});
+        return;
+    }
+    // One timer that runs on is cheaper than a new one for each token.
+    m_timer.expires_at(m_paused ? now + m_request.timeouts.progress : deadline());
+    m_timer.async_wait([self = shared_from_this()](std::error_code error) {
+        if (!error)
+            self->checkTimeouts();
+    });
+}
+
+endpoint_client::implementation::implementation(asio::io_context &context)
+    : m_context(context), m_multi(curl_multi_init()), m_timer(context)
+{
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &implementation::onSocket);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &implementation::onTimer);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maximumIdleConnections);
+}
+
+endpoint_client::implementation::~implementation()
+{
+    shutDown();
+    curl_multi_cleanup(m_multi);
+}
+
+std::shared_ptr<endpoint_transfer> endpoint_client::implementation::start(endpoint_request request,
+                                                                          transfer_handler handler)
+{
+    auto created = std::make_shared<transfer>(weak_from_this(), m_context, std::move(request),
+                                              std::move(handler));
+    asio::post(m_context, [self = weak_from_this(), created] {
+        if (const auto owner = self.lock())
+            owner->add(created);
+    });
+    return created;
+}
+
+void endpoint_client::implementation::shutDown()
+{
+    const auto transfers = std::move(m_transfers);
+    m_transfers.clear();
+    for (const auto &[easy, entry] : transfers) {
+        curl_multi_remove_handle(m_multi, easy);
+        entry->m_ended = true;
+        entry->m_timer.cancel();
+        entry->m_handler = {};
+    }
+    m_timer.cancel();
+}
+
+void endpoint_client::implementation::add(const std::shared_ptr<transfer> &added)
+{
+    if (added->m_ended)
+        return;
+    auto *easy = added->prepare(*this);
+    if (!easy || curl_multi_add_handle(m_multi, easy) != CURLM_OK) {
+        added->end({http_error::ConnectFailed, false});
+        return;
+    }
+    m_transfers.emplace(easy, added);
+    if (added->m_paused)
+        curl_easy_pause(easy, CURLPAUSE_RECV);
+    added->startTimer();
+}
+
+void endpoint_client::implementation::remove(transfer &removed)
+{
+    const auto found = m_transfers.find(removed.m_easy);
+    if (found == m_transfers.end())
+        return;
+    const auto keptAlive = std::move(found->second);
+    m_transfers.erase(found);
+    curl_multi_remove_handle(m_multi, removed.m_easy);
+}
+
+void endpoint_client::implementation::perform(curl_socket_t socket, int events)
+{
+    const auto self = shared_from_this();
+    int running = 0;
+    curl_multi_socket_action(m_multi, socket, events, &running);
+    collectEnded();
+}
+
+void endpoint_client::implementation::markSuspect(const std::string &address)
+{
+    m_suspectBefore[address] = std::chrono::steady_clock::now();
+}
+
+void endpoint_client::implementation::applyReuseRules(CURL *easy, const endpoint_request &request)
+{
+    if (request.sendOnce) {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+        return;
+    }
+    const auto found = m_suspectBefore.find(request.address.text());
+    if (found == m_suspectBefore.end())
+        return;
+    const auto elapsed = std::chrono::floor<std::chrono::seconds>(std::chrono::steady_clock::now()
+                                                                  - found->second);
+    if (elapsed > maximumIdleTime) {
+        m_suspectBefore.erase(found);
+        return;
+    }
+    // libcurl counts whole seconds, so that within the first ones only a new connection is sure to
+    // be younger than the timeout.
+    constexpr std::chrono::seconds granularity{2};
+    if (elapsed < granularity) {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        return;
+    }
+    curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, static_cast<long>(elapsed.count() - 1));
+}
+
+int endpoint_client::implementation::onSocket(CURL *, curl_socket_t socket, int what, void *self,
+                                              void *)
+{
+    auto &owner = *static_cast<implementation *>(self);
+    if (what == CURL_POLL_REMOVE)
+        owner.unwatch(socket);
+    else
+        owner.watch(socket, what);
+    return 0;
+}
+
+int endpoint_client::implementation::onTimer(CURLM *, long milliseconds, void *self)
+{
+    auto &owner = *static_cast<implementation *>(self);
+    owner.m_timer.cancel();
+    if (milliseconds < 0)
+        return 0;
+    owner.m_timer.expires_after(std::chrono::milliseconds(milliseconds));
+    owner.m_timer.async_wait([weak = owner.weak_from_this()](std::error_code error) {
+        const auto target = weak.lock();
+        if (!error && target)
+            target->perform(CURL_SOCKET_TIMEOUT, 0);
+    });
+    return 0;
+}
+
+void endpoint_client::implementation::watch(curl_socket_t socket, int what)
+{
+    auto &entry = m_sockets[socket];
+    if (!entry)
+        entry = std::make_shared<watched_socket>(m_context, socket);
+    entry->wanted = what;
+    arm(socket, entry);
+}
+
+void endpoint_client::implementation::unwatch(curl_socket_t socket)
+{
+    const auto found = m_sockets.find(socket);
+    if (found == m_sockets.end())
+        return;
+    // libcurl closes the socket itself.
+    found->second->wanted = 0;
+    found->second->descriptor.release();
+    m_sockets.erase(found);
+}
+
+void endpoint_client::implementation::arm(curl_socket_t socket,
+                                          const std::shared_ptr<watched_socket> &watched)
+{
+    using descriptor = asio::posix::stream_descriptor;
+    if ((watched->wanted & CURL_POLL_IN) && !watched->waitsForRead) {
+        watched->waitsForRead = true;
+        watched->descriptor.async_wait(
+            descriptor::wait_read,
+            [weak = weak_from_this(), socket, watched](std::error_code error) {
+                watched->waitsForRead = false;
+                const auto self = weak.lock();
+                if (!error && self && (watched->wanted & CURL_POLL_IN))
+                    self->onReady(socket, watched, CURL_CSELECT_IN);
+            });
+    }
+    if ((watched->wanted & CURL_POLL_OUT) && !watched->waitsForWrite) {
+        watched->waitsForWrite = true;
+        watched->descriptor.async_wait(
+            descriptor::wait_write,
+            [weak = weak_from_this(), socket, watched](std::error_code error) {
+                watched->waitsForWrite = false;
+                const auto self = weak.lock();
+                if (!error && self && (watched->wanted & CURL_POLL_OUT))
+                    self->onReady(socket, watched, CURL_CSELECT_OUT);
+            });
+    }
+}
+
+void endpoint_client::implementation::onReady(curl_socket_t socket,
+                                              const std::shared_ptr<watched_socket> &watched,
+                                              int events)
+{
+    perform(socket, events);
+    const auto found = m_sockets.find(socket);
+    if (found != m_sockets.end() && found->second == watched)
+        arm(socket, watched);
+}
+
+void endpoint_client::implementation::collectEnded()
+{
+    int remaining = 0;
+    while (const auto *message = curl_multi_info_read(m_multi, &remaining)) {
+        if (message->msg != CURLMSG_DONE)
+            continue;
+        const auto code = message->data.result;
+        const auto found = m_transfers.find(message->easy_handle);
+        if (found == m_transfers.end())
+            continue;
+        const auto ended = found->second;
+        ended->endWith(code);
+    }
+}
+
+endpoint_client::endpoint_client(asio::io_context &context)
+    : m_implementation(std::make_shared<implementation>(context))
+{
+}
+
+endpoint_client::~endpoint_client() = default;
+
+std::shared_ptr<endpoint_transfer> endpoint_client::start(endpoint_request request,
+                                                          transfer_handler handler)
+{
+    return m_implementation->start(std::move(request), std::move(handler));
+}
+
+void endpoint_client::shutDown()
+{
+    m_implementation->shutDown();
+}
+
+} // namespace quetzalcleat::http
--- /dev/null
+++ b/Libraries/LibHttp/http_error.cpp
@@ -0,0 +1,53 @@
+#include "LibHttp/http_error.h"
+
+#include <string>
+
+namespace quetzalcleat::http {
+
+namespace {
+
+class http_category final : public std::error_category
+{
+public:
+    const char *name() const noexcept override { return "http"; }
+
+    std::string message(int value) const override
+    {
+        switch (static_cast<http_error>(value)) {
+        case http_error::ConnectFailed:
+            return "connection failed";
+        case http_error::ConnectTimeout:
+            return "connection timed out";
+        case http_error::FirstByteTimeout:
+            return "no answer in time";
+        case http_error::ProgressTimeout:
+            return "answer stopped";
+        case http_error::ConnectionBroken:
+            return "connection broke before the answer was whole";
+        case http_error::InvalidResponse:
+            return "answer is not valid HTTP";
+        case http_error::Cancelled:
+            return "cancelled";
+        case http_error::EventTooLarge:
+            return "event of a stream is larger than allowed";
+        case http_error::CallerGone:
+            return "caller closed its connection or stopped reading";
+        }
+        return "unknown error";
+    }
+};
+
+} // namespace
+
+const std::error_category &httpCategory()
+{
+    static const http_category category;
+    return category;
+}
+
+std::error_code make_error_code(http_error error)
+{
+    return {static_cast<int>(error), httpCategory()};
+}
+
+} // namespace quetzalcleat::http
--- /dev/null
+++ b/Libraries/LibHttp/http_error.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <system_error>
+
+namespace quetzalcleat::http {
+
+/// Why a transfer, a stream or a server failed.
+enum class http_error {
+    ConnectFailed = 1, ///< No byte of the request was sent.
+    ConnectTimeout, ///< No byte of the request was sent.
+    FirstByteTimeout,
+    ProgressTimeout,
+    ConnectionBroken, ///< Closed or reset before the answer was whole.
+    InvalidResponse,
+    Cancelled,
+    EventTooLarge,
+    CallerGone, ///< The caller closed its connection or stopped reading.
+};
+
+const std::error_category &httpCategory();
+std::error_code make_error_code(http_error error);
+
+} // namespace quetzalcleat::http
+
+template <>
+struct std::is_error_code_enum<quetzalcleat::http::http_error> : std::true_type
+{
+};
--- /dev/null
+++ b/Libraries/LibHttp/message.cpp
@@ -0,0 +1,34 @@
+#include "LibHttp/message.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace quetzalcleat::http {
+
+namespace {
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return std::ranges::equal(left, right, [](unsigned char first, unsigned char second) {
+        return std::tolower(first) == std::tolower(second);
+    });
+}
+
+} // namespace
+
+std::optional<std::string_view> findHeader(const header_list &headers, std::string_view name)
+{
+    for (const auto &field : headers) {
+        if (equalsIgnoringCase(field.name, name))
+            return field.value;
+    }
+    return std::nullopt;
+}
+
+std::size_t countHeader(const header_list &headers, std::string_view name)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        headers, [name](const header &field) { return equalsIgnoringCase(field.name, name); }));
+}
+
+} // namespace quetzalcleat::http
