--- a/Libraries/LibConsensus/log_store.h
+++ b/Libraries/LibConsensus/log_store.h
@@ -2,6 +2,7 @@
 
 #include "LibConsensus/consensus_error.h"
 #include "LibConsensus/file_system.h"
+#include "LibConsensus/log_record.h"
 #include "LibConsensus/raft_core.h"
 #include "LibConsensus/raft_message.h"
 #include "LibCore/result.h"
@@ -98,6 +99,7 @@
     bool failed() const { return m_failed; }
     std::uint64_t bytesWritten() const { return m_bytesWritten; }
     std::uint64_t syncs() const { return m_syncs; }
+    log_index lastIndex() const { return m_lastIndex; }
     std::size_t segmentCount() const { return m_segments.size(); }
 
 private:
@@ -110,15 +112,46 @@
 
     basic_log_store(std::filesystem::path folder, log_store_options options, Files files);
 
+    /// Whole batches of the newest segment, which open() writes to a new file.
+    struct tail_content
+    {
+        std::vector<std::byte> bytes;
+        segment description;
+    };
+
+    std::filesystem::path segmentPath(std::uint64_t firstBatch) const;
+    std::filesystem::path snapshotPath(log_index index) const;
+    core::result<void> load(store_problem &problem);
+    core::result<void> loadIdentity(const std::vector<std::string> &names, store_problem &problem);
+    core::result<void> loadSnapshot(const std::vector<std::string> &names, store_problem &problem);
+    core::result<void> loadSegments(const std::vector<std::string> &names, store_problem &problem);
+    core::result<void> loadSegment(std::uint64_t firstBatch, bool newest, log_replay &replay,
+                                   store_problem &problem);
+    core::result<void> checkLog(log_replay &replay, store_problem &problem);
+    core::result<void> rewriteTail();
+    core::result<void> writeFile(const std::filesystem::path &path,
+                                 std::span<const std::byte> bytes);
+    core::result<void> startSegment(std::span<const std::byte> firstFrame);
+    core::result<void> writeBatch(log_batch batch);
+    core::result<void> writeEntries(const std::vector<log_entry> &entries,
+                                    std::optional<log_position> reset);
+    core::result<void> writeSnapshot(const snapshot &value);
+    core::result<void> removeSegmentsUpTo(log_index index);
+    core::result<void> removeOldSnapshots();
+    core::result<void> failing(core::result<void> outcome);
+
     std::filesystem::path m_folder;
     log_store_options m_options;
     Files m_files;
     store_identity m_identity;
     restored_state m_restored;
     hard_state m_hardState;
-    log_position m_last;
+    log_index m_lastIndex = 0;
+    std::vector<log_index> m_snapshots; ///< Indexes of the snapshot files.
+    std::uint64_t m_syncHint = 0;
+    tail_content m_tail;
     std::vector<segment> m_segments;
-    std::optional<typename Files::file_handle> m_current;
+    std::optional<typename Files::file_handle> m_current; ///< Newest segment.
     std::uint64_t m_nextBatch = 1;
     std::uint64_t m_bytesWritten = 0;
     std::uint64_t m_syncs = 0;
--- a/Libraries/LibConsensus/raft_core.h
+++ b/Libraries/LibConsensus/raft_core.h
@@ -87,6 +87,7 @@
     log_index commit = 0;
     log_index applied = 0; ///< Handed out in ready::committed.
     log_index snapshotIndex = 0;
+    std::size_t logBytes = 0; ///< Payload of the entries in memory.
     bool halted = false;
     membership members;
     log_index membershipIndex = 0; ///< Where `members` was written.
@@ -150,10 +151,12 @@
     /// The index that must be applied before the state may be read, or NotLeader or LeaseExpired.
     core::result<log_index> readIndex(core::instant now) const;
 
-    /// Members as of an index that is not above the applied index, for a snapshot.
+    /// Members as of an applied index that is not below the snapshot's, for a new snapshot.
     membership membershipAt(log_index index) const;
-    /// Term of an entry in memory or of the snapshot; 0 if the entry is not known.
+    /// Term of an entry in memory or of the one before it; 0 if the entry is not known.
     term_number termAt(log_index index) const;
+    /// For log_store::saveSnapshot: the entries above this index stay.
+    log_index keepFrom(log_index snapshotIndex) const;
 
     raft_status status() const;
 
@@ -165,12 +168,16 @@
         replication_mode mode = replication_mode::Probe;
         log_index match = 0;
         log_index next = 1;
-        std::size_t inFlight = 0;
-        std::uint64_t snapshotOffset = 0;
+        std::deque<log_index> inFlight; ///< Last index of each append request on its way.
         bool probeSent = false;
-        core::instant lastAnswer; ///< Arrival of the last answer.
-        core::instant leaseFrom; ///< Sending time of the newest message that was answered.
+        std::optional<snapshot> sending; ///< In mode Snapshot.
+        std::uint64_t contentHash = 0;
+        std::uint64_t snapshotOffset = 0;
+        log_index commitSent = 0;
+        core::instant lastProgress; ///< Of match or snapshotOffset, or of the first message sent.
         core::instant lastSend;
+        std::optional<core::instant> lastAnswer;
+        std::optional<core::instant> leaseFrom; ///< Sending time of the newest answered message.
     };
 
     struct pending_sync
@@ -195,17 +202,72 @@
         membership members;
     };
 
+    // Log in memory
+    log_index lastIndex() const { return m_base.index + m_log.size(); }
+    log_position lastPosition() const { return {termAt(lastIndex()), lastIndex()}; }
+    const log_entry &entryAt(log_index index) const { return m_log[index - m_base.index - 1]; }
+    void restoreLog(restored_state restored);
+    bool appendToLog(log_entry entry);
+    log_index appendAsLeader(entry_kind kind, std::vector<std::byte> payload);
+    void truncateFrom(log_index index);
+    log_index conflictHint(log_index upTo, term_number term) const;
+    const membership &members() const { return m_memberships.back().members; }
+    bool isVoter() const { return members().isVoter(m_options.self); }
+
+    // Elections
+    void resetElectionTimer();
+    bool heardFromLeader() const;
+    void becomeFollower(term_number term, member_id leader);
+    void startPreVote();
+    void startElection(bool transfer);
+    void becomeLeader();
+    void countVotes();
+    bool answersMajority(const membership &voters) const;
+    void tickLeader();
+    void handle(member_id from, term_number term, const vote_request &request);
+    void handle(member_id from, term_number term, const vote_response &response);
+    void handle(member_id from, term_number term, const timeout_now &);
+    bool acceptLeader(member_id from, term_number term, std::int64_t leaderClock);
+
+    // Replication
+    void send(member_id to, decltype(raft_message::body) body);
+    void sendAfterSync(member_id to, decltype(raft_message::body) body);
+    void handle(member_id from, term_number term, const append_request &request);
+    void handle(member_id from, term_number term, const append_response &response);
+    void handle(member_id from, term_number term, const snapshot_chunk &chunk);
+    void handle(member_id from, term_number term, const snapshot_response &response);
+    bool appendReceived(const append_request &request);
+    void replicate(member_id to, progress &state);
+    bool sendEntries(member_id to, progress &state);
+    void sendHeartbeat(member_id to, progress &state);
+    void startSnapshot(member_id to, progress &state);
+    void sendChunk(member_id to, progress &state);
+    void tickMember(member_id to, progress &state);
+    void noteAnswer(progress &state, std::int64_t leaderClock) const;
+    void noteMatch(member_id from, progress &state, log_index match);
+    void advanceCommit();
+    void installSnapshot(const snapshot &received);
+
+    // Membership
+    void membershipChanged();
+    core::result<membership> changedMembership(const membership_change &change) const;
+    bool caughtUp(member_id id) const;
+    void finishReplacement();
+    void finishTransfer();
+
     raft_options m_options;
     std::mt19937_64 m_random;
 
     hard_state m_hardState;
     hard_state m_handedOut; ///< Last hard state in a ready.
     hard_state m_durable; ///< Last hard state known to be synced.
+    core::instant m_now; ///< Time of the last call.
     raft_role m_role = raft_role::Follower;
     member_id m_leader = 0;
     bool m_halted = false;
 
     std::optional<snapshot> m_snapshot;
+    std::size_t m_logBytes = 0;
     log_position m_base; ///< The entry before the first one in memory.
     std::deque<log_entry> m_log;
     log_index m_unstable = 1; ///< First index that no ready has handed out.
@@ -220,7 +282,6 @@
     bool m_leaseForfeited = false;
     member_id m_transferTarget = 0;
     core::instant m_transferDeadline;
-    bool m_campaignByTransfer = false;
     std::set<member_id> m_votes;
     std::map<member_id, progress> m_progress;
     std::size_t m_uncommittedBytes = 0;
--- a/Libraries/LibConsensus/raft_message.h
+++ b/Libraries/LibConsensus/raft_message.h
@@ -2,7 +2,6 @@
 
 #include "LibConsensus/membership.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -25,8 +24,12 @@
     log_index index = 0;
 
     bool operator==(const log_position &) const = default;
+
     /// Raft's "at least as up to date": the later term wins, then the longer log.
-    auto operator<=>(const log_position &) const = default;
+    bool isAsUpToDateAs(const log_position &other) const
+    {
+        return term != other.term ? term > other.term : index >= other.index;
+    }
 };
 
 enum class entry_kind : std::uint8_t {
