--- a/Libraries/LibPeer/message_codec.cpp
+++ b/Libraries/LibPeer/message_codec.cpp
@@ -128,7 +128,7 @@
         value = static_cast<Integer>(object->via.u64);
     }
     void read(propose_outcome &value) { enumerator(value, propose_outcome::Undecided); }
-    void read(gossip_kind &value) { enumerator(value, gossip_kind::ProbeRequest); }
+    void read(gossip_kind &value) { enumerator(value, gossip_kind::ExchangeAnswer); }
     void read(member_state &value) { enumerator(value, member_state::Dead); }
     template <typename Enum>
     void enumerator(Enum &value, Enum last)
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -123,6 +123,8 @@
     Probe,
     Acknowledge,
     ProbeRequest, ///< Asks the receiver to probe the target for the sender.
+    Exchange, ///< Carries all that the sender knows and asks for the same.
+    ExchangeAnswer,
 };
 
 enum class member_state : std::uint8_t { Alive, Suspect, Dead };
