--- /dev/null
+++ b/Libraries/LibExperiment/report.cpp
@@ -0,0 +1,185 @@
+#include "LibExperiment/report.h"
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace quetzalcleat::experiment {
+
+namespace {
+
+using run_group = std::vector<const run_report *>;
+
+std::vector<run_group> groupByScenarioAndPolicy(const std::vector<run_report> &runs)
+{
+    std::vector<run_group> groups;
+    for (const auto &run : runs) {
+        const auto same = [&](const run_group &group) {
+            return group.front()->scenario == run.scenario && group.front()->policy == run.policy;
+        };
+        const auto group = std::ranges::find_if(groups, same);
+        if (group == groups.end())
+            groups.push_back({&run});
+        else
+            group->push_back(&run);
+    }
+    return groups;
+}
+
+/// Median with the smallest and largest value, of a figure over several seeds.
+template <typename Figure>
+std::string spread(const run_group &group, double scale, int digits, Figure figure)
+{
+    std::vector<double> values;
+    for (const auto *run : group)
+        values.push_back(scale * figure(*run));
+    const auto [lowest, highest] = std::ranges::minmax(values);
+    const auto middle = quantile(values, 0.5);
+    return fmt::format("{:.{}f} [{:.{}f}, {:.{}f}]", middle, digits, lowest, digits, highest,
+                       digits);
+}
+
+void writeClassLines(std::string &text, const run_group &group)
+{
+    for (std::size_t index = 0; index < group.front()->classes.size(); ++index) {
+        const auto &name = group.front()->classes[index].name;
+        const auto of
+            = [index](const run_report &run) -> const class_report & { return run.classes[index]; };
+        text += fmt::format(
+            "    {:<18} tier {} attained {:<22} ttft95_ms {:<24} wait_max_s {:<22} shed {:<18} "
+            "expired {}\n",
+            name, group.front()->classes[index].tierRank,
+            spread(group, 100, 1, [&](const auto &run) { return of(run).attainment(); }),
+            spread(group, 1, 0,
+                   [&](const auto &run) { return quantile(of(run).firstTokenMilliseconds, 0.95); }),
+            spread(group, 0.001, 1,
+                   [&](const auto &run) { return double(of(run).longestWait.count()); }),
+            spread(group, 1, 0,
+                   [&](const auto &run) { return double(of(run).shed + of(run).refused); }),
+            spread(group, 1, 0, [&](const auto &run) { return double(of(run).expired); }));
+    }
+}
+
+nlohmann::json toJson(const class_report &entry)
+{
+    return {{"name", entry.name},
+            {"tier", entry.tierRank},
+            {"offered", entry.offered},
+            {"whole", entry.whole},
+            {"attained", entry.attained},
+            {"refused", entry.refused},
+            {"shed", entry.shed},
+            {"expired", entry.expired},
+            {"broken", entry.broken},
+            {"abandoned", entry.abandoned},
+            {"attainment", entry.attainment()},
+            {"longest_wait_ms", entry.longestWait.count()},
+            {"first_token_p50_ms", quantile(entry.firstTokenMilliseconds, 0.5)},
+            {"first_token_p95_ms", quantile(entry.firstTokenMilliseconds, 0.95)},
+            {"between_tokens_p95_ms", quantile(entry.betweenTokensMilliseconds, 0.95)}};
+}
+
+} // namespace
+
+double run_report::goodput() const
+{
+    std::uint64_t attained = 0;
+    for (const auto &entry : classes)
+        attained += entry.attained;
+    return double(attained) / duration.count();
+}
+
+double run_report::attainedTokensPerSecond() const
+{
+    std::uint64_t tokens = 0;
+    for (const auto &entry : classes)
+        tokens += entry.attainedTokens;
+    return double(tokens) / duration.count();
+}
+
+double run_report::wastedPart() const
+{
+    const auto work = generatedTokens + prefilledTokens;
+    if (work == 0)
+        return 0;
+    return double(generatedTokens - deliveredTokens + repeatedPrefillTokens) / double(work);
+}
+
+double run_report::topTierAttainment() const
+{
+    const auto top = std::ranges::min_element(classes, {}, &class_report::tierRank)->tierRank;
+    std::uint64_t offered = 0;
+    std::uint64_t attained = 0;
+    for (const auto &entry : classes) {
+        if (entry.tierRank != top)
+            continue;
+        offered += entry.offered;
+        attained += entry.attained;
+    }
+    return offered == 0 ? 1 : double(attained) / double(offered);
+}
+
+std::chrono::milliseconds run_report::longestWait() const
+{
+    return std::ranges::max_element(classes, {}, &class_report::longestWait)->longestWait;
+}
+
+double quantile(std::vector<double> values, double part)
+{
+    if (values.empty())
+        return 0;
+    const auto index = std::min(
+        values.size() - 1, static_cast<std::size_t>(part * static_cast<double>(values.size())));
+    std::ranges::nth_element(values, values.begin() + static_cast<std::ptrdiff_t>(index));
+    return values[index];
+}
+
+std::string tableOf(const std::vector<run_report> &runs)
+{
+    std::string text = "median [lowest, highest] over the seeds\n";
+    for (const auto &group : groupByScenarioAndPolicy(runs)) {
+        text += fmt::format(
+            "{:<24} {:<16} goodput/s {:<22} top_tier_% {:<20} wasted_% {:<18} "
+            "cross_region_MB {:<20} retries {:<14} preempted {:<14} tier_violations {} splices "
+            "{}\n",
+            group.front()->scenario, group.front()->policy,
+            spread(group, 1, 2, [](const auto &run) { return run.goodput(); }),
+            spread(group, 100, 1, [](const auto &run) { return run.topTierAttainment(); }),
+            spread(group, 100, 2, [](const auto &run) { return run.wastedPart(); }),
+            spread(group, 1e-6, 2, [](const auto &run) { return double(run.crossRegionBytes); }),
+            spread(group, 1, 0, [](const auto &run) { return double(run.retries); }),
+            spread(group, 1, 0, [](const auto &run) { return double(run.preemptions); }),
+            spread(group, 1, 0, [](const auto &run) { return double(run.tierViolations); }),
+            spread(group, 1, 0, [](const auto &run) { return double(run.splices); }));
+        writeClassLines(text, group);
+    }
+    return text;
+}
+
+std::string jsonOf(const std::vector<run_report> &runs)
+{
+    nlohmann::json all = nlohmann::json::array();
+    for (const auto &run : runs) {
+        nlohmann::json entry = {{"scenario", run.scenario},
+                                {"policy", run.policy},
+                                {"seed", run.seed},
+                                {"goodput_per_s", run.goodput()},
+                                {"attained_tokens_per_s", run.attainedTokensPerSecond()},
+                                {"top_tier_attainment", run.topTierAttainment()},
+                                {"wasted_part", run.wastedPart()},
+                                {"cross_region_bytes", run.crossRegionBytes},
+                                {"retries", run.retries},
+                                {"preemptions", run.preemptions},
+                                {"tier_violations", run.tierViolations},
+                                {"splices", run.splices}};
+        for (const auto &classEntry : run.classes)
+            entry["classes"].push_back(toJson(classEntry));
+        all.push_back(std::move(entry));
+    }
+    return all.dump(2);
+}
+
+} // namespace quetzalcleat::experiment
--- /dev/null
+++ b/Libraries/LibExperiment/report.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace quetzalcleat::experiment {
+
+/// What happened to the requests of one class in one run.
+struct class_report
+{
+    std::string name;
+    std::uint32_t tierRank = 0;
+    std::uint64_t offered = 0;
+    std::uint64_t whole = 0; ///< Answers that reached the caller completely.
+    std::uint64_t attained = 0; ///< Whole and within every target of the class.
+    std::uint64_t refused = 0; ///< Refused on arrival.
+    std::uint64_t shed = 0;
+    std::uint64_t expired = 0;
+    std::uint64_t broken = 0; ///< Failed after the request was sent.
+    std::uint64_t abandoned = 0; ///< The caller gave up.
+    std::uint64_t attainedTokens = 0;
+    std::chrono::milliseconds longestWait{0}; ///< From arrival to dispatch or refusal.
+    std::vector<double> firstTokenMilliseconds;
+    std::vector<double> betweenTokensMilliseconds; ///< Gaps between tokens, sampled.
+
+    double attainment() const { return offered == 0 ? 1 : double(attained) / double(offered); }
+};
+
+/// Result of one run.
+struct run_report
+{
+    std::string scenario;
+    std::string policy;
+    std::uint64_t seed = 0;
+    std::chrono::duration<double> duration{0};
+    std::vector<class_report> classes;
+    std::uint64_t generatedTokens = 0;
+    std::uint64_t deliveredTokens = 0;
+    std::uint64_t prefilledTokens = 0;
+    std::uint64_t repeatedPrefillTokens = 0;
+    std::uint64_t crossRegionBytes = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t preemptions = 0;
+    std::uint64_t tierViolations = 0; ///< Sheds or preemptions in favour of a lower tier.
+    std::uint64_t splices = 0; ///< Resumptions on an engine that did not begin the answer.
+
+    double goodput() const; ///< Attained answers per second.
+    double attainedTokensPerSecond() const;
+    /// Tokens generated and not delivered plus prefill that was repeated, as a part of all work.
+    double wastedPart() const;
+    double topTierAttainment() const;
+    std::chrono::milliseconds longestWait() const;
+};
+
+/// The p-quantile of a sample, 0 to 1; 0 for an empty sample.
+double quantile(std::vector<double> values, double part);
+
+/// Reports of several seeds of the same scenario and policy, as lines of a table.
+std::string tableOf(const std::vector<run_report> &runs);
+std::string jsonOf(const std::vector<run_report> &runs);
+
+} // namespace quetzalcleat::experiment
--- /dev/null
+++ b/Libraries/LibExperiment/workload.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace quetzalcleat::experiment {
+
+/// A lognormal distribution of lengths, cut off at a maximum.
+struct length_distribution
+{
+    double median = 100;
+    double sigma = 0.5; ///< Standard deviation of the logarithm.
+    std::uint32_t maximum = 8192;
+};
+
+/// A caller's part of the requests of a class.
+struct caller_share
+{
+    std::string caller;
+    double weight = 1;
+};
+
+/// Requests of one class. They arrive as a Poisson process.
+struct class_load
+{
+    std::string className;
+    double requestsPerSecond = 1;
+    std::string model; ///< Empty for calls to a service.
+    std::string service; ///< Empty for requests to an engine.
+    length_distribution prompt;
+    length_distribution output;
+    std::uint32_t sharedPrefixes = 0; ///< Number of different prefixes; 0 for none.
+    std::uint32_t sharedPrefixTokens = 0;
+    double nonRepeatable = 0; ///< Part of the calls that must not run twice, 0 to 1.
+    std::chrono::milliseconds serviceTime{80}; ///< Mean run time of a call to a service.
+    std::vector<caller_share> callers;
+};
+
+struct workload
+{
+    std::string name;
+    std::chrono::seconds duration{120};
+    std::vector<class_load> classes;
+};
+
+} // namespace quetzalcleat::experiment
