Utilities: Add quetzalcleat-load for virtual time and running fleets

Cause: the same workload must be comparable on virtual time and on processes. Change: modes virtual, closed-loop (checks every answer byte for byte, direct or through the hosts) and replay.

--- /dev/null
+++ b/Utilities/quetzalcleat-load/fleet_call.cpp
@@ -0,0 +1,140 @@
+#include "fleet_call.h"
+
+#include "LibFakes/generated_text.h"
+
+#include <nlohmann/json.hpp>
+
+namespace quetzalcleat::experiment {
+
+namespace {
+
+constexpr std::size_t maximumEventBytes = 64 * 1024;
+constexpr std::uint32_t gapSamplingStep = 5;
+
+std::string expectedAnswer(const fleet_request &request)
+{
+    std::string answer;
+    for (std::uint32_t index = 0; index < request.outputTokens; ++index)
+        answer += fakes::generatedToken(request.prompt, index);
+    return answer;
+}
+
+std::string errorTypeOf(const nlohmann::json &body)
+{
+    if (!body.is_object() || !body.contains("error") || !body["error"].is_object())
+        return {};
+    return body["error"].value("type", "");
+}
+
+} // namespace
+
+fleet_call::fleet_call(http::endpoint_client &client, fleet_request request, end_callback onEnd)
+    : m_client(client), m_request(std::move(request)), m_onEnd(std::move(onEnd)),
+      m_parser(maximumEventBytes)
+{
+}
+
+void fleet_call::start()
+{
+    m_sentAt = std::chrono::steady_clock::now();
+    const auto self = shared_from_this();
+    m_client.start(makeRequest(),
+                   {[self](const http::response_head &head) { self->onHead(head); },
+                    [self](std::string_view piece) { self->onPiece(piece); },
+                    [self](const http::transfer_end &end) { self->onEnd(end); }});
+}
+
+http::endpoint_request fleet_call::makeRequest() const
+{
+    http::endpoint_request made;
+    made.method = "POST";
+    made.address = m_request.address;
+    made.headers = {{"X-Request-Id", m_request.requestId}, {"Content-Type", "application/json"}};
+    if (!m_request.token.empty())
+        made.headers.push_back({"Authorization", "Bearer " + m_request.token});
+    if (!m_request.requestClass.empty())
+        made.headers.push_back({"X-Request-Class", m_request.requestClass});
+    made.timeouts.firstByte = m_request.deadline;
+    made.timeouts.progress = m_request.deadline;
+    if (m_request.model.empty()) {
+        made.target = "/services/" + m_request.service + "/bookings";
+        made.body = m_request.prompt;
+        if (!m_request.idempotencyKey.empty())
+            made.headers.push_back({"Idempotency-Key", m_request.idempotencyKey});
+        made.sendOnce = true;
+        return made;
+    }
+    made.target = "/v1/completions";
+    made.body = nlohmann::json{
+        {"model", m_request.model},
+        {"prompt", m_request.prompt},
+        {"max_tokens", m_request.maximumTokens},
+        {"min_tokens", m_request.outputTokens},
+        {"stream",
+         true}}.dump();
+    return made;
+}
+
+void fleet_call::onHead(const http::response_head &head)
+{
+    m_measurement.status = head.status;
+}
+
+void fleet_call::onPiece(std::string_view piece)
+{
+    if (m_measurement.status != 200 || m_request.model.empty()) {
+        m_body.append(piece);
+        return;
+    }
+    const auto parsed = m_parser.consume(piece, [this](std::string_view data) {
+        onToken(data);
+        return true;
+    });
+    if (!parsed)
+        m_failedEvent = true;
+}
+
+void fleet_call::onToken(std::string_view data)
+{
+    if (data == "[DONE]") {
+        m_done = true;
+        return;
+    }
+    const auto event = nlohmann::json::parse(data, nullptr, false);
+    if (!event.is_object() || !event.contains("text") || !event["text"].is_string()) {
+        m_failedEvent = true;
+        m_measurement.errorType = errorTypeOf(event);
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now() - m_sentAt;
+    if (m_measurement.tokens == 0)
+        m_measurement.firstToken = now;
+    else if (m_measurement.tokens % gapSamplingStep == 0)
+        m_measurement.gaps.push_back(now - m_measurement.lastToken);
+    m_measurement.lastToken = now;
+    ++m_measurement.tokens;
+    m_text += event["text"].get<std::string>();
+}
+
+void fleet_call::onEnd(const http::transfer_end &end)
+{
+    m_measurement.outcome = judge(end);
+    if (m_measurement.errorType.empty() && m_measurement.outcome != fleet_outcome::Whole)
+        m_measurement.errorType = errorTypeOf(nlohmann::json::parse(m_body, nullptr, false));
+    m_onEnd(m_request, m_measurement);
+}
+
+fleet_outcome fleet_call::judge(const http::transfer_end &end) const
+{
+    if (m_measurement.status != 200 && m_measurement.tokens == 0)
+        return fleet_outcome::Refused;
+    if (m_request.model.empty())
+        return end.error ? fleet_outcome::Broken : fleet_outcome::Whole;
+    const bool complete = m_done && !m_failedEvent && !end.error;
+    if (!complete)
+        return m_text == expectedAnswer(m_request).substr(0, m_text.size()) ? fleet_outcome::Broken
+                                                                            : fleet_outcome::Wrong;
+    return m_text == expectedAnswer(m_request) ? fleet_outcome::Whole : fleet_outcome::Wrong;
+}
+
+} // namespace quetzalcleat::experiment
--- /dev/null
+++ b/Utilities/quetzalcleat-load/fleet_load.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "LibExperiment/report.h"
+#include "LibExperiment/workload.h"
+#include "LibInventory/document.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace quetzalcleat::experiment {
+
+struct closed_loop_options
+{
+    std::uint32_t requests = 1000;
+    std::uint32_t streams = 100; ///< Requests open at the same time.
+    std::uint32_t outputTokens = 32;
+    bool direct = false; ///< Straight to the engines instead of through the hosts.
+};
+
+/// Keeps a number of streams open until all requests are answered; each has a prompt of its own.
+/// Refused requests are sent again. Returns a text report; `allWhole` tells whether every answer
+/// was the expected one.
+std::string runClosedLoop(const inventory::document &document, const closed_loop_options &options,
+                          bool &allWhole);
+
+/// Replays a workload in real time against the hosts of an inventory.
+run_report replayWorkload(const inventory::document &document, const workload &load,
+                          double utilisation, std::uint64_t seed);
+
+} // namespace quetzalcleat::experiment
