--- /dev/null
+++ b/Libraries/LibPolicy/configurator.cpp
@@ -0,0 +1,210 @@
+#include "LibPolicy/configurator.h"
+
+#include "LibCore/hash.h"
+#include "LibPolicy/endpoint_subset.h"
+
+#include <algorithm>
+
+namespace quetzalcleat::policy {
+
+namespace {
+
+bool contains(const std::vector<std::string> &names, const std::string &name)
+{
+    return std::ranges::find(names, name) != names.end();
+}
+
+bool serves(const inventory::endpoint &endpoint, const pool_key &key)
+{
+    if (!key.service.empty())
+        return endpoint.kind == inventory::endpoint_kind::Service
+            && endpoint.service == key.service;
+    return endpoint.kind == inventory::endpoint_kind::Engine && contains(endpoint.models, key.model)
+        && (key.adapter.empty() || contains(endpoint.adapters, key.adapter));
+}
+
+std::optional<std::uint32_t> dataCentreOf(const inventory::document &document,
+                                          const std::string &name)
+{
+    const auto found = std::ranges::find(document.dataCentres, name, &inventory::data_centre::name);
+    if (found == document.dataCentres.end())
+        return std::nullopt;
+    return static_cast<std::uint32_t>(found - document.dataCentres.begin());
+}
+
+endpoint_distance distanceTo(const inventory::document &document, std::optional<std::uint32_t> from,
+                             std::uint32_t to)
+{
+    // A host with an unknown data centre treats every endpoint alike.
+    if (!from || *from == to || to >= document.dataCentres.size())
+        return endpoint_distance::SameDataCentre;
+    return document.dataCentres[*from].region == document.dataCentres[to].region
+        ? endpoint_distance::SameRegion
+        : endpoint_distance::OtherRegion;
+}
+
+} // namespace
+
+void configurator::apply(core_tables &tables, const inventory::document &document,
+                         const placement_self &self, core::instant now)
+{
+    const auto here = dataCentreOf(document, self.dataCentre);
+    tables.hostName = self.hostName;
+    tables.hosts = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(document.hosts.size()));
+    const auto local = std::ranges::count_if(
+        document.hosts, [&](const auto &host) { return here && host.dataCentre == *here; });
+    tables.hostsInDataCentre = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(local));
+    applyEndpoints(tables, document, self, now);
+    applyClasses(tables, document, now);
+    applyCallers(tables, document, now);
+    applyPools(tables);
+}
+
+void configurator::applyEndpoints(core_tables &tables, const inventory::document &document,
+                                  const placement_self &self, core::instant now)
+{
+    const auto here = dataCentreOf(document, self.dataCentre);
+    const bool isFirst = tables.endpoints.size() == 0;
+    for (auto &record : tables.endpoints)
+        record.pools.clear();
+    tables.endpoints.assign(
+        document.endpoints,
+        [&](endpoint_record &record, std::uint32_t /*slot*/, const auto &endpoint, bool isNew) {
+            // At the host's own start a slow start of everything would only delay work.
+            if (isNew && !isFirst)
+                record.health.startSlowly(now);
+            if (!isNew && record.description.address != endpoint.address) {
+                record.health.startSlowly(now);
+                record.load.reset();
+                record.cache.reset();
+            }
+            record.description = endpoint;
+            record.nameHash = core::hash64(endpoint.name);
+            record.distance = distanceTo(document, here, endpoint.dataCentre);
+            record.drained = false;
+            record.inSubset = false;
+        });
+    for (const auto &drain : document.drains) {
+        // FIXME: A drain of a platform host does not reach its endpoints, because the inventory
+        // does not say which host an endpoint runs on.
+        if (drain.kind != inventory::drain_target_kind::Endpoint)
+            continue;
+        if (const auto slot = tables.endpoints.slotOf(drain.target)) {
+            auto &record = tables.endpoints[*slot];
+            record.drained = true;
+            record.lifecycle.report(endpoint_state::Leaving, 0);
+        }
+    }
+}
+
+void configurator::applyClasses(core_tables &tables, const inventory::document &document,
+                                core::instant now)
+{
+    const auto prepare = [&](class_record &record, std::uint32_t slot,
+                             const inventory::request_class &rules, bool isNew) {
+        if (isNew) {
+            tables.outputLengths.forgetClass(slot);
+            for (auto &pool : tables.pools)
+                if (slot < pool.queues.size())
+                    pool.queues[slot] = {};
+        }
+        record.rules = rules;
+        record.rank = rules.tier < document.tiers.size() ? document.tiers[rules.tier].rank : 0;
+        record.limits.configure(rules.bounds, tables.share, now);
+    };
+    tables.classes.assign(document.classes, prepare);
+    // A class may have moved to another tier.
+    std::ranges::fill(tables.queuedByRank, 0);
+    for (const auto &record : tables.classes) {
+        if (tables.queuedByRank.size() <= record.rank)
+            tables.queuedByRank.resize(record.rank + 1);
+        tables.queuedByRank[record.rank] += record.queued;
+    }
+}
+
+void configurator::applyCallers(core_tables &tables, const inventory::document &document,
+                                core::instant now)
+{
+    const auto prepare = [&](caller_record &record, std::uint32_t slot,
+                             const inventory::caller &caller, bool isNew) {
+        if (isNew)
+            tables.outputLengths.forgetCaller(slot);
+        record.bounds = caller.bounds;
+        record.limits.configure(caller.bounds, tables.share, now);
+    };
+    tables.callers.assign(document.callers, prepare);
+}
+
+void configurator::applyPools(core_tables &tables)
+{
+    for (auto &pool : tables.pools)
+        fillPool(tables, pool);
+    for (const auto &endpoint : tables.endpoints) {
+        if (!endpoint.present)
+            continue;
+        if (endpoint.description.kind == inventory::endpoint_kind::Service)
+            ensurePool(tables, {{}, {}, endpoint.description.service});
+        for (const auto &model : endpoint.description.models)
+            ensurePool(tables, {model, {}, {}});
+    }
+}
+
+std::uint32_t configurator::ensurePool(core_tables &tables, const pool_key &key)
+{
+    if (const auto found = tables.poolIndex.find(key); found != tables.poolIndex.end())
+        return found->second;
+    const auto index = static_cast<std::uint32_t>(tables.pools.size());
+    tables.pools.emplace_back(key, tables.options);
+    tables.poolIndex.emplace(key, index);
+    fillPool(tables, tables.pools.back());
+    return index;
+}
+
+void configurator::fillPool(core_tables &tables, pool_record &pool)
+{
+    std::vector<std::uint32_t> serving;
+    for (std::uint32_t slot = 0; slot < tables.endpoints.size(); ++slot) {
+        const auto &endpoint = tables.endpoints[slot];
+        if (endpoint.present && serves(endpoint.description, pool.key))
+            serving.push_back(slot);
+    }
+    selectSubset(tables, pool, std::move(serving));
+    pool.changed = true;
+    constexpr std::uint32_t mostTrackedBlocks = 4096;
+    for (const std::uint32_t slot : pool.endpoints) {
+        auto &endpoint = tables.endpoints[slot];
+        endpoint.inSubset = true;
+        endpoint.pools.push_back(tables.poolIndex.at(pool.key));
+        endpoint.cache.setBound(std::min(mostTrackedBlocks, endpoint.description.kvBlocks));
+    }
+}
+
+std::optional<std::uint32_t> configurator::poolFor(core_tables &tables, const request_spec &spec)
+{
+    const pool_key key{spec.service.empty() ? spec.model : std::string(),
+                       spec.service.empty() ? spec.adapter : std::string(), spec.service};
+    if (const auto found = tables.poolIndex.find(key); found != tables.poolIndex.end()) {
+        if (!tables.pools[found->second].served)
+            return std::nullopt;
+        return found->second;
+    }
+    const bool served = std::ranges::any_of(tables.endpoints, [&key](const auto &endpoint) {
+        return endpoint.present && serves(endpoint.description, key);
+    });
+    if (!served)
+        return std::nullopt;
+    return ensurePool(tables, key);
+}
+
+void configurator::setShare(core_tables &tables, double share, core::instant now)
+{
+    tables.share = std::clamp(share, 0.0, 1.0);
+    for (auto &caller : tables.callers)
+        caller.limits.configure(caller.bounds, tables.share, now);
+    for (auto &entry : tables.classes)
+        entry.limits.configure(entry.rules.bounds, tables.share, now);
+    for (auto &pool : tables.pools)
+        pool.changed = true;
+}
+
+} // namespace quetzalcleat::policy
--- a/Libraries/LibPolicy/decision_core.cpp
+++ b/Libraries/LibPolicy/decision_core.cpp
@@ -1,196 +1,564 @@
 #include "LibPolicy/decision_core.h"
 
+#include "LibPolicy/admission.h"
+#include "LibPolicy/configurator.h"
+#include "LibPolicy/eviction.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace quetzalcleat::policy {
 
-decision_core::decision_core(std::uint64_t /*seed*/) { }
+template <routing_policy Routing>
+basic_decision_core<Routing>::basic_decision_core(std::uint64_t seed, const policy_options &options)
+    : m_tables(options), m_random(seed), m_journal(options.journalEntries)
+{
+}
 
-void decision_core::configure(const inventory::document &document, const placement_self & /*self*/,
-                              core::instant /*now*/)
+template <routing_policy Routing>
+void basic_decision_core<Routing>::configure(const inventory::document &document,
+                                             const placement_self &self, core::instant now)
 {
-    // FIXME: Match endpoints, callers and classes by name.
-    m_document = document;
-    m_inFlight.resize(document.endpoints.size());
+    m_now = now;
+    configurator::apply(m_tables, document, self, now);
 }
 
-bool decision_core::serves(const inventory::endpoint &endpoint, const request_spec &spec) const
+template <routing_policy Routing>
+core::result<request_id> basic_decision_core<Routing>::refuse(const request_spec &spec,
+                                                              policy_error error, core::instant now)
 {
-    if (!spec.service.empty())
-        return endpoint.kind == inventory::endpoint_kind::Service
-            && endpoint.service == spec.service;
-    return endpoint.kind == inventory::endpoint_kind::Engine
-        && std::ranges::find(endpoint.models, spec.model) != endpoint.models.end()
-        && (spec.adapter.empty()
-            || std::ranges::find(endpoint.adapters, spec.adapter) != endpoint.adapters.end());
+    ++m_totals.refused;
+    explained_step step;
+    step.at = now;
+    step.refusal = error;
+    m_journal.add(spec.requestId, std::move(step));
+    return error;
 }
 
-std::uint32_t decision_core::tierRank(const request_spec &spec) const
+template <routing_policy Routing>
+request_record basic_decision_core<Routing>::makeRecord(const request_spec &spec,
+                                                        std::uint32_t callerSlot,
+                                                        std::uint32_t classSlot, std::uint32_t pool,
+                                                        core::instant now) const
 {
-    return m_document.tiers[m_document.classes[spec.requestClass.value].tier].rank;
+    const auto &rules = m_tables.classes[classSlot].rules;
+    request_record record;
+    record.callerSlot = callerSlot;
+    record.classSlot = classSlot;
+    record.pool = pool;
+    record.promptTokens = spec.promptTokens;
+    record.bytes = spec.bytes;
+    record.repeatable = spec.repeatable;
+    record.submittedAt = now;
+    record.deadline = now + std::min(rules.deadline, spec.deadline.value_or(rules.deadline));
+    record.due = rules.timeToFirstToken ? std::min(record.deadline, now + *rules.timeToFirstToken)
+                                        : record.deadline;
+    if (spec.service.empty())
+        record.expectedOutput
+            = m_tables.outputLengths.quantile(classSlot, callerSlot, 0.5, spec.maximumOutputTokens);
+    return record;
 }
 
-core::result<request_id> decision_core::submit(request_spec spec, core::instant now)
+template <routing_policy Routing>
+core::result<request_id> basic_decision_core<Routing>::submit(request_spec spec, core::instant now)
 {
-    if (spec.caller.value >= m_document.callers.size())
-        return policy_error::UnknownCaller;
-    if (spec.requestClass.value >= m_document.classes.size())
-        return policy_error::UnknownClass;
-    if (std::ranges::none_of(m_document.endpoints,
-                             [&](const auto &endpoint) { return serves(endpoint, spec); }))
-        return policy_error::NoEndpoint;
-    const auto queued = std::ranges::count_if(m_requests, [&](const auto &entry) {
-        return !entry.second.running && entry.second.spec.requestClass == spec.requestClass;
-    });
-    if (queued >= m_document.classes[spec.requestClass.value].queueLength)
-        return policy_error::QueueFull;
-    const request_id id{++m_lastRequest};
-    m_requests.emplace(id, request_state{std::move(spec), now, false, {}, 0, 0});
+    m_now = now;
+    ++m_totals.submitted;
+    const auto callerSlot = m_tables.callers.slotOf(spec.caller.value);
+    if (!callerSlot)
+        return refuse(spec, policy_error::UnknownCaller, now);
+    const auto classSlot = m_tables.classes.slotOf(spec.requestClass.value);
+    if (!classSlot)
+        return refuse(spec, policy_error::UnknownClass, now);
+    const auto pool = configurator::poolFor(m_tables, spec);
+    if (!pool)
+        return refuse(spec, policy_error::NoEndpoint, now);
+    auto draft = makeRecord(spec, *callerSlot, *classSlot, *pool, now);
+    if (const auto admitted = admission::check(m_tables, draft, now); !admitted)
+        return refuse(spec, static_cast<policy_error>(admitted.error().value()), now);
+    std::optional<eviction::shed_victim> victim;
+    if (!eviction::hasRoom(m_tables, draft)) {
+        if constexpr (Routing::usesTiers)
+            victim = eviction::chooseToShed(m_tables, draft);
+        if (!victim)
+            return refuse(spec, policy_error::QueueFull, now);
+    }
+    auto &record = m_tables.requests.create();
+    const request_id id = record.id;
+    record = std::move(draft);
+    record.id = id;
+    record.requestId = std::move(spec.requestId);
+    record.prefixBlocks = std::move(spec.prefixBlocks);
+    if (victim)
+        shed(victim->request, victim->reason, record, now);
+    m_tables.enqueue(record);
+    admission::charge(m_tables, record, now);
     return id;
 }
 
-std::chrono::milliseconds decision_core::retryAfter(const request_spec & /*spec*/,
-                                                    core::instant /*now*/) const
+template <routing_policy Routing>
+std::chrono::milliseconds basic_decision_core<Routing>::retryAfter(const request_spec &spec,
+                                                                   core::instant now) const
 {
-    return std::chrono::seconds(1);
+    constexpr std::chrono::milliseconds withoutKnowledge(1000);
+    const auto callerSlot = m_tables.callers.slotOf(spec.caller.value);
+    const auto classSlot = m_tables.classes.slotOf(spec.requestClass.value);
+    const auto pool = m_tables.poolIndex.find({spec.model, spec.adapter, spec.service});
+    if (!callerSlot || !classSlot || pool == m_tables.poolIndex.end())
+        return withoutKnowledge;
+    return admission::retryAfter(m_tables,
+                                 makeRecord(spec, *callerSlot, *classSlot, pool->second, now), now);
 }
 
-void decision_core::cancel(request_id request, core::instant /*now*/)
+template <routing_policy Routing>
+decision basic_decision_core<Routing>::makeDecision(decision_kind kind,
+                                                    const request_record &record,
+                                                    decision_reason reason) const
 {
-    const auto found = m_requests.find(request);
-    if (found == m_requests.end())
+    decision made;
+    made.kind = kind;
+    made.request = record.id;
+    made.reason = reason;
+    // Work that ageing or a minimum share let pass must not wait again inside the engine.
+    made.priority = record.keepsPlace ? 0 : m_tables.classes[record.classSlot].rank;
+    return made;
+}
+
+template <routing_policy Routing>
+void basic_decision_core<Routing>::remember(const decision &made, const request_record &record,
+                                            core::instant now, const request_record *beneficiary,
+                                            const routing_choice *choice)
+{
+    explained_step step;
+    step.at = now;
+    step.kind = made.kind;
+    step.reason = made.reason;
+    step.waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - record.submittedAt);
+    if (made.kind == decision_kind::Dispatch || made.kind == decision_kind::Preempt)
+        step.endpoint = m_tables.endpoints[record.endpointSlot].name;
+    if (beneficiary != nullptr)
+        step.beneficiary = beneficiary->requestId;
+    if (choice != nullptr) {
+        step.candidates.reserve(choice->scoreCount);
+        for (std::uint32_t index = 0; index < choice->scoreCount; ++index)
+            step.candidates.push_back({m_tables.endpoints[choice->scores[index].endpointSlot].name,
+                                       choice->scores[index].score});
+    }
+    m_journal.add(record.requestId, std::move(step));
+}
+
+template <routing_policy Routing>
+void basic_decision_core<Routing>::shed(request_id victim, decision_reason reason,
+                                        const request_record &beneficiary, core::instant now)
+{
+    auto &record = *m_tables.requests.find(victim);
+    auto made = makeDecision(decision_kind::Shed, record, reason);
+    made.beneficiary = beneficiary.id;
+    made.retryAfter = admission::retryAfter(m_tables, record, now);
+    remember(made, record, now, &beneficiary, nullptr);
+    m_decisions.push_back(made);
+    ++m_totals.shed;
+    m_tables.dequeue(record);
+    m_tables.requests.erase(victim);
+}
+
+template <routing_policy Routing>
+void basic_decision_core<Routing>::cancel(request_id request, core::instant now)
+{
+    m_now = now;
+    auto *record = m_tables.requests.find(request);
+    if (record == nullptr)
         return;
-    if (found->second.running)
-        --m_inFlight[found->second.endpoint.value];
-    m_requests.erase(found);
+    if (record->running) {
+        finish(*record, attempt_outcome::Cancelled, now);
+        m_tables.endAttempt(*record, now);
+    } else {
+        m_tables.dequeue(*record);
+    }
+    m_tables.requests.erase(request);
 }
 
-void decision_core::reportFirstToken(request_id /*request*/, core::instant /*now*/) { }
+template <routing_policy Routing>
+void basic_decision_core<Routing>::reportFirstToken(request_id request, core::instant now)
+{
+    m_now = now;
+    auto *record = m_tables.requests.find(request);
+    if (record == nullptr || !record->running || record->firstTokenSeen)
+        return;
+    record->firstTokenSeen = true;
+    record->lastTokenAt = now;
+    auto &endpoint = m_tables.endpoints[record->endpointSlot];
+    const double sample = normalisedFirstToken(*record, now);
+    endpoint.health.firstToken.add(sample);
+    // The prefill is done, so the prompt's blocks are in the engine's cache now.
+    if (endpoint.inSubset)
+        endpoint.cache.assumeStored(record->prefixBlocks);
+    if (!record->probe)
+        return;
+    record->probe = false;
+    outlier_detector::judgeProbe(m_tables, m_tables.pools[record->pool], record->endpointSlot,
+                                 sample, now);
+}
+
+template <routing_policy Routing>
+void basic_decision_core<Routing>::reportTokens(request_id request, std::uint32_t count,
+                                                core::instant now)
+{
+    m_now = now;
+    auto *record = m_tables.requests.find(request);
+    if (record == nullptr || !record->running || count == 0)
+        return;
+    if (!record->firstTokenSeen) {
+        reportFirstToken(request, now);
+    } else {
+        const std::chrono::duration<double, std::milli> gap = now - record->lastTokenAt;
+        m_tables.endpoints[record->endpointSlot].health.betweenTokens.add(gap.count() / count);
+    }
+    record->lastTokenAt = now;
+    record->deliveredTokens += count;
+}
+
+template <routing_policy Routing>
+void basic_decision_core<Routing>::countFailure(const request_record &record, core::instant now)
+{
+    auto &health = m_tables.endpoints[record.endpointSlot].health;
+    health.countFailure();
+    if (record.probe) {
+        health.eject(m_tables.options, now);
+        ++m_totals.ejected;
+        return;
+    }
+    const bool tooMany = health.failuresInARow() >= m_tables.options.failuresToEject
+        && health.usablePart(m_tables.options, now) > 0;
+    if (tooMany
+        && outlier_detector::ejectIfAllowed(m_tables, m_tables.pools[record.pool],
+                                            record.endpointSlot, now))
+        ++m_totals.ejected;
+}
+
+template <routing_policy Routing>
+void basic_decision_core<Routing>::finish(request_record &record, attempt_outcome outcome,
+                                          core::instant now)
+{
+    auto &health = m_tables.endpoints[record.endpointSlot].health;
+    if (outcome == attempt_outcome::Cancelled) {
+        if (record.probe)
+            health.probeAbandoned();
+    } else if (outcome == attempt_outcome::Completed) {
+        // A service may have answered without a first token being reported.
+        reportFirstToken(record.id, now);
+        health.countSuccess();
+        m_tables.pools[record.pool].serviceTime.add(
+            std::chrono::duration<double, std::milli>(now - record.dispatchedAt).count());
+        if (record.expectedOutput > 0) {
+            m_tables.outputLengths.add(record.classSlot, record.callerSlot, record.deliveredTokens);
+            admission::correct(m_tables, record, now);
+        }
+    } else {
+        countFailure(record, now);
+    }
+    record.probe = false;
+}
 
-void decision_core::reportTokens(request_id request, std::uint32_t count, core::instant /*now*/)
+template <routing_policy Routing>
+bool basic_decision_core<Routing>::mayRunAgain(const request_record &record,
+                                               attempt_outcome outcome, core::instant now)
 {
-    const auto found = m_requests.find(request);
-    if (found != m_requests.end())
-        found->second.deliveredTokens += count;
+    const bool wanted = outcome == attempt_outcome::RetryBeforeFirstByte
+        || outcome == attempt_outcome::ResumeElsewhere;
+    if (!wanted || !record.repeatable || now >= record.deadline
+        || record.failedAttempts + 1U >= m_tables.options.maximumAttempts)
+        return false;
+    auto &pool = m_tables.pools[record.pool];
+    const bool resumes = outcome == attempt_outcome::ResumeElsewhere || record.mustResume;
+    const bool possible = std::ranges::any_of(pool.endpoints, [&](std::uint32_t slot) {
+        const auto &endpoint = m_tables.endpoints[slot];
+        return endpoint.acceptsWork() && (!resumes || endpoint.description.canResume);
+    });
+    if (!possible)
+        return false;
+    if (!pool.retries.spend()) {
+        ++m_totals.retriesDenied;
+        return false;
+    }
+    return true;
 }
 
-bool decision_core::reportFinished(request_id request, attempt_outcome outcome, core::instant now)
+template <routing_policy Routing>
+bool basic_decision_core<Routing>::reportFinished(request_id request, attempt_outcome outcome,
+                                                  core::instant now)
 {
-    const auto found = m_requests.find(request);
-    if (found == m_requests.end() || !found->second.running)
+    m_now = now;
+    auto *record = m_tables.requests.find(request);
+    if (record == nullptr || !record->running)
+        return false;
+    finish(*record, outcome, now);
+    const bool again = mayRunAgain(*record, outcome, now);
+    m_tables.endAttempt(*record, now);
+    if (!again) {
+        m_tables.requests.erase(request);
         return false;
-    constexpr std::uint32_t maximumAttempts = 3;
-    if (outcome == attempt_outcome::RetryBeforeFirstByte && found->second.spec.repeatable
-        && found->second.attempts < maximumAttempts) {
-        --m_inFlight[found->second.endpoint.value];
-        found->second.running = false;
-        return true;
     }
-    cancel(request, now);
-    return false;
+    ++record->failedAttempts;
+    record->mustResume = record->mustResume || outcome == attempt_outcome::ResumeElsewhere;
+    ++m_totals.retried;
+    m_tables.enqueue(*record);
+    return true;
 }
 
-void decision_core::reportLoad(endpoint_id /*endpoint*/, const load_report & /*report*/,
-                               core::instant /*now*/)
+template <routing_policy Routing>
+void basic_decision_core<Routing>::restarted(endpoint_record &endpoint, core::instant now)
 {
+    endpoint.health.startSlowly(now);
+    endpoint.load.reset();
+    endpoint.cache.reset();
+    endpoint.reportedModels.clear();
 }
 
-void decision_core::reportCacheEvent(endpoint_id /*endpoint*/, const cache_event & /*event*/,
-                                     core::instant /*now*/)
+template <routing_policy Routing>
+void basic_decision_core<Routing>::reportLoad(endpoint_id endpoint, const load_report &report,
+                                              core::instant now)
 {
+    m_now = now;
+    const auto slot = m_tables.endpoints.slotOf(endpoint.value);
+    if (!slot)
+        return;
+    auto &record = m_tables.endpoints[*slot];
+    const bool isFirst = record.lifecycle.incarnation() == 0;
+    if (report.incarnation != 0 && report.incarnation < record.lifecycle.incarnation())
+        return;
+    if (record.lifecycle.report(endpoint_state::Live, report.incarnation) && !isFirst)
+        restarted(record, now);
+    record.load.report(report, now);
+    record.reportedModels = report.models;
+    m_tables.noteChange(record);
 }
 
-void decision_core::reportEndpointState(std::string_view endpointName, state_source /*source*/,
-                                        endpoint_state state, std::uint64_t incarnation,
-                                        core::instant /*now*/)
+template <routing_policy Routing>
+void basic_decision_core<Routing>::reportCacheEvent(endpoint_id endpoint, const cache_event &event,
+                                                    core::instant now)
 {
-    const auto found = m_leaving.find(endpointName);
-    if (state == endpoint_state::Leaving)
-        m_leaving.emplace(endpointName, incarnation);
-    else if (found != m_leaving.end() && incarnation > found->second)
-        m_leaving.erase(found);
+    m_now = now;
+    const auto slot = m_tables.endpoints.slotOf(endpoint.value);
+    if (slot && m_tables.endpoints[*slot].inSubset)
+        m_tables.endpoints[*slot].cache.apply(event);
 }
 
-void decision_core::setShare(double share, core::instant /*now*/)
+template <routing_policy Routing>
+void basic_decision_core<Routing>::reportEndpointState(std::string_view endpointName,
+                                                       state_source /*source*/,
+                                                       endpoint_state state,
+                                                       std::uint64_t incarnation, core::instant now)
 {
-    m_share = std::clamp(share, 0.0, 1.0);
+    m_now = now;
+    const auto slot = m_tables.endpoints.slotOf(std::string(endpointName));
+    if (!slot)
+        return;
+    auto &record = m_tables.endpoints[*slot];
+    const bool isFirst = record.lifecycle.incarnation() == 0;
+    if (record.lifecycle.report(state, incarnation) && !isFirst)
+        restarted(record, now);
+    m_tables.noteChange(record);
 }
 
-std::optional<endpoint_id> decision_core::leastLoaded(const request_spec &spec) const
+template <routing_policy Routing>
+void basic_decision_core<Routing>::setShare(double share, core::instant now)
 {
-    std::optional<endpoint_id> best;
-    for (std::uint32_t index = 0; index < m_document.endpoints.size(); ++index) {
-        const auto &endpoint = m_document.endpoints[index];
-        if (!serves(endpoint, spec) || m_leaving.contains(endpoint.name)
-            || m_inFlight[index] >= endpoint.capacity)
-            continue;
-        if (!best || m_inFlight[index] < m_inFlight[best->value])
-            best = endpoint_id{index};
+    m_now = now;
+    configurator::setShare(m_tables, share, now);
+}
+
+template <routing_policy Routing>
+void basic_decision_core<Routing>::expire(core::instant now)
+{
+    while (!m_tables.deadlines.empty() && m_tables.deadlines.begin()->at <= now) {
+        auto &record = *m_tables.requests.find(m_tables.deadlines.begin()->request);
+        const auto &pool = m_tables.pools[record.pool];
+        const bool isServed = std::ranges::any_of(pool.endpoints, [this](std::uint32_t slot) {
+            return m_tables.endpoints[slot].acceptsWork();
+        });
+        auto made = makeDecision(decision_kind::Expire, record,
+                                 isServed ? decision_reason::DeadlinePassed
+                                          : decision_reason::NoEndpoint);
+        made.retryAfter = admission::retryAfter(m_tables, record, now);
+        remember(made, record, now, nullptr, nullptr);
+        m_decisions.push_back(made);
+        ++m_totals.expired;
+        m_tables.dequeue(record);
+        m_tables.requests.erase(made.request);
     }
-    return best;
 }
 
-std::vector<decision> decision_core::tick(core::instant now)
+template <routing_policy Routing>
+void basic_decision_core<Routing>::dispatch(const queue_selection &selection,
+                                            const routing_choice &choice, core::instant now)
 {
-    std::vector<decision> decisions;
-    std::vector<std::pair<std::uint32_t, request_id>> order;
-    for (auto entry = m_requests.begin(); entry != m_requests.end();) {
-        auto &[id, state] = *entry;
-        const auto deadline = m_document.classes[state.spec.requestClass.value].deadline;
-        if (!state.running && now >= state.submittedAt + deadline) {
-            decision expired{decision_kind::Expire, id, {}, {}, decision_reason::DeadlinePassed};
-            expired.retryAfter = retryAfter(state.spec, now);
-            decisions.push_back(expired);
-            entry = m_requests.erase(entry);
+    auto &record = *m_tables.requests.find(selection.waiting.request);
+    auto &pool = m_tables.pools[record.pool];
+    queue_scheduler::noteDispatch(m_tables, pool, selection, record.work());
+    m_tables.dequeue(record);
+    m_tables.startAttempt(record, choice.endpointSlot, now);
+    record.keepsPlace = selection.overtakes.has_value();
+    record.probe = choice.probe;
+    if (choice.probe)
+        m_tables.endpoints[choice.endpointSlot].health.probeStarted();
+    if (record.attempts == 1)
+        pool.retries.countDispatch();
+    auto reason = selection.overtakes.value_or(choice.reason);
+    if (record.failedAttempts > 0)
+        reason = decision_reason::Retry;
+    auto made = makeDecision(decision_kind::Dispatch, record, reason);
+    made.endpoint = endpoint_id{m_tables.endpoints[choice.endpointSlot].documentIndex};
+    made.resumeFrom = record.deliveredTokens;
+    remember(made, record, now, nullptr, &choice);
+    m_decisions.push_back(made);
+    ++m_totals.dispatched;
+    m_candidates.noteDispatch(choice.endpointSlot);
+}
+
+template <routing_policy Routing>
+bool basic_decision_core<Routing>::preemptFor(const queue_selection &selection, core::instant now)
+{
+    const auto &waiting = *m_tables.requests.find(selection.waiting.request);
+    const auto &pool = m_tables.pools[waiting.pool];
+    // Only when waiting longer would miss the target, and not when it is missed already.
+    constexpr std::chrono::milliseconds margin(50);
+    const std::chrono::duration<double, std::milli> prefill(
+        pool.medianFirstToken * (1 + waiting.promptTokens / promptTokensForTwiceTheTime));
+    const bool isUrgent = now <= waiting.due && now + prefill + margin >= waiting.due;
+    if (m_preemptionsLeft == 0 || !isUrgent || waiting.mustResume)
+        return false;
+    const auto victimId = eviction::chooseToPreempt(m_tables, waiting);
+    if (!victimId)
+        return false;
+    --m_preemptionsLeft;
+    auto &victim = *m_tables.requests.find(*victimId);
+    auto made = makeDecision(decision_kind::Preempt, victim, decision_reason::HigherTierWaiting);
+    made.endpoint = endpoint_id{m_tables.endpoints[victim.endpointSlot].documentIndex};
+    made.beneficiary = waiting.id;
+    remember(made, victim, now, &waiting, nullptr);
+    m_decisions.push_back(made);
+    ++m_totals.preempted;
+    routing_choice choice;
+    choice.endpointSlot = victim.endpointSlot;
+    choice.reason = decision_reason::HigherTierWaiting;
+    m_tables.endAttempt(victim, now);
+    ++victim.preemptions;
+    victim.mustResume = victim.mustResume || victim.firstTokenSeen;
+    m_tables.enqueue(victim);
+    dispatch(selection, choice, now);
+    return true;
+}
+
+template <routing_policy Routing>
+void basic_decision_core<Routing>::servePool(pool_record &pool, core::instant now)
+{
+    // Cleared first: a preemption in this pass is a change that the next tick has to see.
+    pool.changed = false;
+    pool.servedAt = now;
+    m_candidates.refresh(m_tables, pool, !Routing::usesTiers, now);
+    m_scheduler.begin(m_tables, pool, now);
+    while (pool.queued > 0) {
+        std::optional<queue_selection> selection;
+        if constexpr (Routing::usesTiers)
+            selection = m_scheduler.next(m_tables, pool, now);
+        else
+            selection = m_scheduler.nextInArrivalOrder(m_tables, pool);
+        if (!selection)
+            return;
+        const auto &record = *m_tables.requests.find(selection->waiting.request);
+        const auto candidates = m_candidates.forRequest(m_tables, record, now);
+        const auto choice = m_routing.choose(record, pool, candidates, m_tables.options, m_random);
+        if (choice) {
+            dispatch(*selection, *choice, now);
             continue;
         }
-        if (!state.running)
-            order.emplace_back(tierRank(state.spec), id);
-        ++entry;
+        if constexpr (Routing::usesTiers) {
+            if (preemptFor(*selection, now))
+                continue;
+        }
+        m_scheduler.block(selection->classSlot);
     }
-    std::ranges::sort(order);
-    for (const auto &[rank, id] : order) {
-        auto &state = m_requests.at(id);
-        const auto endpoint = leastLoaded(state.spec);
-        if (!endpoint)
-            continue;
-        state.running = true;
-        state.endpoint = *endpoint;
-        ++state.attempts;
-        ++m_inFlight[endpoint->value];
-        decision dispatch{decision_kind::Dispatch, id, *endpoint, {}, decision_reason::LowestScore};
-        dispatch.priority = rank;
-        decisions.push_back(dispatch);
+}
+
+template <routing_policy Routing>
+std::vector<decision> basic_decision_core<Routing>::tick(core::instant now)
+{
+    m_now = now;
+    m_preemptionsLeft = m_tables.options.preemptionsPerTick;
+    // Limits refill and reports age when they are read, at the time that is passed in.
+    expire(now);
+    if constexpr (Routing::usesTiers)
+        m_totals.ejected += m_outliers.run(m_tables, now);
+    for (auto &pool : m_tables.pools) {
+        const bool isDue = pool.changed || now - pool.servedAt >= m_tables.options.longestRest;
+        if (pool.queued > 0 && isDue)
+            servePool(pool, now);
     }
-    return decisions;
+    return std::exchange(m_decisions, {});
 }
 
-dump_view decision_core::dump() const
+template <routing_policy Routing>
+dump_view basic_decision_core<Routing>::dump() const
 {
     dump_view view;
-    view.share = m_share;
-    for (std::uint32_t index = 0; index < m_document.endpoints.size(); ++index) {
-        const auto &endpoint = m_document.endpoints[index];
+    view.totals = m_totals;
+    view.share = m_tables.share;
+    for (const auto &record : m_tables.endpoints) {
+        if (!record.present)
+            continue;
         endpoint_view entry;
-        entry.name = endpoint.name;
-        entry.state
-            = m_leaving.contains(endpoint.name) ? endpoint_state::Leaving : endpoint_state::Live;
-        entry.capacity = endpoint.capacity;
-        entry.inFlight = m_inFlight[index];
+        entry.name = record.name;
+        entry.state = record.acceptsWork() ? endpoint_state::Live : endpoint_state::Leaving;
+        entry.health = record.health.health();
+        entry.incarnation = record.lifecycle.incarnation();
+        entry.capacity = record.description.capacity;
+        entry.inFlight = record.inFlight();
+        entry.foreignLoad = record.load.estimate(0, m_tables.options.reportHorizon, m_now);
+        entry.timeToFirstToken = std::chrono::milliseconds(
+            static_cast<std::int64_t>(record.health.firstToken.milliseconds));
+        entry.cachedBlocks = record.cache.size();
+        entry.cacheGaps = record.cache.gaps();
+        entry.inSubset = record.inSubset;
         view.endpoints.push_back(std::move(entry));
     }
+    for (std::uint32_t slot = 0; slot < m_tables.classes.size(); ++slot) {
+        const auto &record = m_tables.classes[slot];
+        class_view entry{record.name, record.queued, record.running, {}, 0};
+        for (const auto &pool : m_tables.pools) {
+            if (slot >= pool.queues.size() || pool.queues[slot].waiting.empty())
+                continue;
+            const auto *first = m_tables.requests.find(pool.queues[slot].waiting.firstArrival());
+            entry.longestWait = std::max(
+                entry.longestWait,
+                std::chrono::duration_cast<std::chrono::milliseconds>(m_now - first->submittedAt));
+        }
+        entry.estimatedOutputTokens = m_tables.outputLengths.classMedian(slot);
+        view.classes.push_back(std::move(entry));
+    }
+    for (const auto &record : m_tables.callers)
+        if (record.present || !record.isIdle())
+            view.callers.push_back({record.name, record.queued, record.running});
     return view;
 }
 
-std::optional<explanation> decision_core::explain(std::string_view requestId) const
+template <routing_policy Routing>
+std::optional<explanation> basic_decision_core<Routing>::explain(std::string_view requestId) const
 {
-    for (const auto &[id, state] : m_requests) {
-        if (state.spec.requestId == requestId)
-            return explanation{state.spec.requestId,
-                               state.running ? request_phase::Running : request_phase::Queued,
-                               {}};
+    explanation found{std::string(requestId), request_phase::Ended, m_journal.stepsOf(requestId)};
+    for (const auto &record : m_tables.requests) {
+        if (record.id.value == 0 || record.requestId != requestId)
+            continue;
+        found.phase = record.running ? request_phase::Running : request_phase::Queued;
+        return found;
     }
-    return std::nullopt;
+    if (found.steps.empty())
+        return std::nullopt;
+    return found;
 }
 
+template class basic_decision_core<score_routing>;
+template class basic_decision_core<round_robin_routing>;
+template class basic_decision_core<least_in_flight_routing>;
+
 } // namespace quetzalcleat::policy
--- a/Libraries/LibPolicy/decision_core.h
+++ b/Libraries/LibPolicy/decision_core.h
@@ -2,14 +2,22 @@
 
 #include "LibCore/result.h"
 #include "LibInventory/document.h"
+#include "LibPolicy/baseline_routing.h"
+#include "LibPolicy/decision_journal.h"
+#include "LibPolicy/outlier_detector.h"
 #include "LibPolicy/policy_error.h"
+#include "LibPolicy/policy_options.h"
 #include "LibPolicy/policy_types.h"
 #include "LibPolicy/policy_views.h"
-
-#include <map>
-#include <memory>
+#include "LibPolicy/pool_candidates.h"
+#include "LibPolicy/queue_scheduler.h"
+#include "LibPolicy/random_source.h"
+#include "LibPolicy/routing_policy.h"
+#include "LibPolicy/score_routing.h"
+#include "LibPolicy/tables.h"
+
+#include <chrono>
 #include <optional>
-#include <string>
 #include <string_view>
 #include <vector>
 
@@ -19,17 +27,19 @@
 ///
 /// Does no I/O and reads no clock; equal calls with an equal seed give equal decisions. Not
 /// thread-safe. Ids of callers, classes and endpoints are indices into the document of the last
-/// configure() call.
-class decision_core
+/// configure() call; calls with an unknown id are refused or ignored.
+template <routing_policy Routing>
+class basic_decision_core
 {
 public:
-    explicit decision_core(std::uint64_t seed);
+    explicit basic_decision_core(std::uint64_t seed, const policy_options &options = {});
 
     /// Puts a document in force. Queued and running work is kept; entities are matched by name.
     void configure(const inventory::document &document, const placement_self &self,
                    core::instant now);
 
-    /// Queues a request. Errors are those of policy_error; see retryAfter().
+    /// Queues a request. Errors are those of policy_error; see retryAfter(). May cause a Shed
+    /// decision in the next tick.
     core::result<request_id> submit(request_spec spec, core::instant now);
 
     /// When a caller whose request was refused should try again.
@@ -38,6 +48,7 @@
     /// Forgets a request because its caller went away. Unknown ids are ignored.
     void cancel(request_id request, core::instant now);
 
+    /// The first byte, for a service.
     void reportFirstToken(request_id request, core::instant now);
 
     /// Tokens that reached the caller since the last report.
@@ -48,11 +59,14 @@
     /// about the preempted attempt: the request is already queued again.
     bool reportFinished(request_id request, attempt_outcome outcome, core::instant now);
 
+    /// A higher incarnation than before shows that the endpoint was restarted.
     void reportLoad(endpoint_id endpoint, const load_report &report, core::instant now);
+
+    /// Events may be repeated; a gap in their sequence drops what was known of the cache.
     void reportCacheEvent(endpoint_id endpoint, const cache_event &event, core::instant now);
 
-    /// The first Leaving holds until a Live report with a higher incarnation. An incarnation of 0
-    /// means that the source does not know it: Leaving then concerns the current incarnation.
+    /// The first Leaving holds until a report with a higher incarnation. An incarnation of 0 means
+    /// that the source does not know it: Leaving then concerns the current incarnation.
     void reportEndpointState(std::string_view endpointName, state_source source,
                              endpoint_state state, std::uint64_t incarnation, core::instant now);
 
@@ -68,26 +82,48 @@
     std::optional<explanation> explain(std::string_view requestId) const;
 
 private:
-    struct request_state
-    {
-        request_spec spec;
-        core::instant submittedAt;
-        bool running = false;
-        endpoint_id endpoint;
-        std::uint32_t attempts = 0;
-        std::uint32_t deliveredTokens = 0;
-    };
-
-    bool serves(const inventory::endpoint &endpoint, const request_spec &spec) const;
-    std::optional<endpoint_id> leastLoaded(const request_spec &spec) const;
-    std::uint32_t tierRank(const request_spec &spec) const;
-
-    inventory::document m_document;
-    std::map<request_id, request_state> m_requests;
-    std::vector<std::uint32_t> m_inFlight;
-    std::map<std::string, std::uint64_t, std::less<>> m_leaving; ///< Name to incarnation.
-    std::uint64_t m_lastRequest = 0;
-    double m_share = 1;
+    core::result<request_id> refuse(const request_spec &spec, policy_error error,
+                                    core::instant now);
+    request_record makeRecord(const request_spec &spec, std::uint32_t callerSlot,
+                              std::uint32_t classSlot, std::uint32_t pool, core::instant now) const;
+    void shed(request_id victim, decision_reason reason, const request_record &beneficiary,
+              core::instant now);
+    void expire(core::instant now);
+    void servePool(pool_record &pool, core::instant now);
+    bool preemptFor(const queue_selection &selection, core::instant now);
+    void dispatch(const queue_selection &selection, const routing_choice &choice,
+                  core::instant now);
+    void finish(request_record &record, attempt_outcome outcome, core::instant now);
+    bool mayRunAgain(const request_record &record, attempt_outcome outcome, core::instant now);
+    void countFailure(const request_record &record, core::instant now);
+    void restarted(endpoint_record &endpoint, core::instant now);
+    decision makeDecision(decision_kind kind, const request_record &record,
+                          decision_reason reason) const;
+    void remember(const decision &made, const request_record &record, core::instant now,
+                  const request_record *beneficiary, const routing_choice *choice);
+
+    core_tables m_tables;
+    random_source m_random;
+    Routing m_routing;
+    pool_candidates m_candidates;
+    queue_scheduler m_scheduler;
+    outlier_detector m_outliers;
+    decision_journal m_journal;
+    decision_totals m_totals;
+    std::vector<decision> m_decisions; ///< Of the next or the running tick.
+    std::uint32_t m_preemptionsLeft = 0; ///< In the running tick.
+    core::instant m_now{}; ///< Of the last call, for dump().
 };
 
+/// The policy of the router.
+using decision_core = basic_decision_core<score_routing>;
+
+/// Baselines for experiments.
+using round_robin_core = basic_decision_core<round_robin_routing>;
+using least_in_flight_core = basic_decision_core<least_in_flight_routing>;
+
+extern template class basic_decision_core<score_routing>;
+extern template class basic_decision_core<round_robin_routing>;
+extern template class basic_decision_core<least_in_flight_routing>;
+
 } // namespace quetzalcleat::policy
--- /dev/null
+++ b/Libraries/LibPolicy/endpoint_health_tracker.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "LibPolicy/policy_options.h"
+#include "LibPolicy/policy_views.h"
+
+#include <cstdint>
+
+namespace quetzalcleat::policy {
+
+/// Moving average of a latency in milliseconds, with the number of its samples.
+struct latency_average
+{
+    double milliseconds = 0;
+    std::uint32_t samples = 0;
+
+    void add(double sample)
+    {
+        constexpr double weight = 0.2;
+        milliseconds = samples == 0 ? sample : milliseconds + weight * (sample - milliseconds);
+        ++samples;
+    }
+};
+
+/// Health of one endpoint: healthy, ejected, half-open with one probe at a time, slow start.
+class endpoint_health_tracker
+{
+public:
+    endpoint_health health() const { return m_health; }
+
+    /// Moves on when a period has ended: ejected to half-open, slow start to healthy.
+    void advance(const policy_options &options, core::instant now);
+
+    /// Part of the capacity that may be used: below 1 during slow start, 0 while ejected.
+    double usablePart(const policy_options &options, core::instant now) const;
+
+    /// Each ejection in a row lasts twice as long as the one before.
+    void eject(const policy_options &options, core::instant now);
+
+    /// The endpoint is new or was restarted; what was learnt about it is dropped.
+    void startSlowly(core::instant now);
+
+    bool acceptsProbe() const { return m_health == endpoint_health::HalfOpen && !m_probing; }
+    /// Time since the ejection ended; only meaningful while half-open.
+    core::instant::duration halfOpenFor(core::instant now) const { return now - m_until; }
+    void probeStarted() { m_probing = true; }
+
+    /// The probe ended without a verdict, for example because its caller went away.
+    void probeAbandoned() { m_probing = false; }
+    void probeSucceeded(core::instant now);
+
+    void countFailure() { ++m_failures; }
+    void countSuccess() { m_failures = 0; }
+    std::uint32_t failuresInARow() const { return m_failures; }
+
+    latency_average firstToken; ///< Normalised by the prompt length.
+    latency_average betweenTokens;
+    double ratioToPeers = 1; ///< Latency against the median of the peers; set by the detector.
+
+private:
+    endpoint_health m_health = endpoint_health::Healthy;
+    core::instant m_since{};
+    core::instant m_until{};
+    std::uint32_t m_failures = 0;
+    std::uint32_t m_ejectionsInARow = 0;
+    bool m_probing = false;
+};
+
+} // namespace quetzalcleat::policy
--- /dev/null
+++ b/Libraries/LibPolicy/endpoint_subset.cpp
@@ -0,0 +1,47 @@
+#include "LibPolicy/endpoint_subset.h"
+
+#include "LibCore/hash.h"
+#include "LibPolicy/random_source.h"
+
+#include <algorithm>
+
+namespace quetzalcleat::policy {
+
+void selectSubset(core_tables &tables, pool_record &pool, std::vector<std::uint32_t> serving)
+{
+    const auto &options = tables.options;
+    const std::uint64_t host = core::hash64(tables.hostName);
+    const auto isLocal = [&tables](std::uint32_t slot) {
+        return tables.endpoints[slot].distance == endpoint_distance::SameDataCentre;
+    };
+    std::ranges::sort(serving, [&](std::uint32_t left, std::uint32_t right) {
+        const auto &first = tables.endpoints[left];
+        const auto &second = tables.endpoints[right];
+        if (first.distance != second.distance)
+            return first.distance < second.distance;
+        return mixBits(host ^ first.nameHash) < mixBits(host ^ second.nameHash);
+    });
+    const auto all = static_cast<std::uint32_t>(serving.size());
+    const auto local = static_cast<std::uint32_t>(std::ranges::count_if(serving, isLocal));
+    pool.endpoints.clear();
+    pool.localEndpoints = 0;
+    for (const std::uint32_t slot : serving) {
+        const bool nearby = isLocal(slot);
+        if (nearby && pool.localEndpoints == options.localSubsetSize && all > options.subsetSize)
+            continue;
+        if (pool.endpoints.size() == options.subsetSize)
+            break;
+        pool.endpoints.push_back(slot);
+        pool.localEndpoints += nearby ? 1 : 0;
+    }
+    const bool noneLocal = local == 0;
+    if (noneLocal)
+        pool.localEndpoints = static_cast<std::uint32_t>(pool.endpoints.size());
+    const double used = pool.localEndpoints;
+    const double existing = noneLocal ? all : local;
+    const double hosts = noneLocal ? tables.hosts : tables.hostsInDataCentre;
+    pool.hostsPerLocalEndpoint = existing > 0 ? std::max(1.0, hosts * used / existing) : 1;
+    pool.served = all > 0;
+}
+
+} // namespace quetzalcleat::policy
--- /dev/null
+++ b/Libraries/LibPolicy/entity_table.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace quetzalcleat::policy {
+
+/// Entities of the document by name, in slots that stay the same while documents change.
+///
+/// Record has `name`, `present`, `documentIndex` and `isIdle()`. A record that left the document
+/// keeps its slot until it is idle, because queued and running work refers to it.
+template <typename Record>
+class entity_table
+{
+public:
+    /// Matches the entities of a new document by name. `prepare(record, slot, entity, isNew)` is
+    /// called for each entity in document order.
+    template <typename Entities, typename Prepare>
+    void assign(const Entities &entities, Prepare prepare)
+    {
+        m_slots.assign(entities.size(), 0);
+        std::vector<bool> isNew(entities.size(), false);
+        for (auto &record : m_records)
+            record.present = false;
+        for (std::size_t index = 0; index < entities.size(); ++index) {
+            const auto found = m_byName.find(entities[index].name);
+            isNew[index] = found == m_byName.end();
+            if (isNew[index])
+                continue;
+            m_slots[index] = found->second;
+            m_records[found->second].present = true;
+        }
+        std::uint32_t firstFree = 0;
+        for (std::size_t index = 0; index < entities.size(); ++index) {
+            if (isNew[index])
+                m_slots[index] = allocate(entities[index].name, firstFree);
+            auto &record = m_records[m_slots[index]];
+            record.documentIndex = static_cast<std::uint32_t>(index);
+            prepare(record, m_slots[index], entities[index], isNew[index]);
+        }
+    }
+
+    std::optional<std::uint32_t> slotOf(std::uint32_t documentIndex) const
+    {
+        if (documentIndex >= m_slots.size())
+            return std::nullopt;
+        return m_slots[documentIndex];
+    }
+
+    std::optional<std::uint32_t> slotOf(const std::string &name) const
+    {
+        const auto found = m_byName.find(name);
+        if (found == m_byName.end() || !m_records[found->second].present)
+            return std::nullopt;
+        return found->second;
+    }
+
+    Record &operator[](std::uint32_t slot) { return m_records[slot]; }
+    const Record &operator[](std::uint32_t slot) const { return m_records[slot]; }
+    std::uint32_t size() const { return static_cast<std::uint32_t>(m_records.size()); }
+    auto begin() { return m_records.begin(); }
+    auto end() { return m_records.end(); }
+    auto begin() const { return m_records.begin(); }
+    auto end() const { return m_records.end(); }
+
+private:
+    std::uint32_t allocate(const std::string &name, std::uint32_t &firstFree)
+    {
+        while (firstFree < m_records.size()
+               && (m_records[firstFree].present || !m_records[firstFree].isIdle()))
+            ++firstFree;
+        if (firstFree == m_records.size())
+            m_records.emplace_back();
+        else
+            m_byName.erase(m_records[firstFree].name);
+        auto &record = m_records[firstFree];
+        record = Record{};
+        record.name = name;
+        record.present = true;
+        m_byName[name] = firstFree;
+        return firstFree;
+    }
+
+    std::vector<Record> m_records;
+    std::vector<std::uint32_t> m_slots;
+    std::unordered_map<std::string, std::uint32_t> m_byName;
+};
+
+} // namespace quetzalcleat::policy
--- /dev/null
+++ b/Libraries/LibPolicy/eviction.cpp
@@ -0,0 +1,143 @@
+#include "LibPolicy/eviction.h"
+
+#include <algorithm>
+
+namespace quetzalcleat::policy {
+
+namespace {
+
+std::uint32_t queuedOfRank(const core_tables &tables, std::uint32_t rank)
+{
+    return rank < tables.queuedByRank.size() ? tables.queuedByRank[rank] : 0;
+}
+
+std::uint32_t queuedOfCaller(const core_tables &tables, std::uint32_t classSlot,
+                             std::uint32_t callerSlot)
+{
+    std::uint32_t count = 0;
+    for (const auto &pool : tables.pools)
+        if (classSlot < pool.queues.size())
+            count += pool.queues[classSlot].waiting.queuedOf(callerSlot);
+    return count;
+}
+
+bool classIsFull(const core_tables &tables, const request_record &arrival)
+{
+    const auto &entry = tables.classes[arrival.classSlot];
+    return entry.queued >= entry.rules.queueLength;
+}
+
+} // namespace
+
+bool eviction::hasRoom(const core_tables &tables, const request_record &arrival)
+{
+    const std::uint32_t rank = tables.classes[arrival.classSlot].rank;
+    return !classIsFull(tables, arrival)
+        && queuedOfRank(tables, rank) < tables.options.tierQueueBound
+        && tables.queued < tables.options.hostQueueBound;
+}
+
+std::optional<request_id> eviction::lastOfLargestCaller(const core_tables &tables,
+                                                        std::uint32_t classSlot,
+                                                        std::uint32_t queuedAbove)
+{
+    const fair_queue *largestQueue = nullptr;
+    fair_queue::caller_count largest{0, queuedAbove};
+    for (const auto &pool : tables.pools) {
+        if (classSlot >= pool.queues.size())
+            continue;
+        const auto &waiting = pool.queues[classSlot].waiting;
+        const auto candidate = waiting.largestCaller();
+        if (candidate.queued > largest.queued) {
+            largest = candidate;
+            largestQueue = &waiting;
+        }
+    }
+    if (largestQueue == nullptr)
+        return std::nullopt;
+    std::optional<request_id> victim;
+    largestQueue->visitFromLast(largest.callerSlot, [&](const fair_queue::waiting &entry) {
+        // What has run already would be wasted.
+        if (tables.requests.find(entry.request)->attempts > 0)
+            return false;
+        victim = entry.request;
+        return true;
+    });
+    return victim;
+}
+
+std::optional<request_id> eviction::fromLowerTier(const core_tables &tables, std::uint32_t rank)
+{
+    for (auto lowest = static_cast<std::uint32_t>(tables.queuedByRank.size()); lowest > rank + 1;
+         --lowest) {
+        const std::uint32_t victimRank = lowest - 1;
+        if (tables.queuedByRank[victimRank] == 0)
+            continue;
+        for (std::uint32_t slot = 0; slot < tables.classes.size(); ++slot) {
+            const auto &entry = tables.classes[slot];
+            if (entry.rank != victimRank || entry.queued == 0)
+                continue;
+            if (const auto victim = lastOfLargestCaller(tables, slot, 0))
+                return victim;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<eviction::shed_victim> eviction::chooseToShed(const core_tables &tables,
+                                                            const request_record &arrival)
+{
+    const std::uint32_t rank = tables.classes[arrival.classSlot].rank;
+    if (classIsFull(tables, arrival)) {
+        const std::uint32_t own = queuedOfCaller(tables, arrival.classSlot, arrival.callerSlot);
+        const auto victim = lastOfLargestCaller(tables, arrival.classSlot, own + 1);
+        if (!victim)
+            return std::nullopt;
+        return shed_victim{*victim, decision_reason::QueueFull};
+    }
+    // Removing a lower tier's request does not free a place within this tier's bound.
+    if (queuedOfRank(tables, rank) >= tables.options.tierQueueBound)
+        return std::nullopt;
+    const auto victim = fromLowerTier(tables, rank);
+    if (!victim)
+        return std::nullopt;
+    return shed_victim{*victim, decision_reason::HigherTierWaiting};
+}
+
+bool eviction::mayPreempt(const core_tables &tables, const request_record &victim,
+                          const request_record &waiting)
+{
+    const auto &entry = tables.classes[victim.classSlot];
+    return entry.rank > tables.classes[waiting.classSlot].rank && entry.rules.preemptible
+        && victim.pool == waiting.pool && victim.repeatable && !victim.keepsPlace && !victim.probe
+        && victim.preemptions < tables.options.maximumPreemptions;
+}
+
+std::optional<request_id> eviction::chooseToPreempt(const core_tables &tables,
+                                                    const request_record &waiting)
+{
+    const request_record *best = nullptr;
+    for (const std::uint32_t slot : tables.pools[waiting.pool].endpoints) {
+        const auto &endpoint = tables.endpoints[slot];
+        const bool isUsable = endpoint.acceptsWork() && endpoint.description.canResume
+            && endpoint.health.health() == endpoint_health::Healthy;
+        if (!isUsable)
+            continue;
+        for (const request_id id : endpoint.running) {
+            const auto *victim = tables.requests.find(id);
+            if (!mayPreempt(tables, *victim, waiting))
+                continue;
+            const auto rank = tables.classes[victim->classSlot].rank;
+            const auto bestRank = best == nullptr ? 0 : tables.classes[best->classSlot].rank;
+            // Among equals the one that has the least to resume.
+            if (best == nullptr || rank > bestRank
+                || (rank == bestRank && victim->deliveredTokens < best->deliveredTokens))
+                best = victim;
+        }
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    return best->id;
+}
+
+} // namespace quetzalcleat::policy
--- /dev/null
+++ b/Libraries/LibPolicy/outlier_detector.cpp
@@ -0,0 +1,151 @@
+#include "LibPolicy/outlier_detector.h"
+
+#include <algorithm>
+
+namespace quetzalcleat::policy {
+
+namespace {
+
+// Differences below this are noise, whatever the ratio.
+constexpr double noiseMilliseconds = 50;
+
+bool isJudged(const endpoint_record &endpoint, const policy_options &options)
+{
+    return endpoint.acceptsWork() && endpoint.health.firstToken.samples >= options.samplesToJudge;
+}
+
+} // namespace
+
+std::uint32_t outlier_detector::run(core_tables &tables, core::instant now)
+{
+    for (auto &pool : tables.pools) {
+        if (now - pool.judgedAt < tables.options.outlierInterval)
+            continue;
+        pool.judgedAt = now;
+        return judge(tables, pool, now);
+    }
+    return 0;
+}
+
+std::uint32_t outlier_detector::judge(core_tables &tables, pool_record &pool, core::instant now)
+{
+    samplePending(tables, pool, now);
+    updateMedians(tables, pool);
+    std::uint32_t ejected = 0;
+    for (const std::uint32_t slot : pool.endpoints) {
+        auto &endpoint = tables.endpoints[slot];
+        if (endpoint.health.usablePart(tables.options, now) <= 0)
+            continue;
+        updateRatio(tables, pool, endpoint);
+        const double excess
+            = std::max(endpoint.health.firstToken.milliseconds - pool.medianFirstToken,
+                       endpoint.health.betweenTokens.milliseconds - pool.medianBetweenTokens);
+        const bool isStraggler = isJudged(endpoint, tables.options)
+            && endpoint.health.ratioToPeers > tables.options.stragglerRatio
+            && excess > noiseMilliseconds;
+        if (isStraggler && ejectIfAllowed(tables, pool, slot, now))
+            ++ejected;
+    }
+    return ejected;
+}
+
+void outlier_detector::samplePending(core_tables &tables, const pool_record &pool,
+                                     core::instant now)
+{
+    // An endpoint that has stopped answering gives no samples, so waiting attempts count as soon
+    // as they have waited longer than its average.
+    for (const std::uint32_t slot : pool.endpoints) {
+        auto &endpoint = tables.endpoints[slot];
+        double oldestPending = 0;
+        double longestGap = 0;
+        for (const request_id id : endpoint.running) {
+            const auto &record = *tables.requests.find(id);
+            const double gap
+                = std::chrono::duration<double, std::milli>(now - record.lastTokenAt).count();
+            if (record.firstTokenSeen)
+                longestGap = std::max(longestGap, gap);
+            else
+                oldestPending = std::max(oldestPending, normalisedFirstToken(record, now));
+        }
+        if (oldestPending > endpoint.health.firstToken.milliseconds + noiseMilliseconds)
+            endpoint.health.firstToken.add(oldestPending);
+        if (longestGap > endpoint.health.betweenTokens.milliseconds + noiseMilliseconds)
+            endpoint.health.betweenTokens.add(longestGap);
+    }
+}
+
+double outlier_detector::median()
+{
+    // One value has no peers to be compared with.
+    if (m_values.size() < 2)
+        return 0;
+    const auto middle = m_values.begin() + static_cast<std::ptrdiff_t>((m_values.size() - 1) / 2);
+    std::ranges::nth_element(m_values, middle);
+    return *middle;
+}
+
+void outlier_detector::updateMedians(const core_tables &tables, pool_record &pool)
+{
+    m_values.clear();
+    for (const std::uint32_t slot : pool.endpoints)
+        if (isJudged(tables.endpoints[slot], tables.options))
+            m_values.push_back(tables.endpoints[slot].health.firstToken.milliseconds);
+    pool.medianFirstToken = median();
+    m_values.clear();
+    for (const std::uint32_t slot : pool.endpoints)
+        if (isJudged(tables.endpoints[slot], tables.options)
+            && tables.endpoints[slot].health.betweenTokens.samples > 0)
+            m_values.push_back(tables.endpoints[slot].health.betweenTokens.milliseconds);
+    pool.medianBetweenTokens = median();
+}
+
+void outlier_detector::updateRatio(const core_tables &tables, const pool_record &pool,
+                                   endpoint_record &endpoint)
+{
+    auto &health = endpoint.health;
+    health.ratioToPeers = 1;
+    if (!isJudged(endpoint, tables.options))
+        return;
+    if (pool.medianFirstToken > 0)
+        health.ratioToPeers = health.firstToken.milliseconds / pool.medianFirstToken;
+    if (pool.medianBetweenTokens > 0)
+        health.ratioToPeers = std::max(
+            health.ratioToPeers, health.betweenTokens.milliseconds / pool.medianBetweenTokens);
+}
+
+bool outlier_detector::ejectIfAllowed(core_tables &tables, const pool_record &pool,
+                                      std::uint32_t endpointSlot, core::instant now)
+{
+    constexpr std::size_t ejectableDivisor = 3;
+    std::size_t usable = 0;
+    std::size_t unusable = 0;
+    for (const std::uint32_t slot : pool.endpoints) {
+        const auto &endpoint = tables.endpoints[slot];
+        if (!endpoint.acceptsWork())
+            continue;
+        const bool isUsable = endpoint.health.usablePart(tables.options, now) > 0;
+        (isUsable ? usable : unusable) += 1;
+    }
+    const std::size_t all = usable + unusable;
+    const std::size_t allowed = all < 2 ? 0 : std::max<std::size_t>(1, all / ejectableDivisor);
+    if (unusable >= allowed)
+        return false;
+    tables.endpoints[endpointSlot].health.eject(tables.options, now);
+    return true;
+}
+
+void outlier_detector::judgeProbe(core_tables &tables, const pool_record &pool,
+                                  std::uint32_t endpointSlot, double firstToken, core::instant now)
+{
+    auto &health = tables.endpoints[endpointSlot].health;
+    if (health.health() != endpoint_health::HalfOpen)
+        return;
+    const double allowed
+        = pool.medianFirstToken * tables.options.stragglerRatio + noiseMilliseconds;
+    if (pool.medianFirstToken <= 0 || firstToken <= allowed)
+        health.probeSucceeded(now);
+    else
+        health.eject(tables.options, now);
+}
+
+} // namespace quetzalcleat::policy
--- /dev/null
+++ b/Libraries/LibPolicy/output_length_estimator.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "LibPolicy/length_histogram.h"
+
+#include <cstdint>
+#include <unordered_map>
+
+namespace quetzalcleat::policy {
+
+/// Estimates output lengths by class and caller, because they are unknown in advance. A caller
+/// with few answers is estimated from its whole class.
+class output_length_estimator
+{
+public:
+    void add(std::uint32_t classSlot, std::uint32_t callerSlot, std::uint32_t tokens);
+
+    /// Quantile of the output length, at most `maximum` unless that is 0.
+    std::uint32_t quantile(std::uint32_t classSlot, std::uint32_t callerSlot, double part,
+                           std::uint32_t maximum) const;
+
+    std::uint32_t classMedian(std::uint32_t classSlot) const;
+
+    void forgetClass(std::uint32_t classSlot);
+    void forgetCaller(std::uint32_t callerSlot);
+
+private:
+    static std::uint64_t key(std::uint32_t classSlot, std::uint32_t callerSlot);
+
+    std::unordered_map<std::uint32_t, length_histogram> m_classes;
+    std::unordered_map<std::uint64_t, length_histogram> m_callers;
+};
+
+} // namespace quetzalcleat::policy
--- /dev/null
+++ b/Libraries/LibPolicy/request_limits.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "LibInventory/document.h"
+#include "LibPolicy/token_bucket.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace quetzalcleat::policy {
+
+/// Limits of one caller or one class, scaled by the share that this host has of them.
+class request_limits
+{
+public:
+    void configure(const inventory::limits &bounds, double share, core::instant now);
+
+    /// Whether another request may run beside those that run now.
+    bool allowsRunning(std::uint32_t running) const
+    {
+        return !m_concurrency || running < *m_concurrency;
+    }
+
+    token_bucket &requests() { return m_requests; }
+    const token_bucket &requests() const { return m_requests; }
+    token_bucket &tokens() { return m_tokens; }
+    const token_bucket &tokens() const { return m_tokens; }
+
+private:
+    token_bucket m_requests;
+    token_bucket m_tokens;
+    std::optional<std::uint32_t> m_concurrency;
+};
+
+} // namespace quetzalcleat::policy
--- /dev/null
+++ b/Libraries/LibPolicy/retry_budget.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <algorithm>
+
+namespace quetzalcleat::policy {
+
+/// Bounds retries to a part of the first dispatches, so that retries do not multiply an overload.
+class retry_budget
+{
+public:
+    retry_budget(double share, double reserve)
+        : m_share(share), m_reserve(reserve), m_level(reserve)
+    {
+    }
+
+    void countDispatch() { m_level = std::min(m_reserve, m_level + m_share); }
+
+    bool spend()
+    {
+        if (m_level < 1)
+            return false;
+        m_level -= 1;
+        return true;
+    }
+
+private:
+    double m_share;
+    double m_reserve;
+    double m_level;
+};
+
+} // namespace quetzalcleat::policy
--- /dev/null
+++ b/Libraries/LibPolicy/tables.cpp
@@ -0,0 +1,90 @@
+#include "LibPolicy/tables.h"
+
+namespace quetzalcleat::policy {
+
+void core_tables::enqueue(request_record &record)
+{
+    auto &pool = pools[record.pool];
+    if (pool.queues.size() < classes.size())
+        pool.queues.resize(classes.size());
+    const std::uint32_t rank = classes[record.classSlot].rank;
+    if (queuedByRank.size() <= rank)
+        queuedByRank.resize(rank + 1);
+    pool.queues[record.classSlot].waiting.push(record.waiting());
+    deadlines.insert({record.deadline, record.id});
+    record.running = false;
+    pool.changed = true;
+    ++pool.queued;
+    ++queued;
+    ++queuedByRank[rank];
+    ++classes[record.classSlot].queued;
+    ++callers[record.callerSlot].queued;
+}
+
+void core_tables::dequeue(request_record &record)
+{
+    auto &pool = pools[record.pool];
+    auto &queue = pool.queues[record.classSlot];
+    queue.waiting.remove(record.waiting());
+    // A share is owed only while requests wait for it.
+    if (queue.waiting.empty())
+        queue.shareCredit = 0;
+    deadlines.erase({record.deadline, record.id});
+    --pool.queued;
+    --queued;
+    --queuedByRank[classes[record.classSlot].rank];
+    --classes[record.classSlot].queued;
+    --callers[record.callerSlot].queued;
+}
+
+void core_tables::startAttempt(request_record &record, std::uint32_t endpointSlot,
+                               core::instant now)
+{
+    auto &endpoint = endpoints[endpointSlot];
+    record.running = true;
+    record.firstTokenSeen = false;
+    record.endpointSlot = endpointSlot;
+    record.runningIndex = endpoint.inFlight();
+    record.dispatchedAt = now;
+    record.lastTokenAt = now;
+    ++record.attempts;
+    endpoint.running.push_back(record.id);
+    endpoint.load.noteInFlight(endpoint.inFlight(), now);
+    ++classes[record.classSlot].running;
+    ++callers[record.callerSlot].running;
+}
+
+void core_tables::endAttempt(request_record &record, core::instant now)
+{
+    auto &endpoint = endpoints[record.endpointSlot];
+    const request_id last = endpoint.running.back();
+    endpoint.running[record.runningIndex] = last;
+    endpoint.running.pop_back();
+    if (last != record.id)
+        requests.find(last)->runningIndex = record.runningIndex;
+    endpoint.load.noteInFlight(endpoint.inFlight(), now);
+    record.running = false;
+    --classes[record.classSlot].running;
+    --callers[record.callerSlot].running;
+    noteChange(endpoint);
+    // A place within a concurrency limit may be wanted in any pool.
+    if (classes[record.classSlot].rules.bounds.concurrency
+        || callers[record.callerSlot].bounds.concurrency)
+        for (auto &pool : pools)
+            pool.changed = true;
+}
+
+void core_tables::noteChange(const endpoint_record &endpoint)
+{
+    for (const std::uint32_t index : endpoint.pools)
+        pools[index].changed = true;
+}
+
+double normalisedFirstToken(const request_record &record, core::instant now)
+{
+    const double milliseconds
+        = std::chrono::duration<double, std::milli>(now - record.dispatchedAt).count();
+    return milliseconds / (1 + record.promptTokens / promptTokensForTwiceTheTime);
+}
+
+} // namespace quetzalcleat::policy
--- /dev/null
+++ b/Tests/Policy/test_reconfiguration.cpp
@@ -0,0 +1,89 @@
+#include "policy_fixture.h"
+
+#include <gtest/gtest.h>
+
+using namespace quetzalcleat;
+using namespace quetzalcleat::policy;
+using namespace quetzalcleat::policy_test;
+using namespace std::chrono_literals;
+
+// Guards against work that is lost or attributed to another entity when a document reorders them.
+TEST(Reconfiguration, KeepsWorkAndMatchesByName)
+{
+    auto document = makeDocument(2, 2);
+    driver driver(document);
+    for (int index = 0; index < 3; ++index)
+        driver.submit(makeSpec(1, 1));
+    driver.tick();
+    std::ranges::reverse(document.endpoints);
+    std::ranges::reverse(document.classes);
+    std::ranges::reverse(document.callers);
+    driver.core.configure(document, {"host", "north-a"}, driver.now);
+    const auto view = driver.core.dump();
+    EXPECT_EQ(view.endpoints[0].inFlight + view.endpoints[1].inFlight, 2U);
+    EXPECT_EQ(view.classes[1].name, "class-1");
+    EXPECT_EQ(view.classes[1].queued, 1U);
+    EXPECT_EQ(view.callers[1].queued, 1U);
+    const auto first = *driver.running.begin();
+    driver.finish(first.first);
+    const auto decisions = driver.tick();
+    ASSERT_EQ(decisions.size(), 1U);
+    // Same engine, other index.
+    EXPECT_EQ(decisions[0].endpoint.value, 1 - first.second.endpoint.value);
+}
+
+// Guards against work of removed entities that crashes, is lost or blocks their slots.
+TEST(Reconfiguration, RemovedEntitiesFinishTheirWork)
+{
+    auto document = makeDocument(2, 2);
+    driver driver(document);
+    for (int index = 0; index < 4; ++index)
+        driver.submit(makeSpec(1, 1));
+    driver.tick();
+    document.endpoints.erase(document.endpoints.begin());
+    document.classes.pop_back();
+    document.callers.pop_back();
+    driver.core.configure(document, {"host", "north-a"}, driver.now);
+    EXPECT_EQ(driver.refusal(makeSpec(1)), policy_error::UnknownClass);
+    std::uint32_t dispatched = 0;
+    for (int round = 0; round < 6; ++round) {
+        if (!driver.running.empty())
+            driver.finish(driver.running.begin()->first);
+        for (const auto &made : driver.tick()) {
+            EXPECT_EQ(made.endpoint, endpoint_id{0});
+            ++dispatched;
+        }
+    }
+    EXPECT_EQ(dispatched, 2U);
+    EXPECT_EQ(driver.core.dump().classes.at(1).queued, 0U);
+}
+
+// Guards against slots that are mixed up when names come, go and come back under load.
+TEST(Reconfiguration, SurvivesManyDocuments)
+{
+    const auto document = makeDocument(3, 4, 2, 2);
+    driver driver(document);
+    random_source random(5);
+    for (int round = 0; round < 2000; ++round) {
+        for (int index = 0; index < 3; ++index)
+            driver.submit(makeSpec(random.below(3), random.below(2)));
+        if (round % 5 == 0) {
+            auto changed = document;
+            changed.endpoints.erase(changed.endpoints.begin() + random.below(5));
+            changed.classes[random.below(3)].tier = random.below(3);
+            if (random.below(2) == 0)
+                changed.callers.pop_back();
+            changed.endpoints.push_back(document.endpoints[0]);
+            changed.endpoints.back().name = "extra-" + std::to_string(random.below(7));
+            driver.core.configure(changed, {"host", "north-a"}, driver.now);
+        }
+        driver.tick(10ms);
+        while (driver.running.size() > 4)
+            driver.finish(driver.running.begin()->first);
+    }
+    const auto view = driver.core.dump();
+    std::uint32_t running = 0;
+    for (const auto &entry : view.classes)
+        running += entry.running;
+    EXPECT_EQ(running, driver.running.size());
+}
