--- /dev/null
+++ b/Utilities/quetzalcleat/tool_error.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <system_error>
+
+namespace quetzalcleat::tool {
+
+/// Failures of the operators' tool itself. Refusals by a host come as its HTTP answers.
+enum class tool_error {
+    Unreachable = 1, ///< No connection to any host.
+    AnswerLost, ///< The request may have been processed; the answer did not arrive.
+    AnswerTooLarge,
+    InvalidAnswer, ///< Not the JSON that the operator API promises.
+    FileUnreadable,
+    FileTooLarge,
+    MissingKey,
+    InvalidKey,
+};
+
+const std::error_category &toolCategory();
+std::error_code make_error_code(tool_error error);
+
+} // namespace quetzalcleat::tool
+
+template <>
+struct std::is_error_code_enum<quetzalcleat::tool::tool_error> : std::true_type
+{
+};
