--- a/Tests/Tool/test_tool.cpp
+++ b/Tests/Tool/test_tool.cpp
@@ -59,10 +59,10 @@
     return result;
 }
 
-class Tool : public testing::Test
+class tool_test : public testing::Test
 {
 protected:
-    Tool()
+    tool_test()
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "tool-XXXXXX").string();
         m_folder = mkdtemp(pattern.data());
@@ -72,7 +72,7 @@
         m_edited = write("edited.toml", m_editedText);
         m_broken = write("broken.toml", "deployment = \"trial\"\nregions = 1\n");
     }
-    ~Tool() override { std::filesystem::remove_all(m_folder); }
+    ~tool_test() override { std::filesystem::remove_all(m_folder); }
 
     std::string write(const std::string &name, const std::string &content) const
     {
@@ -116,7 +116,7 @@
 } // namespace
 
 // Guards against usage errors that look like success or refusal to a script.
-TEST_F(Tool, UsageErrorsGiveTwo)
+TEST_F(tool_test, UsageErrorsGiveTwo)
 {
     const std::vector<std::vector<std::string>> wrongUsages{
         {},
@@ -139,7 +139,7 @@
 }
 
 // Guards against check and diff that need a running cluster.
-TEST_F(Tool, ChecksAndComparesFilesOffline)
+TEST_F(tool_test, ChecksAndComparesFilesOffline)
 {
     EXPECT_EQ(run({"check", m_edited}, nullptr).code, exit_code::Done);
     const auto broken = run({"check", m_broken}, nullptr);
@@ -157,7 +157,7 @@
 }
 
 // Guards against a comparison with something other than the configuration in force.
-TEST_F(Tool, ShowsAndComparesTheConfigurationInForce)
+TEST_F(tool_test, ShowsAndComparesTheConfigurationInForce)
 {
     const auto shown = runOnline({"show"});
     EXPECT_EQ(shown.output, read(spennuvir));
@@ -168,7 +168,7 @@
 }
 
 // Guards against an edit that is based on another revision than the current one.
-TEST_F(Tool, AppliesOnTheCurrentRevision)
+TEST_F(tool_test, AppliesOnTheCurrentRevision)
 {
     m_server.changeBehindTheTool(read(spennuvir));
     const auto applied = runOnline({"apply", m_edited, "--wait", "--author", "anna"});
@@ -183,7 +183,7 @@
 }
 
 // Guards against an edit that is made twice, or reported as failed, after a lost request or answer.
-TEST_F(Tool, ResendsWithTheSameEditId)
+TEST_F(tool_test, ResendsWithTheSameEditId)
 {
     m_server.setFaults({edit_fault::LoseRequest, edit_fault::LoseAnswer, edit_fault::Undecided});
     const auto applied = runWithLosses({"apply", m_edited});
@@ -195,7 +195,7 @@
 }
 
 // Guards against reporting an edit as refused although it may have been accepted.
-TEST_F(Tool, ReportsAnUndecidedEdit)
+TEST_F(tool_test, ReportsAnUndecidedEdit)
 {
     m_server.setFaults(std::vector(8, edit_fault::LoseAnswer));
     const auto lost = runWithLosses({"apply", m_edited, "--base-revision", "1"}, "2");
@@ -213,7 +213,7 @@
 }
 
 // Guards against overwriting a concurrent edit, and against a conflict that a script cannot see.
-TEST_F(Tool, ReportsConflicts)
+TEST_F(tool_test, ReportsConflicts)
 {
     const auto conflict = runOnline({"apply", m_edited, "--base-revision", "0"});
     EXPECT_EQ(conflict.code, exit_code::Refused);
@@ -226,14 +226,14 @@
 }
 
 // Guards against sending an edit that every host would refuse.
-TEST_F(Tool, DoesNotSendInvalidDocuments)
+TEST_F(tool_test, DoesNotSendInvalidDocuments)
 {
     EXPECT_EQ(runOnline({"apply", m_broken}).code, exit_code::BadInput);
     EXPECT_TRUE(m_server.edits().empty());
 }
 
 // Guards against success of apply --wait while a host still uses the old configuration.
-TEST_F(Tool, WaitReportsHostsThatLagBehind)
+TEST_F(tool_test, WaitReportsHostsThatLagBehind)
 {
     m_server.setInForceEverywhere(false);
     const auto applied = runOnline({"apply", m_edited, "--wait"});
@@ -242,7 +242,7 @@
 }
 
 // Guards against a drain that is lost or changes other parts of the document.
-TEST_F(Tool, DrainsAnEndpoint)
+TEST_F(tool_test, DrainsAnEndpoint)
 {
     m_server.setFaults({edit_fault::LoseAnswer});
     EXPECT_EQ(runWithLosses({"drain", "akureyri-dispatch-1"}).code, exit_code::Done);
@@ -253,7 +253,7 @@
 }
 
 // Guards against a tool that gives up although another host answers.
-TEST_F(Tool, TriesTheNextServer)
+TEST_F(tool_test, TriesTheNextServer)
 {
     const auto result
         = run({"show", "--server", "127.0.0.1:1", "--server", m_server.address().text()});
@@ -263,7 +263,7 @@
 }
 
 // Guards against a key on the command line or a wrong key that is taken for an outage.
-TEST_F(Tool, ReadsTheKeyFromFileOrEnvironment)
+TEST_F(tool_test, ReadsTheKeyFromFileOrEnvironment)
 {
     const auto server = m_server.address().text();
     EXPECT_EQ(run({"show", "--server", server}, nullptr).code, exit_code::BadInput);
@@ -277,7 +277,7 @@
 }
 
 // Guards against views that fail on, or pass control characters from, the answers of a host.
-TEST_F(Tool, WritesViewsForPeopleAndScripts)
+TEST_F(tool_test, WritesViewsForPeopleAndScripts)
 {
     const std::string status = R"({"revision":4,"leader":"a-1","stale":true,"state":"live",)"
                                R"("hosts":[{"host":"a-1\u001b[2J","revision":4,"alive":true}]})";
@@ -308,7 +308,7 @@
 }
 
 // Guards against a crash, or success, on an answer that is not what the operator API promises.
-TEST_F(Tool, SurvivesUnexpectedAnswers)
+TEST_F(tool_test, SurvivesUnexpectedAnswers)
 {
     for (const auto *body : {"", "[", "[]", "7", "{}", R"({"revision":"x","document":1})",
                              R"({"hosts":3,"classes":{},"totals":[],"steps":[1],"history":"x"})"}) {
--- a/Utilities/quetzalcleat/operator_client.cpp
+++ b/Utilities/quetzalcleat/operator_client.cpp
@@ -32,17 +32,14 @@
 
 header_handle makeHeaders(const std::string &key)
 {
-    header_handle headers(nullptr, curl_slist_free_all);
     const auto authorization = "Authorization: Bearer " + key;
+    curl_slist *headers = nullptr;
     // An empty "Expect:" keeps libcurl from waiting for "100 Continue" before a large document.
     for (const auto *line : {authorization.c_str(), "Content-Type: application/json", "Expect:"}) {
-        auto *extended = curl_slist_append(headers.get(), line);
-        if (extended) {
-            headers.release();
-            headers.reset(extended);
-        }
+        if (auto *extended = curl_slist_append(headers, line))
+            headers = extended;
     }
-    return headers;
+    return {headers, curl_slist_free_all};
 }
 
 tool_error toError(CURLcode code)
