quetzalcleatd: Route completions and service calls from callers to endpoints

The daemon authenticates callers, classifies and parses requests, asks the decision core where each one goes, checks request id, generation id and index of every stream event, relays events with back-pressure, and ends a broken stream in a typed error event. Calls to services are claimed in the ledger first if they are keyed and non-repeatable. Engines and the platform are polled; operators get their API; a stop drains work in flight.

The engine-facing request id is made unique for each attempt, because callers may choose equal ids and the identity check would then prove nothing.

Two faults found by the tests are fixed: the progress timeout was not armed until the time limit of the first byte had passed, and an engine behind a silent connection was not told to cancel.

--- a/Libraries/LibHttp/endpoint_client.cpp
+++ b/Libraries/LibHttp/endpoint_client.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <unordered_map>
+#include <utility>
 
 namespace quetzalcleat::http {
 
@@ -202,8 +203,12 @@
         auto &target = *static_cast<transfer *>(self);
         if (target.m_ended)
             return 0;
-        target.m_bodyStarted = true;
         target.m_lastActivity = std::chrono::steady_clock::now();
+        if (!std::exchange(target.m_bodyStarted, true)) {
+            // The timer still waits for the first byte, which may be allowed to take longer.
+            asio::post(target.m_context,
+                       [self = target.shared_from_this()] { self->checkTimeouts(); });
+        }
         target.m_handler.onPiece({data, size * count});
         return size * count;
     }
--- /dev/null
+++ b/Services/quetzalcleatd/completion_session.cpp
@@ -0,0 +1,480 @@
+#include "quetzalcleatd/completion_session.h"
+
+#include "LibHttp/http_error.h"
+#include "quetzalcleatd/daemon_error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace quetzalcleat::daemon {
+
+namespace {
+
+// The three bounds add up to 16 KiB for a stream: bytes for the caller above which the transfer is
+// paused, one piece of the engine's answer that was under way by then, and an incomplete event.
+constexpr std::size_t pauseAboveBytes = 4 * 1024;
+constexpr std::size_t maximumEventBytes = 4 * 1024;
+static_assert(pauseAboveBytes + http::maximumPieceBytes + maximumEventBytes <= 16 * 1024);
+
+/// Largest text of an answer that is sent whole.
+constexpr std::size_t maximumAnswerBytes = 4 * 1024 * 1024;
+
+std::string eventText(const nlohmann::json &content)
+{
+    return "data: " + content.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
+        + "\n\n";
+}
+
+nlohmann::json reasonOrNull(const std::string &reason)
+{
+    return reason.empty() ? nlohmann::json() : nlohmann::json(reason);
+}
+
+bool isTimeout(std::error_code error)
+{
+    return error == http::http_error::FirstByteTimeout
+        || error == http::http_error::ProgressTimeout;
+}
+
+/// Whether the engine found fault with the request itself, so that another one would too.
+bool isFaultOfRequest(std::uint16_t status)
+{
+    return status == 400 || status == 413 || status == 422;
+}
+
+} // namespace
+
+completion_session::completion_session(session_environment &environment,
+                                       std::shared_ptr<http::caller_exchange> exchange,
+                                       std::string requestId)
+    : m_environment(environment), m_exchange(std::move(exchange)),
+      m_requestId(std::move(requestId)), m_path(m_exchange->request().path),
+      m_arrival(std::chrono::steady_clock::now()), m_events(maximumEventBytes)
+{
+}
+
+void completion_session::start(completion_kind kind)
+{
+    if (!parse(kind))
+        return;
+    m_exchange->onDisconnect([self = shared_from_this()] { self->onCallerGone(); });
+    submit();
+}
+
+bool completion_session::parse(completion_kind kind)
+{
+    const auto &request = m_exchange->request();
+    const auto &routing = *m_environment.routing;
+    auto admitted = admit(request, routing);
+    if (const auto *error = std::get_if<error_answer>(&admitted)) {
+        refuse(*error);
+        return false;
+    }
+    m_admission = std::get<admission>(std::move(admitted));
+    auto parsed = parseCompletion(request.body, kind);
+    if (const auto *error = std::get_if<error_answer>(&parsed)) {
+        refuse(*error);
+        return false;
+    }
+    m_request = std::get<completion_request>(std::move(parsed));
+    const auto classified
+        = classify(request.headers, routing, m_admission.caller,
+                   {.caller = {}, .model = m_request.model, .service = {}, .path = m_path});
+    if (const auto *error = std::get_if<error_answer>(&classified)) {
+        refuse(*error);
+        return false;
+    }
+    m_class = std::get<policy::class_id>(classified);
+    m_className = routing.document().classes[m_class.value].name;
+    return true;
+}
+
+void completion_session::submit()
+{
+    policy::request_spec spec;
+    spec.requestId = m_requestId;
+    spec.caller = m_admission.caller;
+    spec.requestClass = m_class;
+    spec.model = m_request.model;
+    spec.adapter = m_request.adapter;
+    spec.promptTokens = m_request.promptTokens;
+    spec.maximumOutputTokens = m_request.maximumOutputTokens;
+    spec.prefixBlocks = std::move(m_request.prefixBlocks);
+    spec.bytes = static_cast<std::uint32_t>(m_request.engineBody.size());
+    m_request.prefixBlocks = {};
+    const auto accepted = m_environment.decisions.submit(
+        spec, [self = shared_from_this()](const policy::decision &decision) {
+            self->onDecision(decision);
+        });
+    if (!accepted) {
+        const auto retryAfter
+            = m_environment.decisions.core().retryAfter(spec, std::chrono::steady_clock::now());
+        refuse(fromRefusal(accepted.error(), retryAfter));
+        return;
+    }
+    m_decisionId = accepted.value();
+    m_phase = phase::Queued;
+    m_exchange->releaseBody();
+}
+
+void completion_session::onDecision(const policy::decision &decision)
+{
+    if (m_phase == phase::Ended)
+        return;
+    switch (decision.kind) {
+    case policy::decision_kind::Dispatch:
+        dispatch(decision);
+        return;
+    case policy::decision_kind::Preempt:
+        leaveEngine();
+        m_phase = phase::Queued;
+        return;
+    case policy::decision_kind::Shed:
+    case policy::decision_kind::Expire:
+        break;
+    }
+    const bool expired = decision.kind == policy::decision_kind::Expire;
+    leaveEngine();
+    const auto outcome = m_maybeSent ? call_outcome::Unknown : call_outcome::NotRun;
+    refuse({expired ? error_type::DeadlineExceeded : error_type::Shed,
+            expired ? "request could not be answered before its deadline"
+                    : "request gave way to one of a higher tier",
+            true, outcome, decision.retryAfter});
+}
+
+void completion_session::dispatch(const policy::decision &decision)
+{
+    m_engine = m_environment.routing->document().endpoints[decision.endpoint.value];
+    m_phase = phase::Running;
+    ++m_attempts;
+    m_attemptId = m_requestId + '.' + newRequestId() + '.' + std::to_string(m_attempts);
+    const bool hasTokens = m_generation && m_generation->nextIndex() > 0;
+    const bool resumes = hasTokens && m_engine.canResume && !m_request.engineBody.empty();
+    if (hasTokens && m_streaming && !resumes) {
+        attemptFailed(daemon_error::UnfinishedAnswer);
+        return;
+    }
+    if (resumes) {
+        m_generation.emplace(m_attemptId, m_generation->generationId(), m_generation->nextIndex());
+    } else {
+        m_generation.emplace(m_attemptId);
+        m_collected.clear();
+    }
+    m_events = http::event_parser(maximumEventBytes);
+    m_engineStatus = 0;
+    m_firstTokenReported = false;
+    m_paused = false;
+    const auto self = shared_from_this();
+    m_transfer = m_environment.endpoints.start(
+        engineRequest(decision, resumes),
+        {.onHead = [self](const http::response_head &head) { self->onHead(head); },
+         .onPiece = [self](std::string_view piece) { self->onPiece(piece); },
+         .onEnd = [self](const http::transfer_end &end) { self->onEnd(end); }});
+    updateBackPressure();
+    m_environment.log.debug("dispatched to " + m_engine.name, m_requestId);
+}
+
+http::endpoint_request completion_session::engineRequest(const policy::decision &decision,
+                                                         bool resumes) const
+{
+    http::endpoint_request request;
+    request.method = "POST";
+    request.address = m_engine.address;
+    request.target = m_path;
+    request.headers = {{"Content-Type", "application/json"},
+                       {"Accept", "text/event-stream"},
+                       {"X-Request-Id", m_attemptId},
+                       {"X-Priority", std::to_string(decision.priority)}};
+    if (resumes) {
+        request.headers.push_back({"X-Resume-From", std::to_string(m_generation->nextIndex())});
+        request.headers.push_back({"X-Generation-Id", m_generation->generationId()});
+    }
+    request.body = m_request.engineBody;
+    request.timeouts = m_environment.options.engine;
+    return request;
+}
+
+void completion_session::onHead(const http::response_head &head)
+{
+    m_engineStatus = head.status;
+}
+
+void completion_session::onPiece(std::string_view piece)
+{
+    if (m_phase != phase::Running || m_answerComplete || m_engineStatus != 200)
+        return;
+    const auto consumed = m_events.consume(
+        piece, [&](std::string_view data) { return m_phase == phase::Running && onEvent(data); });
+    if (m_phase != phase::Running)
+        return;
+    if (!consumed) {
+        leaveEngine();
+        attemptFailed(consumed.error());
+        return;
+    }
+    if (m_request.stream) {
+        flush();
+        updateBackPressure();
+    }
+}
+
+bool completion_session::onEvent(std::string_view data)
+{
+    auto event = m_generation->accept(data);
+    if (!event) {
+        m_environment.log.warning(m_engine.name + ": " + event.error().message(), m_requestId);
+        leaveEngine();
+        attemptFailed(event.error());
+        return false;
+    }
+    if (event.value().done) {
+        complete();
+        return false;
+    }
+    if (!m_firstTokenReported) {
+        m_firstTokenReported = true;
+        m_environment.decisions.firstToken(m_decisionId);
+    }
+    if (m_request.stream)
+        relay(event.value());
+    else
+        collect(event.value());
+    return m_phase == phase::Running;
+}
+
+void completion_session::relay(const generation_event &event)
+{
+    if (!m_streaming) {
+        m_streaming = true;
+        // The prompt is needed again only for a resume.
+        if (!m_engine.canResume)
+            m_request.engineBody = {};
+        m_exchange->startStream({200,
+                                 {{"Content-Type", "text/event-stream"},
+                                  {"Cache-Control", "no-cache"},
+                                  {"X-Request-Id", m_requestId}}});
+    }
+    m_pending += eventText({{"id", m_generation->generationId()},
+                            {"request_id", m_requestId},
+                            {"index", m_generation->nextIndex() - 1},
+                            {"text", event.text},
+                            {"finish_reason", reasonOrNull(event.finishReason)}});
+    ++m_pendingTokens;
+}
+
+void completion_session::collect(const generation_event &event)
+{
+    m_collected += event.text;
+    m_finishReason = event.finishReason;
+    m_environment.decisions.tokens(m_decisionId, 1);
+    if (m_collected.size() <= maximumAnswerBytes)
+        return;
+    leaveEngine();
+    m_environment.decisions.finished(m_decisionId, policy::attempt_outcome::Cancelled);
+    refuse({error_type::AnswerTooLarge,
+            "answer is larger than 4 MiB; ask for a stream",
+            false,
+            call_outcome::Done,
+            {}});
+}
+
+void completion_session::flush()
+{
+    if (m_writing || m_pending.empty())
+        return;
+    m_writing = true;
+    m_bytesUnderWay = m_pending.size();
+    const auto tokens = std::exchange(m_pendingTokens, 0);
+    m_exchange->write(std::exchange(m_pending, {}),
+                      [self = shared_from_this(), tokens](std::error_code error) {
+                          self->onWritten(error, tokens);
+                      });
+}
+
+void completion_session::onWritten(std::error_code error, std::uint32_t tokens)
+{
+    m_writing = false;
+    m_bytesUnderWay = 0;
+    if (error) {
+        onCallerGone();
+        return;
+    }
+    if (m_phase != phase::Ended && tokens > 0)
+        m_environment.decisions.tokens(m_decisionId, tokens);
+    flush();
+    updateBackPressure();
+    if (m_answerComplete && !m_writing) {
+        m_exchange->finishStream();
+        m_answerComplete = false;
+    }
+}
+
+void completion_session::updateBackPressure()
+{
+    if (m_phase != phase::Running || !m_transfer)
+        return;
+    const bool full = m_pending.size() + m_bytesUnderWay > pauseAboveBytes;
+    if (full == m_paused)
+        return;
+    m_paused = full;
+    if (full)
+        m_transfer->pause();
+    else
+        m_transfer->resume();
+}
+
+void completion_session::complete()
+{
+    m_environment.decisions.finished(m_decisionId, policy::attempt_outcome::Completed);
+    // The transfer ends by itself, so that its connection can be used again.
+    m_transfer.reset();
+    if (!m_request.stream) {
+        respondWhole();
+        end("completed");
+        return;
+    }
+    m_pending += "data: [DONE]\n\n";
+    m_answerComplete = true;
+    end("completed");
+    flush();
+}
+
+void completion_session::respondWhole()
+{
+    const nlohmann::json answer{{"id", m_generation->generationId()},
+                                {"request_id", m_requestId},
+                                {"model", m_request.model},
+                                {"text", m_collected},
+                                {"finish_reason", reasonOrNull(m_finishReason)},
+                                {"usage",
+                                 {{"prompt_tokens", m_request.promptTokens},
+                                  {"completion_tokens", m_generation->nextIndex()}}}};
+    m_exchange->respond(
+        {200, {{"Content-Type", "application/json"}, {"X-Request-Id", m_requestId}}},
+        answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+void completion_session::onEnd(const http::transfer_end &end)
+{
+    if (m_phase != phase::Running || !m_transfer)
+        return;
+    m_transfer.reset();
+    // An engine that answers with 4xx has not begun to generate.
+    const bool declined = m_engineStatus >= 400 && m_engineStatus < 500;
+    m_maybeSent = m_maybeSent || (end.maybeSent && !declined);
+    if (isFaultOfRequest(m_engineStatus) && !m_streaming) {
+        rejectedByEngine();
+        return;
+    }
+    // An engine behind a silent or broken connection would generate on.
+    if (end.error && end.maybeSent)
+        cancelAtEngine();
+    if (end.error)
+        attemptFailed(end.error);
+    else if (m_engineStatus != 200)
+        attemptFailed(daemon_error::EndpointRefused);
+    else
+        attemptFailed(daemon_error::UnfinishedAnswer);
+}
+
+void completion_session::rejectedByEngine()
+{
+    m_environment.decisions.finished(m_decisionId, policy::attempt_outcome::Cancelled);
+    refuse({error_type::EndpointRejected,
+            "engine found the request invalid",
+            false,
+            m_maybeSent ? call_outcome::Unknown : call_outcome::NotRun,
+            {}});
+}
+
+void completion_session::attemptFailed(std::error_code error)
+{
+    ++m_environment.counters.counter("quetzalcleat_attempts_failed_total",
+                                     "endpoint=\"" + m_engine.name + '"');
+    m_environment.log.warning("attempt at " + m_engine.name + " failed: " + error.message(),
+                              m_requestId);
+    const auto outcome = m_streaming ? policy::attempt_outcome::ResumeElsewhere
+                                     : policy::attempt_outcome::RetryBeforeFirstByte;
+    m_phase = phase::Queued;
+    flush();
+    if (m_environment.decisions.finished(m_decisionId, outcome))
+        return;
+    const auto type = isTimeout(error) ? error_type::EndpointTimeout : error_type::EndpointFailed;
+    refuse({type,
+            error.message(),
+            true,
+            m_maybeSent ? call_outcome::Unknown : call_outcome::NotRun,
+            {}});
+}
+
+void completion_session::refuse(error_answer error)
+{
+    if (m_phase == phase::Ended)
+        return;
+    if (!m_admission.idempotencyKey.empty()
+        || http::findHeader(m_exchange->request().headers, "Idempotency-Key"))
+        error = withKey(std::move(error));
+    if (m_streaming)
+        breakStream(error);
+    else
+        sendError(*m_exchange, error, m_requestId);
+    end(nameOf(error.type));
+}
+
+void completion_session::breakStream(const error_answer &error)
+{
+    auto broken = error;
+    broken.type = error_type::StreamBroken;
+    m_pending += "data: " + toJson(broken, m_requestId) + "\n\n";
+    m_answerComplete = true;
+    flush();
+}
+
+void completion_session::onCallerGone()
+{
+    if (m_phase == phase::Ended)
+        return;
+    if (m_phase != phase::New)
+        m_environment.decisions.cancel(m_decisionId);
+    leaveEngine();
+    end("caller_gone");
+}
+
+void completion_session::leaveEngine()
+{
+    if (!m_transfer)
+        return;
+    m_transfer->cancel();
+    m_transfer.reset();
+    m_maybeSent = true;
+    cancelAtEngine();
+}
+
+void completion_session::cancelAtEngine()
+{
+    http::endpoint_request request;
+    request.method = "DELETE";
+    request.address = m_engine.address;
+    request.target = "/v1/completions/" + m_attemptId;
+    request.timeouts = m_environment.options.engine;
+    m_environment.endpoints.start(std::move(request),
+                                  {.onHead = [](const http::response_head &) {},
+                                   .onPiece = [](std::string_view) {},
+                                   .onEnd = [](const http::transfer_end &) {}});
+}
+
+void completion_session::end(std::string_view result)
+{
+    m_phase = phase::Ended;
+    m_exchange->onDisconnect({});
+    ++m_environment.counters.counter("quetzalcleat_requests_total",
+                                     "class=\"" + m_className + "\",result=\"" + std::string(result)
+                                         + '"');
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - m_arrival);
+    m_environment.log.information(
+        "completion " + std::string(result) + " caller=" + m_admission.callerName + " class="
+            + m_className + " endpoint=" + m_engine.name + " ms=" + std::to_string(elapsed.count()),
+        m_requestId);
+}
+
+} // namespace quetzalcleat::daemon
--- /dev/null
+++ b/Services/quetzalcleatd/daemon_error.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <system_error>
+
+namespace quetzalcleat::daemon {
+
+/// Faults in the answers of endpoints.
+enum class daemon_error {
+    MalformedEvent = 1,
+    WrongRequest, ///< An event belongs to another request.
+    WrongGeneration, ///< An event belongs to another generation.
+    WrongIndex, ///< A token is missing or repeated.
+    UnfinishedAnswer, ///< The stream ended before its last event.
+    EndpointRefused, ///< The endpoint answered with an error status.
+    AnswerTooLarge,
+};
+
+const std::error_category &daemonCategory();
+std::error_code make_error_code(daemon_error error);
+
+} // namespace quetzalcleat::daemon
+
+template <>
+struct std::is_error_code_enum<quetzalcleat::daemon::daemon_error> : std::true_type
+{
+};
--- /dev/null
+++ b/Services/quetzalcleatd/entry.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "LibCore/counter_registry.h"
+#include "LibCore/result.h"
+#include "LibHttp/caller_server.h"
+#include "LibHttp/endpoint_client.h"
+#include "LibInventory/parser.h"
+#include "LibPeer/control_plane.h"
+#include "quetzalcleatd/completion_session.h"
+#include "quetzalcleatd/endpoint_observer.h"
+#include "quetzalcleatd/entry_options.h"
+#include "quetzalcleatd/operator_api.h"
+#include "quetzalcleatd/service_session.h"
+#include "quetzalcleatd/stop_sequence.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace quetzalcleat::daemon {
+
+/// The entry role of a process: takes requests of callers and operators and routes them.
+///
+/// Belongs to the thread that runs the context. The context and the control plane must outlive it.
+template <peer::control_plane Control>
+class entry
+{
+public:
+    entry(asio::io_context &context, Control &control, core::counter_registry &counters,
+          entry_options options)
+        : m_options(std::move(options)), m_control(control), m_log("quetzalcleatd"),
+          m_endpoints(context),
+          m_decisions(context, m_options.seed), m_environment{context,
+                                                              m_endpoints,
+                                                              m_decisions,
+                                                              counters,
+                                                              m_log,
+                                                              nullptr,
+                                                              m_options.hostName,
+                                                              m_options.hostIncarnation,
+                                                              m_options.sessions},
+          m_callers(context,
+                    {m_options.callerAddress, m_options.maximumConnections,
+                     m_options.callerProgressTimeout},
+                    [this](const exchange_pointer &exchange) { handleCaller(exchange); }),
+          m_operators(context, {m_options.operatorAddress, maximumOperatorConnections},
+                      [this](const exchange_pointer &exchange) { m_operatorApi.handle(exchange); }),
+          m_stop(std::make_shared<stop_sequence>(m_environment, m_callers, m_options)),
+          m_observer(std::make_shared<endpoint_observer>(m_environment, m_options.observer)),
+          m_operatorApi(m_environment, control, m_options, [this] { return leaving(); })
+    {
+    }
+
+    /// Listens on both addresses and follows the configuration. Errors: those of the operating
+    /// system.
+    core::result<void> start()
+    {
+        if (auto opened = m_callers.open(); !opened)
+            return opened;
+        if (auto opened = m_operators.open(); !opened)
+            return opened;
+        m_decisions.start();
+        m_observer->start();
+        m_control.onConfiguration(
+            [this](const state::configuration &configuration) { putInForce(configuration); });
+        return {};
+    }
+
+    /// Begins the planned stop; see stop_sequence.
+    void beginStop(std::function<void(bool)> stopped) { m_stop->begin(std::move(stopped)); }
+    void hurryStop() { m_stop->hurry(); }
+
+    /// Ends everything at once.
+    void shutDown()
+    {
+        m_callers.closeListener();
+        m_operators.closeListener();
+        m_observer->stop();
+        m_decisions.stop();
+        m_endpoints.shutDown();
+    }
+
+    std::uint16_t callerPort() const { return m_callers.port(); }
+    std::uint16_t operatorPort() const { return m_operators.port(); }
+    std::size_t openExchanges() const { return m_callers.openExchanges(); }
+
+    bool leaving() const
+    {
+        return m_stop->leaving()
+            || (m_environment.routing && m_environment.routing->isHostDrained(m_options.hostName));
+    }
+
+private:
+    using exchange_pointer = std::shared_ptr<http::caller_exchange>;
+
+    static constexpr std::size_t maximumOperatorConnections = 128;
+
+    void putInForce(const state::configuration &configuration)
+    {
+        if (m_environment.routing && configuration.revision <= m_environment.routing->revision())
+            return;
+        auto parsed = inventory::parse(configuration.document, "configuration");
+        if (std::holds_alternative<std::vector<core::located_error>>(parsed)) {
+            // Validated before it was accepted; a process of another version may judge otherwise.
+            m_log.error("revision " + std::to_string(configuration.revision)
+                        + " is not valid here; the one before stays in force");
+            return;
+        }
+        m_environment.routing = std::make_shared<const routing_table>(
+            configuration.revision, configuration.document,
+            std::get<inventory::document>(std::move(parsed)));
+        m_decisions.configure(m_environment.routing->document(),
+                              {m_options.hostName, m_options.dataCentre});
+        m_operatorApi.remember(configuration);
+        m_log.information("revision " + std::to_string(configuration.revision) + " in force");
+    }
+
+    void handleCaller(const exchange_pointer &exchange)
+    {
+        const auto &request = exchange->request();
+        if (request.path == "/healthz") {
+            const bool leaves = leaving();
+            exchange->respond({static_cast<std::uint16_t>(leaves ? 503 : 200),
+                               {{"Content-Type", "application/json"}}},
+                              leaves ? R"({"status":"leaving"})" : R"({"status":"live"})");
+            return;
+        }
+        auto requestId = requestIdOf(request.headers);
+        if (!m_environment.routing) {
+            const bool keyed = http::findHeader(request.headers, "Idempotency-Key").has_value();
+            error_answer error{error_type::NotReady, "no configuration is in force yet", true,
+                               call_outcome::NotRun, std::chrono::seconds(1)};
+            sendError(*exchange, keyed ? withKey(std::move(error)) : error, requestId);
+            return;
+        }
+        if (request.path.starts_with("/services/"))
+            std::make_shared<service_session<Control>>(m_environment, m_control, exchange,
+                                                       std::move(requestId))
+                ->start();
+        else if (request.method == "POST" && request.path == "/v1/completions")
+            startCompletion(exchange, std::move(requestId), completion_kind::Text);
+        else if (request.method == "POST" && request.path == "/v1/chat/completions")
+            startCompletion(exchange, std::move(requestId), completion_kind::Chat);
+        else
+            sendError(*exchange,
+                      {error_type::NotFound, "no such path", false, call_outcome::NotRun, {}},
+                      requestId);
+    }
+
+    void startCompletion(const exchange_pointer &exchange, std::string requestId,
+                         completion_kind kind)
+    {
+        std::make_shared<completion_session>(m_environment, exchange, std::move(requestId))
+            ->start(kind);
+    }
+
+    entry_options m_options;
+    Control &m_control;
+    core::logger m_log;
+    http::endpoint_client m_endpoints;
+    dispatcher m_decisions;
+    session_environment m_environment;
+    http::caller_server m_callers;
+    http::caller_server m_operators;
+    std::shared_ptr<stop_sequence> m_stop;
+    std::shared_ptr<endpoint_observer> m_observer;
+    operator_api<Control> m_operatorApi;
+};
+
+} // namespace quetzalcleat::daemon
--- /dev/null
+++ b/Services/quetzalcleatd/service_session.h
@@ -0,0 +1,393 @@
+#pragma once
+
+#include "LibHttp/caller_server.h"
+#include "LibHttp/http_error.h"
+#include "LibPeer/control_plane.h"
+#include "quetzalcleatd/admission.h"
+#include "quetzalcleatd/claim_answers.h"
+#include "quetzalcleatd/service_call.h"
+#include "quetzalcleatd/session_environment.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace quetzalcleat::daemon {
+
+/// One call to a plain service.
+///
+/// A non-repeatable call with a key is claimed in the ledger before the decision core sees it. The
+/// claim permits one transmission; the session gives the key free again if it sends nothing.
+template <peer::control_plane Control>
+class service_session : public std::enable_shared_from_this<service_session<Control>>
+{
+public:
+    service_session(session_environment &environment, Control &control,
+                    std::shared_ptr<http::caller_exchange> exchange, std::string requestId)
+        : m_environment(environment), m_control(control), m_exchange(std::move(exchange)),
+          m_requestId(std::move(requestId)), m_arrival(std::chrono::steady_clock::now()),
+          m_claimTimer(environment.context)
+    {
+    }
+
+    void start()
+    {
+        if (!parse())
+            return;
+        m_exchange->onDisconnect([self = this->shared_from_this()] { self->onCallerGone(); });
+        if (m_nonRepeatable && !m_admission.idempotencyKey.empty())
+            claim();
+        else
+            submit();
+    }
+
+private:
+    enum class phase { New, Claiming, Queued, Sent, Ended };
+
+    /// What the session still owes the ledger.
+    enum class claim_state { None, Held, Sent };
+
+    bool parse()
+    {
+        const auto &request = m_exchange->request();
+        const auto &routing = *m_environment.routing;
+        auto admitted = admit(request, routing);
+        if (const auto *error = std::get_if<error_answer>(&admitted))
+            return refuse(*error);
+        m_admission = std::get<admission>(std::move(admitted));
+        auto parsed = parseServiceCall(request);
+        if (const auto *error = std::get_if<error_answer>(&parsed))
+            return refuse(*error);
+        m_call = std::get<service_call>(std::move(parsed));
+        if (!routing.hasService(m_call.service))
+            return refuse({error_type::NotFound,
+                           "no service has this name",
+                           false,
+                           call_outcome::NotRun,
+                           {}});
+        const auto classified
+            = classify(request.headers, routing, m_admission.caller,
+                       {.caller = {}, .model = {}, .service = m_call.service, .path = m_call.path});
+        if (const auto *error = std::get_if<error_answer>(&classified))
+            return refuse(*error);
+        m_class = std::get<policy::class_id>(classified);
+        m_className = routing.document().classes[m_class.value].name;
+        m_nonRepeatable = routing.isNonRepeatable(m_call.service, request.method, m_call.path);
+        return true;
+    }
+
+    void claim()
+    {
+        m_phase = phase::Claiming;
+        m_attempt = {{m_admission.callerName, m_admission.idempotencyKey},
+                     core::secureRandomBytes(attemptIdBytes),
+                     m_environment.hostName,
+                     m_environment.hostIncarnation};
+        const auto timeout = m_environment.options.claimTimeout;
+        // The session's own timer decides, so that a grant that comes late is never used, whatever
+        // held it up.
+        m_claimDeadline = std::chrono::steady_clock::now() + timeout;
+        m_claimTimer.expires_at(m_claimDeadline);
+        m_claimTimer.async_wait([self = this->shared_from_this()](std::error_code error) {
+            if (!error)
+                self->onClaimTimeout();
+        });
+        m_control.claim(
+            {m_attempt, m_call.bodyHash}, timeout,
+            [self = this->shared_from_this()](core::result<state::claim_verdict> verdict) {
+                self->onClaimVerdict(std::move(verdict));
+            });
+    }
+
+    void onClaimTimeout()
+    {
+        if (m_phase != phase::Claiming)
+            return;
+        m_control.abandonClaim(m_attempt);
+        refuse(ledgerUnavailable());
+    }
+
+    void onClaimVerdict(core::result<state::claim_verdict> verdict)
+    {
+        // A verdict after the timeout: the attempt has been abandoned already.
+        if (m_phase != phase::Claiming)
+            return;
+        m_claimTimer.cancel();
+        if (std::chrono::steady_clock::now() >= m_claimDeadline || !verdict) {
+            m_control.abandonClaim(m_attempt);
+            refuse(ledgerUnavailable());
+            return;
+        }
+        const auto &content = verdict.value();
+        if (content.kind == state::claim_verdict_kind::Granted) {
+            m_claimState = claim_state::Held;
+            submit();
+            return;
+        }
+        if (content.kind == state::claim_verdict_kind::Finished && !content.answer.truncated) {
+            respondStored(content.answer);
+            return;
+        }
+        refuse(answerTo(content));
+    }
+
+    void respondStored(const state::stored_answer &answer)
+    {
+        http::response_head head{answer.status,
+                                 {{"X-Request-Id", m_requestId}, {"Idempotency-Replayed", "true"}}};
+        if (!answer.contentType.empty())
+            head.headers.push_back({"Content-Type", answer.contentType});
+        m_exchange->respond(std::move(head), answer.body);
+        end("replayed");
+    }
+
+    void submit()
+    {
+        const auto &request = m_exchange->request();
+        policy::request_spec spec;
+        spec.requestId = m_requestId;
+        spec.caller = m_admission.caller;
+        spec.requestClass = m_class;
+        spec.service = m_call.service;
+        spec.bytes = static_cast<std::uint32_t>(request.body.size());
+        spec.repeatable = !m_nonRepeatable;
+        const auto accepted = m_environment.decisions.submit(
+            spec, [self = this->shared_from_this()](const policy::decision &decision) {
+                self->onDecision(decision);
+            });
+        if (!accepted) {
+            const auto retryAfter
+                = m_environment.decisions.core().retryAfter(spec, std::chrono::steady_clock::now());
+            refuse(fromRefusal(accepted.error(), retryAfter));
+            return;
+        }
+        m_decisionId = accepted.value();
+        m_phase = phase::Queued;
+    }
+
+    void onDecision(const policy::decision &decision)
+    {
+        if (m_phase != phase::Queued)
+            return;
+        switch (decision.kind) {
+        case policy::decision_kind::Dispatch:
+            send(decision);
+            return;
+        case policy::decision_kind::Preempt:
+            // Only a call that has not been sent can give way; it stays queued.
+            return;
+        case policy::decision_kind::Shed:
+            refuse({error_type::Shed, "request gave way to one of a higher tier", true,
+                    outcomeOfUnanswered(), decision.retryAfter});
+            return;
+        case policy::decision_kind::Expire:
+            refuse({error_type::DeadlineExceeded,
+                    "request could not be answered before its deadline", true,
+                    outcomeOfUnanswered(), decision.retryAfter});
+            return;
+        }
+    }
+
+    void send(const policy::decision &decision)
+    {
+        const auto &incoming = m_exchange->request();
+        m_endpoint = m_environment.routing->document().endpoints[decision.endpoint.value];
+        m_phase = phase::Sent;
+        m_head = {};
+        m_body.clear();
+        if (m_claimState == claim_state::Held)
+            m_claimState = claim_state::Sent;
+        http::endpoint_request request;
+        request.method = incoming.method;
+        request.address = m_endpoint.address;
+        request.target = m_call.target;
+        request.headers = headersForService(incoming.headers, m_requestId, m_admission.callerName);
+        request.body = incoming.body;
+        request.sendOnce = m_nonRepeatable;
+        request.timeouts = m_environment.options.service;
+        const auto self = this->shared_from_this();
+        m_transfer = m_environment.endpoints.start(
+            std::move(request),
+            {.onHead = [self](const http::response_head &head) { self->m_head = head; },
+             .onPiece = [self](std::string_view piece) { self->onPiece(piece); },
+             .onEnd = [self](const http::transfer_end &end) { self->onEnd(end); }});
+    }
+
+    void onPiece(std::string_view piece)
+    {
+        // The answer goes on being read, so that a non-repeatable call ends with a known outcome.
+        if (m_body.size() + piece.size() > maximumServiceAnswerBytes)
+            m_bodyTooLarge = true;
+        else if (!m_bodyTooLarge)
+            m_body.append(piece);
+    }
+
+    void onEnd(const http::transfer_end &end)
+    {
+        if (m_phase != phase::Sent)
+            return;
+        m_transfer.reset();
+        if (end.error)
+            sendFailed(end);
+        else
+            answered();
+    }
+
+    void answered()
+    {
+        m_environment.decisions.firstToken(m_decisionId);
+        m_environment.decisions.finished(m_decisionId, policy::attempt_outcome::Completed);
+        if (m_claimState == claim_state::Sent) {
+            m_claimState = claim_state::None;
+            m_control.finishClaim({m_attempt, true, storedAnswer()});
+        }
+        if (m_bodyTooLarge) {
+            refuse({error_type::AnswerTooLarge,
+                    "answer of the service is larger than 4 MiB",
+                    false,
+                    call_outcome::Done,
+                    {}});
+            return;
+        }
+        m_exchange->respond({m_head.status, headersForCaller(m_head.headers, m_requestId)},
+                            std::move(m_body));
+        this->end("completed");
+    }
+
+    state::stored_answer storedAnswer() const
+    {
+        const auto type = http::findHeader(m_head.headers, "Content-Type");
+        state::stored_answer answer{m_head.status, std::string(type.value_or(std::string_view())),
+                                    m_body, m_bodyTooLarge};
+        if (answer.body.size() > m_environment.routing->document().ledger.answerBytes)
+            answer.truncated = true;
+        if (answer.truncated)
+            answer.body.clear();
+        return answer;
+    }
+
+    void sendFailed(const http::transfer_end &end)
+    {
+        m_environment.log.warning("call to " + m_endpoint.name + " failed: " + end.error.message(),
+                                  m_requestId);
+        if (!end.maybeSent && m_claimState == claim_state::Sent)
+            m_claimState = claim_state::Held;
+        const bool mayRetry = !end.maybeSent || !m_nonRepeatable;
+        m_maybeSent = m_maybeSent || end.maybeSent;
+        m_phase = phase::Queued;
+        const auto outcome = mayRetry ? policy::attempt_outcome::RetryBeforeFirstByte
+                                      : policy::attempt_outcome::Failed;
+        if (m_environment.decisions.finished(m_decisionId, outcome))
+            return;
+        m_phase = phase::Sent;
+        refuse({end.error == http::http_error::FirstByteTimeout ? error_type::EndpointTimeout
+                                                                : error_type::EndpointFailed,
+                end.error.message(),
+                !m_maybeSent || !m_nonRepeatable,
+                outcomeOfUnanswered(),
+                {}});
+    }
+
+    call_outcome outcomeOfUnanswered() const
+    {
+        return m_maybeSent ? call_outcome::Unknown : call_outcome::NotRun;
+    }
+
+    /// Answers with an error and settles the claim. Returns false.
+    bool refuse(error_answer error)
+    {
+        settleClaim();
+        // The ledger's own answers carry their outcome; any other refusal of a keyed call does not
+        // know what became of an earlier transmission.
+        const auto key = http::findHeader(m_exchange->request().headers, "Idempotency-Key");
+        if (key && error.type != error_type::KeyClosed)
+            error = withKey(std::move(error));
+        sendError(*m_exchange, error, m_requestId);
+        end(nameOf(error.type));
+        return false;
+    }
+
+    void settleClaim()
+    {
+        const auto owed = std::exchange(m_claimState, claim_state::None);
+        if (owed == claim_state::Held)
+            m_control.abandonClaim(m_attempt);
+        else if (owed == claim_state::Sent)
+            m_control.finishClaim({m_attempt, false, {}});
+    }
+
+    void onCallerGone()
+    {
+        switch (m_phase) {
+        case phase::Claiming:
+            m_claimTimer.cancel();
+            m_control.abandonClaim(m_attempt);
+            break;
+        case phase::Queued:
+            m_environment.decisions.cancel(m_decisionId);
+            settleClaim();
+            break;
+        case phase::Sent:
+            // A non-repeatable call goes on, so that its outcome becomes known.
+            if (m_nonRepeatable)
+                return;
+            m_environment.decisions.cancel(m_decisionId);
+            m_transfer->cancel();
+            break;
+        case phase::New:
+        case phase::Ended:
+            return;
+        }
+        end("caller_gone");
+    }
+
+    void end(std::string_view result)
+    {
+        m_phase = phase::Ended;
+        m_claimTimer.cancel();
+        m_transfer.reset();
+        m_exchange->onDisconnect({});
+        ++m_environment.counters.counter("quetzalcleat_requests_total",
+                                         "class=\"" + m_className + "\",result=\""
+                                             + std::string(result) + '"');
+        const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - m_arrival);
+        m_environment.log.information(
+            "call to service " + m_call.service + ' ' + std::string(result)
+                + " caller=" + m_admission.callerName + " class=" + m_className
+                + " endpoint=" + m_endpoint.name + " ms=" + std::to_string(elapsed.count()),
+            m_requestId);
+    }
+
+    static constexpr std::size_t attemptIdBytes = 16;
+    static constexpr std::size_t maximumServiceAnswerBytes = 4 * 1024 * 1024;
+
+    session_environment &m_environment;
+    Control &m_control;
+    std::shared_ptr<http::caller_exchange> m_exchange;
+    std::string m_requestId;
+    core::instant m_arrival;
+    asio::steady_timer m_claimTimer;
+    core::instant m_claimDeadline;
+    admission m_admission;
+    service_call m_call;
+    policy::class_id m_class;
+    std::string m_className;
+    bool m_nonRepeatable = false;
+    phase m_phase = phase::New;
+    claim_state m_claimState = claim_state::None;
+    state::claim_attempt m_attempt;
+    policy::request_id m_decisionId;
+    inventory::endpoint m_endpoint;
+    std::shared_ptr<http::endpoint_transfer> m_transfer;
+    http::response_head m_head;
+    std::string m_body;
+    bool m_bodyTooLarge = false;
+    bool m_maybeSent = false;
+};
+
+} // namespace quetzalcleat::daemon
--- /dev/null
+++ b/Services/quetzalcleatd/session_environment.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "LibCore/counter_registry.h"
+#include "LibCore/logger.h"
+#include "LibHttp/endpoint_client.h"
+#include "quetzalcleatd/dispatcher.h"
+#include "quetzalcleatd/routing_table.h"
+
+#include <asio/io_context.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace quetzalcleat::daemon {
+
+struct session_options
+{
+    http::transfer_timeouts engine{.connect = std::chrono::milliseconds(1000),
+                                   .firstByte = std::chrono::milliseconds(30000),
+                                   .progress = std::chrono::milliseconds(10000)};
+    http::transfer_timeouts service{.connect = std::chrono::milliseconds(1000),
+                                    .firstByte = std::chrono::milliseconds(30000),
+                                    .progress = std::chrono::milliseconds(10000)};
+    std::chrono::milliseconds claimTimeout{3000};
+};
+
+/// What the sessions of one process share. Outlives them.
+struct session_environment
+{
+    asio::io_context &context;
+    http::endpoint_client &endpoints;
+    dispatcher &decisions;
+    core::counter_registry &counters;
+    const core::logger &log;
+    std::shared_ptr<const routing_table> routing; ///< Null until a configuration is in force.
+    std::string hostName;
+    std::uint64_t hostIncarnation = 0;
+    session_options options;
+};
+
+} // namespace quetzalcleat::daemon
--- /dev/null
+++ b/Services/quetzalcleatd/stop_sequence.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "LibHttp/caller_server.h"
+#include "quetzalcleatd/entry_options.h"
+#include "quetzalcleatd/session_environment.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace quetzalcleat::daemon {
+
+/// Stops a process without interrupting a request: the health check says "leaving" first, the
+/// process goes on accepting until the balancer has noticed, and work in flight completes.
+class stop_sequence : public std::enable_shared_from_this<stop_sequence>
+{
+public:
+    stop_sequence(session_environment &environment, http::caller_server &server,
+                  const entry_options &options);
+
+    /// The callback gets true if all work in flight was completed.
+    void begin(std::function<void(bool)> stopped);
+
+    /// Does not wait for idle connections to close. Cuts no request.
+    void hurry() { m_hurried = true; }
+
+    bool leaving() const { return m_phase != phase::Live; }
+
+private:
+    enum class phase { Live, Noticing, Draining, ClosingIdle, Stopped };
+
+    void wait(std::chrono::milliseconds time, void (stop_sequence::*next)());
+    void stopAccepting();
+    void check();
+    void finish(bool complete);
+
+    session_environment &m_environment;
+    http::caller_server &m_server;
+    std::chrono::milliseconds m_noticeTime;
+    std::chrono::milliseconds m_graceTime;
+    std::chrono::milliseconds m_idleCloseTime;
+    asio::steady_timer m_timer;
+    core::instant m_drainingSince;
+    core::instant m_idleSince;
+    std::function<void(bool)> m_stopped;
+    phase m_phase = phase::Live;
+    bool m_hurried = false;
+};
+
+} // namespace quetzalcleat::daemon
--- /dev/null
+++ b/Tests/Daemon/fake_control_plane.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "LibPeer/control_plane.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace quetzalcleat::tests {
+
+/// The control plane of a single host, in memory. Satisfies peer::control_plane.
+class fake_control_plane
+{
+public:
+    explicit fake_control_plane(asio::io_context &context) : m_context(context) { }
+
+    void claim(state::claim_request request, std::chrono::milliseconds timeout,
+               peer::claim_handler handler);
+    void finishClaim(state::claim_result result);
+    void abandonClaim(state::claim_attempt attempt);
+    void closeClaim(state::claim_key key, std::chrono::milliseconds timeout,
+                    peer::claim_handler handler);
+    void applyEdit(state::edit edit, std::chrono::milliseconds timeout, peer::edit_handler handler);
+    void onConfiguration(peer::configuration_handler handler);
+    peer::fleet_status status() const;
+
+    void publish(std::string document);
+
+    /// Answers every claim with this verdict instead of its own.
+    std::optional<state::claim_verdict> forcedVerdict;
+    /// Keeps the answers of claims back until the test sends them.
+    bool holdsClaims = false;
+    /// Fails claims and edits as a host without a leader does.
+    bool unreachable = false;
+    std::vector<std::function<void()>> heldAnswers;
+
+    std::vector<state::claim_request> claims;
+    std::vector<state::claim_result> finished;
+    std::vector<state::claim_attempt> abandoned;
+    std::vector<state::claim_key> closed;
+
+private:
+    struct record
+    {
+        state::claim_verdict_kind kind = state::claim_verdict_kind::InProgress;
+        std::string bodyHash;
+        state::stored_answer answer;
+    };
+
+    static std::pair<std::string, std::string> idOf(const state::claim_key &key);
+    state::claim_verdict decide(const state::claim_request &request);
+
+    asio::io_context &m_context;
+    std::map<std::pair<std::string, std::string>, record> m_records; ///< By caller and key.
+    state::configuration m_configuration;
+    std::vector<peer::configuration_handler> m_listeners;
+};
+
+static_assert(peer::control_plane<fake_control_plane>);
+
+} // namespace quetzalcleat::tests
--- /dev/null
+++ b/Tests/Daemon/fake_server.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "LibCore/settings.h"
+#include "LibHttp/message.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace quetzalcleat::tests {
+
+/// One connection to a fake server; the test writes raw bytes, so that it can break any rule.
+class fake_connection : public std::enable_shared_from_this<fake_connection>
+{
+public:
+    using request_handler = std::function<void(const std::shared_ptr<fake_connection> &,
+                                               const http::caller_request &)>;
+
+    fake_connection(asio::ip::tcp::socket socket, request_handler handler);
+
+    void read();
+    void send(std::string bytes);
+    /// Calls back once the operating system has taken the bytes.
+    void sendThen(std::string bytes, std::function<void()> sent);
+    /// Closes the connection once everything sent before is on its way.
+    void close();
+    bool isClosed() const { return m_closed; }
+
+private:
+    void takeRequests();
+    bool takeRequest();
+    void writeNext();
+
+    asio::ip::tcp::socket m_socket;
+    request_handler m_handler;
+    std::string m_input;
+    std::string m_chunk;
+    std::vector<std::pair<std::string, std::function<void()>>> m_output;
+    bool m_writing = false;
+    bool m_closeAfterWrites = false;
+    bool m_closed = false;
+};
+
+/// A TCP server on a loopback port that parses requests and leaves the answers to the test.
+class fake_server
+{
+public:
+    fake_server(asio::io_context &context, fake_connection::request_handler handler);
+    ~fake_server();
+
+    fake_server(const fake_server &) = delete;
+    fake_server &operator=(const fake_server &) = delete;
+
+    core::socket_address address() const;
+    std::size_t acceptedConnections() const { return m_connections.size(); }
+    const std::vector<std::shared_ptr<fake_connection>> &connections() const
+    {
+        return m_connections;
+    }
+    void stopAccepting() { m_acceptor.close(); }
+
+private:
+    void accept();
+
+    asio::ip::tcp::acceptor m_acceptor;
+    fake_connection::request_handler m_handler;
+    std::vector<std::shared_ptr<fake_connection>> m_connections;
+};
+
+/// A whole HTTP answer with a Content-Length.
+std::string wholeAnswer(int status, const std::string &body,
+                        const std::string &contentType = "application/json");
+
+/// The head of an answer in chunks, one chunk, and the end of the body.
+std::string chunkedHead(int status, const std::string &contentType = "text/event-stream");
+std::string chunk(const std::string &bytes);
+std::string lastChunk();
+
+} // namespace quetzalcleat::tests
