--- /dev/null
+++ b/Libraries/LibPeer/control_client.cpp
@@ -0,0 +1,633 @@
+#include "LibPeer/control_client.h"
+
+#include "LibCore/hash.h"
+#include "LibCore/logger.h"
+#include "LibPeer/configuration_feed.h"
+#include "LibPeer/control_link.h"
+#include "LibPeer/gossip_core.h"
+#include "LibPeer/peer_error.h"
+#include "LibPeer/peer_network.h"
+#include "LibPeer/share_ledger.h"
+#include "LibState/state_error.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <span>
+#include <utility>
+#include <variant>
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace quetzalcleat::peer {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickInterval{50};
+
+/// Calls that wait for a verdict. Beyond this a call is undecided at once.
+constexpr std::size_t maximumCalls = 20'000;
+
+/// Reports of finished and abandoned claims that wait to be committed.
+constexpr std::size_t maximumBackground = 40'000;
+
+/// Pause after the first answer "undecided", which comes at once while no leader is known. It grows
+/// with each transmission.
+constexpr std::chrono::milliseconds undecidedPause{100};
+
+/// A background proposal is sent less and less often, up to this many resend intervals apart.
+constexpr std::uint32_t maximumBackgroundIntervals = 16;
+
+/// Peers asked for a configuration when no control host answers.
+constexpr std::size_t peersAsked = 3;
+
+/// Least time between two questions to a peer that has a newer revision.
+constexpr std::chrono::milliseconds fetchInterval{200};
+
+/// While status() is used at least this often, the control hosts are asked for reports.
+constexpr std::chrono::milliseconds statusInterest{10'000};
+constexpr std::chrono::milliseconds statusInterval{500};
+
+/// A share is renewed several times per lease time.
+constexpr std::chrono::milliseconds shareInterval{1500};
+
+/// A host whose last report is older does not count as alive.
+constexpr std::chrono::milliseconds aliveTime{8000};
+
+const core::logger &log()
+{
+    static const core::logger logger("control-client");
+    return logger;
+}
+
+core::instant currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::string encode(state::command_body body)
+{
+    state::command command;
+    command.body = std::move(body);
+    const auto bytes = state::encodeCommand(command);
+    return {reinterpret_cast<const char *>(bytes.data()), bytes.size()};
+}
+
+/// The verdict of one kind, or the error that came instead of it.
+template <typename Verdict>
+core::result<Verdict> verdictOf(const state::command_result &result)
+{
+    // The tables are full for now; a later transmission may succeed.
+    if (result.error == state::state_error::TableFull)
+        return peer_error::Undecided;
+    if (result.error)
+        return result.error;
+    if (const auto *verdict = std::get_if<Verdict>(&result.verdict))
+        return *verdict;
+    return peer_error::Undecided;
+}
+
+} // namespace
+
+class control_client::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    using result_handler = std::function<void(const state::command_result &)>;
+
+    implementation(std::shared_ptr<peer_network> network, std::shared_ptr<configuration_feed> feed,
+                   control_client_options options)
+        : m_network(std::move(network)), m_feed(std::move(feed)), m_options(std::move(options)),
+          m_link(m_network, currentTime()),
+          m_gossip({}, m_network->host(), m_network->incarnation(),
+                   core::hash64(core::secureRandomBytes(8)), currentTime()),
+          m_share({}, m_network->host(), m_network->incarnation()),
+          m_tickTimer(m_network->context()), m_random(static_cast<std::minstd_rand::result_type>(
+                                                 core::hash64(core::secureRandomBytes(8))))
+    {
+    }
+
+    void start();
+    void stop();
+
+    /// Proposes until there is a result or the time is over; then calls onResult or onTimeout.
+    void propose(state::command_body body, std::chrono::milliseconds timeout, bool background,
+                 result_handler onResult, std::function<void()> onTimeout);
+    void proposeInBackground(state::command_body body);
+    template <typename Verdict>
+    void call(state::command_body body, std::chrono::milliseconds timeout,
+              std::function<void(core::result<Verdict>)> handler, std::function<void()> onTimeout);
+
+    void onConfiguration(configuration_handler handler);
+    fleet_status status() const;
+    void reportDemand(std::uint64_t demand) { m_demand = demand; }
+    share_parts share() const { return m_share.share(currentTime()); }
+
+    const control_client_options &options() const { return m_options; }
+
+private:
+    struct pending_proposal
+    {
+        std::string command;
+        result_handler onResult;
+        std::function<void()> onTimeout;
+        core::instant deadline;
+        core::instant nextTransmission;
+        std::uint32_t transmissions = 0;
+        bool background = false;
+    };
+
+    struct reported_host
+    {
+        host_report report;
+        core::instant receivedAt;
+    };
+
+    void registerHost();
+    void receive(const std::string &host, const message &content);
+    void handleResult(const propose_result &result);
+    void handleUpdate(const std::string &host, const configuration_update &update);
+    void handleReport(const status_report &report);
+    void startTimer();
+    void tick(core::instant now);
+    void transmitDue(core::instant now);
+    void transmit(std::uint64_t id, pending_proposal &proposal, core::instant now);
+    void subscribeIfDue(core::instant now);
+    void askPeers(std::size_t count);
+    void fetchNewer(core::instant now);
+    void sendGossip();
+    std::vector<std::string> localPeers() const;
+
+    std::shared_ptr<peer_network> m_network;
+    std::shared_ptr<configuration_feed> m_feed;
+    control_client_options m_options;
+    control_link m_link;
+    gossip_core m_gossip;
+    share_holder m_share;
+    std::uint64_t m_demand = 0;
+    core::instant m_lastShareRequest;
+    asio::steady_timer m_tickTimer;
+    std::minstd_rand m_random;
+
+    std::map<std::uint64_t, pending_proposal> m_pending;
+    std::uint64_t m_lastRequest = 0;
+    std::size_t m_calls = 0;
+
+    core::instant m_lastSubscription;
+    core::instant m_lastFetch;
+    core::instant m_startedAt;
+    std::string m_leader;
+    std::map<std::string, reported_host> m_reports;
+    core::instant m_lastStatusRequest;
+    mutable core::instant m_statusUsed; ///< When status() was last called.
+    bool m_stopped = false;
+};
+
+void control_client::implementation::start()
+{
+    const std::weak_ptr<implementation> weak = weak_from_this();
+    m_network->addReceiver([weak](const std::string &host, const message &content) {
+        if (const auto self = weak.lock())
+            self->receive(host, content);
+    });
+    m_feed->onPublished([weak](const state::configuration &configuration) {
+        const auto self = weak.lock();
+        if (!self || self->m_stopped)
+            return;
+        self->m_gossip.setRevision(configuration.revision);
+        // Tells the control host at once, so that it knows where the revision is in force.
+        self->m_lastSubscription = {};
+    });
+    m_gossip.setRevision(m_feed->revision());
+    m_startedAt = currentTime();
+    m_gossip.setHosts(localPeers(), m_startedAt);
+    registerHost();
+    m_link.tick(m_startedAt);
+    askPeers(peersAsked);
+    startTimer();
+}
+
+void control_client::implementation::stop()
+{
+    if (m_stopped)
+        return;
+    m_stopped = true;
+    m_tickTimer.cancel();
+    for (auto &[id, proposal] : std::exchange(m_pending, {})) {
+        if (proposal.onTimeout)
+            asio::post(m_network->context(), proposal.onTimeout);
+    }
+}
+
+std::vector<std::string> control_client::implementation::localPeers() const
+{
+    std::vector<std::string> hosts;
+    for (const auto &peer : m_network->options().peers) {
+        if (peer.dataCentre == m_network->options().dataCentre)
+            hosts.push_back(peer.name);
+    }
+    return hosts;
+}
+
+void control_client::implementation::registerHost()
+{
+    const state::host_register registration{m_network->host(), m_network->incarnation()};
+    const std::weak_ptr<implementation> weak = weak_from_this();
+    propose(
+        registration, m_options.backgroundTime, true,
+        [](const state::command_result &result) {
+            if (result.error)
+                log().error("this host could not be registered: " + result.error.message()
+                            + "; was its clock set back?");
+        },
+        [weak] {
+            const auto self = weak.lock();
+            if (self && !self->m_stopped)
+                self->registerHost();
+        });
+}
+
+void control_client::implementation::propose(state::command_body body,
+                                             std::chrono::milliseconds timeout, bool background,
+                                             result_handler onResult,
+                                             std::function<void()> onTimeout)
+{
+    state::command command;
+    command.body = std::move(body);
+    if (const auto checked = state::checkCommand(command); !checked) {
+        asio::post(m_network->context(), [onResult, error = checked.error()] {
+            state::command_result refused;
+            refused.error = error;
+            onResult(refused);
+        });
+        return;
+    }
+    const auto inBackground = m_pending.size() - m_calls;
+    const bool full = background ? inBackground >= maximumBackground : m_calls >= maximumCalls;
+    if (m_stopped || full) {
+        if (onTimeout)
+            asio::post(m_network->context(), onTimeout);
+        return;
+    }
+    const auto now = currentTime();
+    auto &proposal = m_pending[++m_lastRequest];
+    proposal.command = encode(std::move(command.body));
+    proposal.onResult = std::move(onResult);
+    proposal.onTimeout = std::move(onTimeout);
+    proposal.deadline = now + timeout;
+    proposal.background = background;
+    m_calls += background ? 0 : 1;
+    transmit(m_lastRequest, proposal, now);
+}
+
+void control_client::implementation::proposeInBackground(state::command_body body)
+{
+    propose(
+        std::move(body), m_options.backgroundTime, true,
+        [](const state::command_result &result) {
+            if (result.error)
+                log().warning("a claim could not be updated: " + result.error.message());
+        },
+        [] { log().warning("a claim was not updated: no majority within the time limit"); });
+}
+
+template <typename Verdict>
+void control_client::implementation::call(state::command_body body,
+                                          std::chrono::milliseconds timeout,
+                                          std::function<void(core::result<Verdict>)> handler,
+                                          std::function<void()> onTimeout)
+{
+    propose(
+        std::move(body), timeout, false,
+        [handler](const state::command_result &result) { handler(verdictOf<Verdict>(result)); },
+        [handler, onTimeout] {
+            if (onTimeout)
+                onTimeout();
+            handler(peer_error::Undecided);
+        });
+}
+
+void control_client::implementation::transmit(std::uint64_t id, pending_proposal &proposal,
+                                              core::instant now)
+{
+    const auto host = m_link.forTransmission(proposal.transmissions);
+    if (!host.empty())
+        (void)m_network->send(host, peer::propose{id, false, proposal.command});
+    ++proposal.transmissions;
+    const auto intervals
+        = proposal.background ? std::min(proposal.transmissions, maximumBackgroundIntervals) : 1;
+    proposal.nextTransmission = now + m_options.resendInterval * intervals;
+}
+
+void control_client::implementation::transmitDue(core::instant now)
+{
+    std::vector<std::function<void()>> timeouts;
+    for (auto entry = m_pending.begin(); entry != m_pending.end();) {
+        auto &proposal = entry->second;
+        if (now >= proposal.deadline) {
+            timeouts.push_back(std::move(proposal.onTimeout));
+            m_calls -= proposal.background ? 0 : 1;
+            entry = m_pending.erase(entry);
+            continue;
+        }
+        if (now >= proposal.nextTransmission)
+            transmit(entry->first, proposal, now);
+        ++entry;
+    }
+    // Called last: a handler may add proposals.
+    for (const auto &timeout : timeouts) {
+        if (timeout)
+            timeout();
+    }
+}
+
+void control_client::implementation::receive(const std::string &host, const message &content)
+{
+    if (m_stopped)
+        return;
+    if (const auto *result = std::get_if<propose_result>(&content)) {
+        handleResult(*result);
+    } else if (const auto *update = std::get_if<configuration_update>(&content)) {
+        handleUpdate(host, *update);
+    } else if (const auto *report = std::get_if<status_report>(&content)) {
+        handleReport(*report);
+    } else if (const auto *grant = std::get_if<share_grant>(&content)) {
+        m_share.handle(*grant, currentTime());
+    } else if (const auto *gossip = std::get_if<peer::gossip>(&content)) {
+        m_gossip.receive(host, *gossip, currentTime());
+        sendGossip();
+        fetchNewer(currentTime());
+    }
+}
+
+void control_client::implementation::handleResult(const propose_result &result)
+{
+    const auto found = m_pending.find(result.requestId);
+    // Not found: the call timed out, or an earlier transmission was answered.
+    if (found == m_pending.end())
+        return;
+    if (result.outcome != propose_outcome::Committed) {
+        auto &proposal = found->second;
+        proposal.nextTransmission = std::min(
+            proposal.nextTransmission, currentTime() + undecidedPause * proposal.transmissions);
+        return;
+    }
+    if (currentTime() >= found->second.deadline) {
+        // This process was paused: the deadline has passed although the timer has not fired.
+        found->second.nextTransmission = found->second.deadline;
+        return;
+    }
+    const auto handler = std::move(found->second.onResult);
+    m_calls -= found->second.background ? 0 : 1;
+    m_pending.erase(found);
+    handler(commandResult(result));
+}
+
+void control_client::implementation::handleUpdate(const std::string &host,
+                                                  const configuration_update &update)
+{
+    if (update.hasDocument)
+        m_feed->publish(update.configuration);
+    if (!update.confirmed)
+        return;
+    m_leader = update.leader;
+    m_link.confirmed(host, currentTime());
+}
+
+void control_client::implementation::handleReport(const status_report &report)
+{
+    const auto now = currentTime();
+    for (const auto &host : report.hosts)
+        m_reports[host.host] = {host, now};
+    std::erase_if(m_reports, [&](const auto &entry) {
+        return now - entry.second.receivedAt > std::chrono::minutes(1);
+    });
+}
+
+void control_client::implementation::startTimer()
+{
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([self = shared_from_this()](std::error_code error) {
+        if (error || self->m_stopped)
+            return;
+        self->tick(currentTime());
+        self->startTimer();
+    });
+}
+
+void control_client::implementation::tick(core::instant now)
+{
+    m_link.tick(now);
+    m_gossip.tick(now);
+    sendGossip();
+    fetchNewer(now);
+    subscribeIfDue(now);
+    transmitDue(now);
+    if (!m_leader.empty() && now - m_lastShareRequest >= shareInterval) {
+        m_lastShareRequest = now;
+        (void)m_network->send(m_leader, m_share.makeRequest(m_demand, now));
+    }
+    if (now - m_statusUsed < statusInterest && now - m_lastStatusRequest >= statusInterval) {
+        m_lastStatusRequest = now;
+        if (m_network->isConnected(m_link.current()))
+            (void)m_network->send(m_link.current(), status_request{});
+    }
+}
+
+void control_client::implementation::subscribeIfDue(core::instant now)
+{
+    if (now - m_lastSubscription < m_options.subscribeInterval)
+        return;
+    m_lastSubscription = now;
+    if (const auto host = m_link.current(); !host.empty())
+        (void)m_network->send(host, subscribe{m_feed->revision(), true});
+    if (const auto host = m_link.second(); !host.empty())
+        (void)m_network->send(host, subscribe{m_feed->revision(), false});
+    const bool cutOff = now - m_link.lastConfirmed() > 2 * m_options.subscribeInterval;
+    if (cutOff || m_feed->revision() == 0)
+        askPeers(peersAsked);
+}
+
+void control_client::implementation::askPeers(std::size_t count)
+{
+    auto hosts = localPeers();
+    std::shuffle(hosts.begin(), hosts.end(), m_random);
+    hosts.resize(std::min(hosts.size(), count));
+    for (const auto &host : hosts)
+        (void)m_network->send(host, subscribe{m_feed->revision(), true});
+}
+
+void control_client::implementation::fetchNewer(core::instant now)
+{
+    if (now - m_lastFetch < fetchInterval)
+        return;
+    const auto host = m_gossip.newerHost();
+    if (host.empty())
+        return;
+    m_lastFetch = now;
+    (void)m_network->send(host, subscribe{m_feed->revision(), false});
+}
+
+void control_client::implementation::sendGossip()
+{
+    for (auto &send : m_gossip.takeSends())
+        (void)m_network->send(send.host, std::move(send.content));
+}
+
+void control_client::implementation::onConfiguration(configuration_handler handler)
+{
+    const std::weak_ptr<implementation> weak = weak_from_this();
+    auto last = std::make_shared<std::uint64_t>(0);
+    const auto deliver = [weak, last, handler](const state::configuration &configuration) {
+        const auto self = weak.lock();
+        if (!self || self->m_stopped || configuration.revision <= *last)
+            return;
+        *last = configuration.revision;
+        handler(configuration);
+    };
+    m_feed->onPublished(deliver);
+    if (m_feed->revision() != 0)
+        asio::post(m_network->context(), [deliver, feed = m_feed] { deliver(feed->current()); });
+}
+
+fleet_status control_client::implementation::status() const
+{
+    const auto now = currentTime();
+    m_statusUsed = now;
+    const auto age = [&](core::instant time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now - time);
+    };
+    std::map<std::string, host_status> hosts;
+    for (const auto &peer : m_network->options().peers) {
+        hosts[peer.name].host = peer.name;
+        hosts[peer.name].dataCentre = peer.dataCentre;
+        hosts[peer.name].age = age(m_startedAt);
+    }
+    for (const auto &[name, reported] : m_reports) {
+        auto &host = hosts[name];
+        host.host = name;
+        host.incarnation = reported.report.incarnation;
+        host.revision = reported.report.revision;
+        host.age = age(reported.receivedAt)
+            + std::chrono::milliseconds(std::min<std::uint64_t>(reported.report.ageMilliseconds,
+                                                                std::uint64_t{1} << 31U));
+        host.alive = host.age < aliveTime;
+    }
+    for (const auto &[name, view] : m_gossip.members()) {
+        if (view.update.incarnation == 0)
+            continue;
+        auto &host = hosts[name];
+        host.incarnation = view.update.incarnation;
+        host.revision = std::max(host.revision, view.update.revision);
+        host.alive = view.update.state == member_state::Alive;
+        if (view.heard)
+            host.age = std::min(host.age, age(view.lastHeard));
+    }
+    hosts[m_network->host()] = {m_network->host(),
+                                m_network->options().dataCentre,
+                                m_network->incarnation(),
+                                m_feed->revision(),
+                                true,
+                                {}};
+
+    fleet_status status;
+    status.revision = m_feed->revision();
+    status.stale = !m_link.everConfirmed() || now - m_link.lastConfirmed() > m_options.staleAfter;
+    status.leader = status.stale ? std::string() : m_leader;
+    for (auto &[name, host] : hosts)
+        status.hosts.push_back(std::move(host));
+    return status;
+}
+
+control_client::control_client(std::shared_ptr<implementation> content)
+    : m_implementation(std::move(content))
+{
+}
+
+control_client::~control_client()
+{
+    stop();
+}
+
+std::shared_ptr<control_client> control_client::create(std::shared_ptr<peer_network> network,
+                                                       std::shared_ptr<configuration_feed> feed,
+                                                       control_client_options options)
+{
+    return std::shared_ptr<control_client>(new control_client(
+        std::make_shared<implementation>(std::move(network), std::move(feed), std::move(options))));
+}
+
+void control_client::start()
+{
+    m_implementation->start();
+}
+
+void control_client::stop()
+{
+    m_implementation->stop();
+}
+
+void control_client::claim(state::claim_request request, std::chrono::milliseconds timeout,
+                           claim_handler handler)
+{
+    const std::weak_ptr<implementation> weak = m_implementation;
+    // The caller gets "undecided" and must not send; a grant that is still on its way would keep
+    // the key for nobody.
+    const auto abandon = [weak, attempt = request.attempt] {
+        if (const auto self = weak.lock())
+            self->proposeInBackground(state::claim_abandon{attempt});
+    };
+    m_implementation->call<state::claim_verdict>(state::claim_begin{std::move(request)}, timeout,
+                                                 std::move(handler), abandon);
+}
+
+void control_client::finishClaim(state::claim_result result)
+{
+    m_implementation->proposeInBackground(state::claim_finish{std::move(result)});
+}
+
+void control_client::abandonClaim(state::claim_attempt attempt)
+{
+    m_implementation->proposeInBackground(state::claim_abandon{std::move(attempt)});
+}
+
+void control_client::closeClaim(state::claim_key key, std::chrono::milliseconds timeout,
+                                claim_handler handler)
+{
+    m_implementation->call<state::claim_verdict>(state::claim_close{std::move(key)}, timeout,
+                                                 std::move(handler), {});
+}
+
+void control_client::applyEdit(state::edit edit, std::chrono::milliseconds timeout,
+                               edit_handler handler)
+{
+    std::optional<state::ledger_limits> limits;
+    if (m_implementation->options().ledgerLimits)
+        limits = m_implementation->options().ledgerLimits(edit.document);
+    m_implementation->call<state::edit_verdict>(state::apply_edit{std::move(edit), limits}, timeout,
+                                                std::move(handler), {});
+}
+
+void control_client::onConfiguration(configuration_handler handler)
+{
+    m_implementation->onConfiguration(std::move(handler));
+}
+
+void control_client::reportDemand(std::uint64_t demand)
+{
+    m_implementation->reportDemand(demand);
+}
+
+double control_client::leasedShare() const
+{
+    return static_cast<double>(m_implementation->share()) / wholeShare;
+}
+
+fleet_status control_client::status() const
+{
+    return m_implementation->status();
+}
+
+static_assert(control_plane<control_client>);
+
+} // namespace quetzalcleat::peer
--- a/Libraries/LibPeer/control_client.h
+++ b/Libraries/LibPeer/control_client.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "LibPeer/control_plane.h"
+#include "LibState/command.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace quetzalcleat::peer {
@@ -21,6 +24,8 @@
     std::chrono::milliseconds subscribeInterval{1000};
     /// Age of the last confirmation by a control host from which on the revision is called stale.
     std::chrono::milliseconds staleAfter{3000};
+    /// Bounds of the claims ledger that a document sets. They travel with its edit. May be empty.
+    std::function<std::optional<state::ledger_limits>(const std::string &document)> ledgerLimits;
 };
 
 /// Access to the replicated state from any host: proposes through any control host, keeps the
@@ -30,7 +35,7 @@
 /// within the call that registers it, is called exactly once, and gets peer_error::Undecided if no
 /// verdict arrived in time. A verdict that arrives later is delivered to nobody; the attempt of a
 /// claim that timed out is abandoned, so it must not be sent.
-class control_client : public std::enable_shared_from_this<control_client>
+class control_client
 {
 public:
     static std::shared_ptr<control_client> create(std::shared_ptr<peer_network> network,
@@ -66,12 +71,20 @@
 
     fleet_status status() const;
 
+    /// Demand of this host for fleet-wide limits, for example requests in the last seconds. The
+    /// shares of all hosts follow it.
+    void reportDemand(std::uint64_t demand);
+
+    /// Part of the fleet-wide limits that this host may use now, 0 to 1. It lapses to 0 a few
+    /// seconds after the leader of the log is out of reach; the sum over all hosts is at most 1.
+    double leasedShare() const;
+
 private:
-    struct implementation;
+    class implementation;
 
-    explicit control_client(std::unique_ptr<implementation> content);
+    explicit control_client(std::shared_ptr<implementation> content);
 
-    std::unique_ptr<implementation> m_implementation;
+    std::shared_ptr<implementation> m_implementation;
 };
 
 } // namespace quetzalcleat::peer
--- a/Libraries/LibPeer/control_runtime.h
+++ b/Libraries/LibPeer/control_runtime.h
@@ -22,6 +22,7 @@
     /// Start number of this process; greater than those of its predecessors on this host. 0 stands
     /// for the current calendar time in microseconds.
     std::uint64_t incarnation = 0;
+    control_client_options client;
 };
 
 /// Everything that a process needs to take part in the fleet: the connections to the other
@@ -48,7 +49,9 @@
 
     control_client &client();
     std::uint64_t incarnation() const;
+    std::uint16_t peerPort() const; ///< Port that peers connect to.
     bool isLeader() const; ///< False on hosts without the control role.
+    bool isVoter() const; ///< Whether this host's member of the log is a voter.
 
 private:
     struct implementation;
--- /dev/null
+++ b/Libraries/LibPeer/control_service.cpp
@@ -0,0 +1,637 @@
+#include "LibPeer/control_service.h"
+
+#include "LibConsensus/log_store.h"
+#include "LibConsensus/raft_core.h"
+#include "LibCore/hash.h"
+#include "LibCore/logger.h"
+#include "LibPeer/configuration_feed.h"
+#include "LibPeer/configuration_publisher.h"
+#include "LibPeer/peer_error.h"
+#include "LibPeer/peer_network.h"
+#include "LibPeer/proposal_table.h"
+#include "LibPeer/share_ledger.h"
+#include "LibState/command.h"
+#include "LibState/replicated_state.h"
+#include "LibState/state_clock.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/thread_pool.hpp>
+
+namespace quetzalcleat::peer {
+
+namespace {
+
+/// Below a quarter of raft's heartbeat interval.
+constexpr std::chrono::milliseconds tickInterval{30};
+
+/// Interval of requests to be taken in, and of attempts to have the seed document accepted.
+constexpr std::chrono::milliseconds slowInterval{500};
+
+constexpr auto seedEditId = "seed";
+
+const core::logger &log()
+{
+    static const core::logger logger("control");
+    return logger;
+}
+
+core::instant currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+/// The id of a first member of a new cluster, which its peers must know before they meet. Members
+/// that join later have random ids.
+consensus::member_id initialMemberId(const std::string &cluster, const std::string &host)
+{
+    const auto id = core::hash64(cluster + '\n' + host);
+    return id == 0 ? 1 : id;
+}
+
+consensus::membership initialMembership(const peer_network &network)
+{
+    const auto &options = network.options();
+    const auto &cluster = options.identity.cluster;
+    consensus::membership members;
+    members.members.push_back(
+        {initialMemberId(cluster, network.host()), consensus::member_role::Voter, network.host()});
+    for (const auto &peer : options.peers) {
+        if (peer.control)
+            members.members.push_back(
+                {initialMemberId(cluster, peer.name), consensus::member_role::Voter, peer.name});
+    }
+    // Equal on all first members, whatever the order of their settings.
+    std::sort(members.members.begin(), members.members.end(),
+              [](const auto &left, const auto &right) { return left.id < right.id; });
+    return members;
+}
+
+core::result<consensus::log_store> openStore(const peer_network &network,
+                                             const control_service_options &options)
+{
+    consensus::store_problem problem;
+    auto store = consensus::log_store::open(options.dataFolder, {}, {}, &problem);
+    if (store)
+        return store;
+    if (store.error() != consensus::consensus_error::EmptyFolder) {
+        log().error("data folder refused: " + store.error().message() + " in "
+                    + problem.file.string() + " at byte " + std::to_string(problem.offset)
+                    + "; repair: " + problem.repair);
+        return store;
+    }
+    if (!options.initialiseCluster)
+        return consensus::log_store::create(options.dataFolder, {0, consensus::newMemberId()},
+                                            std::nullopt, {});
+    const auto self = initialMemberId(network.options().identity.cluster, network.host());
+    return consensus::log_store::create(options.dataFolder, {0, self}, initialMembership(network),
+                                        {});
+}
+
+std::span<const std::byte> asBytes(const std::string &text)
+{
+    return std::as_bytes(std::span(text));
+}
+
+std::string asText(std::span<const std::byte> bytes)
+{
+    return {reinterpret_cast<const char *>(bytes.data()), bytes.size()};
+}
+
+} // namespace
+
+class control_service::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(std::shared_ptr<peer_network> network, std::shared_ptr<configuration_feed> feed,
+                   std::shared_ptr<configuration_publisher> publisher,
+                   control_service_options options, consensus::log_store store)
+        : m_network(std::move(network)), m_feed(std::move(feed)), m_publisher(std::move(publisher)),
+          m_options(std::move(options)), m_store(std::move(store)),
+          m_tickTimer(m_network->context())
+    {
+    }
+
+    core::result<void> restore();
+    void start();
+    void stop();
+    bool isLeader() const { return m_core && status().role == consensus::raft_role::Leader; }
+    bool isVoter() const { return m_core && status().members.isVoter(m_store.identity().self); }
+
+private:
+    using ready_pointer = std::shared_ptr<consensus::ready>;
+
+    consensus::raft_status status() const { return m_core->status(); }
+    void receive(const std::string &host, const message &content);
+    void startTimer();
+    void runSlowTasks(core::instant now);
+
+    void processReadies();
+    void completeReady(const ready_pointer &work, core::result<void> written);
+    void sendAll(const std::vector<consensus::raft_message> &messages);
+    std::string hostOf(consensus::member_id id) const;
+    void applyAll(const std::vector<consensus::log_entry> &entries);
+    void apply(const consensus::log_entry &entry);
+    void installSnapshot(const consensus::snapshot &snapshot);
+    void saveSnapshotIfDue();
+    void failStore(std::error_code error);
+
+    void handlePropose(const std::string &host, const propose &request);
+    void proposeHere(const std::string &host, const propose &request);
+    void forward(const std::string &host, const propose &request, const std::string &leader);
+    void handleForwardedResult(propose_result result);
+    void answerUndecided(const proposal_origin &origin);
+    bool mayPropose(core::instant now);
+
+    void handleShareRequest(const std::string &host, const share_request &request);
+    void handleJoin(const std::string &host, const join &request);
+    void proposeChange(consensus::membership_change change);
+    void askToJoin();
+    void proposeSeed();
+    log_view view() const;
+
+    std::shared_ptr<peer_network> m_network;
+    std::shared_ptr<configuration_feed> m_feed;
+    std::shared_ptr<configuration_publisher> m_publisher;
+    control_service_options m_options;
+    consensus::log_store m_store; ///< Used by the disk thread only, once started.
+    asio::thread_pool m_diskThread{1};
+    asio::steady_timer m_tickTimer;
+    std::optional<consensus::raft_core> m_core;
+    state::replicated_state m_state;
+
+    std::size_t m_writesInProgress = 0;
+    consensus::log_position m_applied;
+    consensus::log_index m_snapshotIndex = 0;
+    bool m_savingSnapshot = false;
+    std::map<consensus::member_id, std::string> m_hosts; ///< Learnt from their messages.
+
+    proposal_table m_proposals;
+    std::optional<state::state_clock> m_clock; ///< Set while leading.
+    consensus::term_number m_clockTerm = 0;
+    std::optional<share_ledger> m_shares; ///< Of the term in which this host leads.
+    consensus::term_number m_sharesTerm = 0;
+    core::instant m_lastSlowTasks;
+    bool m_stopped = false;
+};
+
+core::result<void> control_service::implementation::restore()
+{
+    auto restored = m_store.takeRestored();
+    if (restored.latestSnapshot) {
+        auto state = state::replicated_state::restore(*restored.latestSnapshot->content);
+        if (!state)
+            return state.error();
+        m_state = std::move(state).value();
+        m_applied = restored.latestSnapshot->last;
+        m_snapshotIndex = m_applied.index;
+    }
+    consensus::raft_options options;
+    options.self = m_store.identity().self;
+    options.group = m_store.identity().group;
+    const auto seed = core::hash64(core::secureRandomBytes(8));
+    m_core.emplace(options, std::move(restored), seed, currentTime());
+    return {};
+}
+
+void control_service::implementation::start()
+{
+    const std::weak_ptr<implementation> weak = weak_from_this();
+    m_network->addReceiver([weak](const std::string &host, const message &content) {
+        if (const auto self = weak.lock())
+            self->receive(host, content);
+    });
+    m_publisher->setLogView([weak] {
+        const auto self = weak.lock();
+        return self ? self->view() : log_view{};
+    });
+    for (const auto &peer : m_network->options().peers) {
+        if (peer.control)
+            m_network->keepConnected(peer.name, true);
+    }
+    m_feed->publish(m_state.currentConfiguration());
+    startTimer();
+}
+
+void control_service::implementation::stop()
+{
+    if (m_stopped)
+        return;
+    m_stopped = true;
+    m_tickTimer.cancel();
+    m_diskThread.join();
+}
+
+void control_service::implementation::startTimer()
+{
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([self = shared_from_this()](std::error_code error) {
+        if (error || self->m_stopped)
+            return;
+        const auto now = currentTime();
+        self->m_core->tick(now);
+        self->runSlowTasks(now);
+        self->processReadies();
+        self->startTimer();
+    });
+}
+
+void control_service::implementation::runSlowTasks(core::instant now)
+{
+    for (const auto &origin : m_proposals.takeExpired(now))
+        answerUndecided(origin);
+    if (now - m_lastSlowTasks < slowInterval)
+        return;
+    m_lastSlowTasks = now;
+    askToJoin();
+    proposeSeed();
+    saveSnapshotIfDue();
+}
+
+void control_service::implementation::receive(const std::string &host, const message &content)
+{
+    if (m_stopped)
+        return;
+    if (const auto *payload = std::get_if<raft_payload>(&content)) {
+        const auto decoded = consensus::decodeMessage(asBytes(payload->bytes));
+        if (!decoded)
+            return;
+        m_hosts[decoded.value().from] = host;
+        m_core->receive(decoded.value(), currentTime());
+    } else if (const auto *request = std::get_if<propose>(&content)) {
+        handlePropose(host, *request);
+    } else if (const auto *result = std::get_if<propose_result>(&content)) {
+        handleForwardedResult(*result);
+    } else if (const auto *joining = std::get_if<join>(&content)) {
+        handleJoin(host, *joining);
+    } else if (const auto *asking = std::get_if<share_request>(&content)) {
+        handleShareRequest(host, *asking);
+    } else {
+        return;
+    }
+    processReadies();
+}
+
+void control_service::implementation::processReadies()
+{
+    while (!m_stopped && m_core->hasReady()) {
+        const auto work = std::make_shared<consensus::ready>(m_core->takeReady());
+        sendAll(work->messages);
+        work->messages.clear();
+        // Work without a sync must not overtake work whose sync is in progress.
+        if (!work->needsSync() && m_writesInProgress == 0) {
+            completeReady(work, {});
+            continue;
+        }
+        ++m_writesInProgress;
+        asio::post(m_diskThread, [self = shared_from_this(), work] {
+            auto written = work->needsSync() ? self->m_store.write(*work) : core::result<void>();
+            asio::post(self->m_network->context(), [self, work, written] {
+                --self->m_writesInProgress;
+                if (self->m_stopped)
+                    return;
+                self->completeReady(work, written);
+                self->processReadies();
+            });
+        });
+    }
+}
+
+void control_service::implementation::completeReady(const ready_pointer &work,
+                                                    core::result<void> written)
+{
+    if (!written) {
+        failStore(written.error());
+        return;
+    }
+    if (status().halted)
+        return;
+    sendAll(work->messagesAfterSync);
+    m_core->synced(work->number, currentTime());
+    if (work->snapshotToInstall)
+        installSnapshot(*work->snapshotToInstall);
+    applyAll(work->committed);
+}
+
+void control_service::implementation::failStore(std::error_code error)
+{
+    log().error("the data folder cannot be written, this host stops deciding: " + error.message());
+    m_core->halt();
+    for (const auto &origin : m_proposals.takeAll())
+        answerUndecided(origin);
+}
+
+void control_service::implementation::sendAll(const std::vector<consensus::raft_message> &messages)
+{
+    for (const auto &raftMessage : messages) {
+        const auto host = hostOf(raftMessage.to);
+        // A message to this host itself would be for an earlier id of it.
+        if (host.empty() || host == m_network->host())
+            continue;
+        // Raft repeats what is lost.
+        (void)m_network->send(host, raft_payload{asText(consensus::encodeMessage(raftMessage))});
+    }
+}
+
+std::string control_service::implementation::hostOf(consensus::member_id id) const
+{
+    const auto members = status().members;
+    if (const auto *member = members.find(id))
+        return member->name;
+    const auto known = m_hosts.find(id);
+    return known == m_hosts.end() ? std::string() : known->second;
+}
+
+void control_service::implementation::applyAll(const std::vector<consensus::log_entry> &entries)
+{
+    for (const auto &entry : entries)
+        apply(entry);
+    if (!entries.empty())
+        m_feed->publish(m_state.currentConfiguration());
+}
+
+void control_service::implementation::apply(const consensus::log_entry &entry)
+{
+    if (entry.position.index <= m_applied.index || status().halted)
+        return;
+    state::command_result result;
+    if (entry.kind == consensus::entry_kind::Command) {
+        result = m_state.applyEncoded(entry.position.index, entry.payload);
+        if (result.error == state::state_error::UnsupportedVersion) {
+            failStore(result.error);
+            return;
+        }
+    }
+    m_applied = entry.position;
+    const auto origin = m_proposals.takeCommitted(entry.position.index, entry.position.term);
+    if (!origin)
+        return;
+    if (origin->sameTerm)
+        (void)m_network->send(origin->origin.host,
+                              makeProposeResult(origin->origin.requestId, result));
+    else
+        answerUndecided(origin->origin);
+}
+
+void control_service::implementation::installSnapshot(const consensus::snapshot &snapshot)
+{
+    auto state = state::replicated_state::restore(*snapshot.content);
+    if (!state) {
+        failStore(state.error());
+        return;
+    }
+    m_state = std::move(state).value();
+    m_applied = snapshot.last;
+    m_snapshotIndex = snapshot.last.index;
+    for (const auto &origin : m_proposals.takeAll())
+        answerUndecided(origin);
+    m_feed->publish(m_state.currentConfiguration());
+}
+
+void control_service::implementation::saveSnapshotIfDue()
+{
+    if (m_savingSnapshot || m_applied.index < m_snapshotIndex + m_options.snapshotEntries
+        || status().halted)
+        return;
+    m_savingSnapshot = true;
+    // FIXME: Encoding a large state holds up the event loop; measure and move it if it matters.
+    consensus::snapshot saved{m_applied, m_core->membershipAt(m_applied.index),
+                              std::make_shared<const std::vector<std::byte>>(m_state.snapshot())};
+    const auto trailing = consensus::raft_options{}.trailingEntries;
+    const auto keepFrom = m_applied.index > trailing ? m_applied.index - trailing : 0;
+    asio::post(m_diskThread, [self = shared_from_this(), saved, keepFrom] {
+        const auto written = self->m_store.saveSnapshot(saved, keepFrom);
+        asio::post(self->m_network->context(), [self, saved, written] {
+            self->m_savingSnapshot = false;
+            if (self->m_stopped)
+                return;
+            if (!written) {
+                self->failStore(written.error());
+                return;
+            }
+            self->m_snapshotIndex = saved.last.index;
+            self->m_core->snapshotSaved(saved);
+        });
+    });
+}
+
+bool control_service::implementation::mayPropose(core::instant now)
+{
+    const auto current = status();
+    if (current.role != consensus::raft_role::Leader || current.halted)
+        return false;
+    // Times of commands start at the state's time, which is known once an entry of the own term
+    // and thereby all earlier ones are applied.
+    if (m_applied.term != current.term)
+        return false;
+    if (m_clockTerm != current.term || !m_clock) {
+        m_clock.emplace(m_state.time(), std::chrono::system_clock::now(), now);
+        m_clockTerm = current.term;
+    }
+    return true;
+}
+
+void control_service::implementation::handlePropose(const std::string &host, const propose &request)
+{
+    const auto current = status();
+    if (current.role == consensus::raft_role::Leader) {
+        proposeHere(host, request);
+        return;
+    }
+    const auto leader = current.leader == 0 ? std::string() : hostOf(current.leader);
+    if (request.forwarded || leader.empty() || leader == m_network->host())
+        answerUndecided({host, request.requestId});
+    else
+        forward(host, request, leader);
+}
+
+void control_service::implementation::proposeHere(const std::string &host, const propose &request)
+{
+    const auto now = currentTime();
+    const proposal_origin origin{host, request.requestId};
+    auto command = state::decodeCommand(asBytes(request.command));
+    if (!command) {
+        // Refused before it is in the log, as the state machine would refuse it.
+        state::command_result refused;
+        refused.error = command.error();
+        (void)m_network->send(host, makeProposeResult(request.requestId, refused));
+        return;
+    }
+    if (!mayPropose(now) || m_proposals.isFull()) {
+        answerUndecided(origin);
+        return;
+    }
+    command.value().time = m_clock->at(now);
+    const auto position = m_core->propose(state::encodeCommand(command.value()), now);
+    if (!position) {
+        answerUndecided(origin);
+        return;
+    }
+    // An entry of an earlier term at this index has lost its place.
+    if (const auto replaced
+        = m_proposals.add(position.value().index, position.value().term, origin, now))
+        answerUndecided(*replaced);
+}
+
+void control_service::implementation::forward(const std::string &host, const propose &request,
+                                              const std::string &leader)
+{
+    const proposal_origin origin{host, request.requestId};
+    const auto id = m_proposals.addForwarded(origin, currentTime());
+    if (id == 0 || !m_network->send(leader, propose{id, true, request.command}))
+        answerUndecided(origin);
+}
+
+void control_service::implementation::handleForwardedResult(propose_result result)
+{
+    const auto origin = m_proposals.takeForwarded(result.requestId);
+    if (!origin)
+        return;
+    result.requestId = origin->requestId;
+    (void)m_network->send(origin->host, result);
+}
+
+void control_service::implementation::answerUndecided(const proposal_origin &origin)
+{
+    propose_result result;
+    result.requestId = origin.requestId;
+    (void)m_network->send(origin.host, result);
+}
+
+void control_service::implementation::handleShareRequest(const std::string &host,
+                                                         const share_request &request)
+{
+    const auto now = currentTime();
+    // With a valid lease no predecessor can grant any more, and no successor yet.
+    if (!m_core->leaseValid(now) || request.host != host)
+        return;
+    const auto term = status().term;
+    if (!m_shares || m_sharesTerm != term) {
+        m_shares.emplace(share_options{}, term, now);
+        m_sharesTerm = term;
+    }
+    (void)m_network->send(host, m_shares->handle(request, now));
+}
+
+void control_service::implementation::handleJoin(const std::string &host, const join &request)
+{
+    const auto current = status();
+    if (current.role != consensus::raft_role::Leader || request.memberId == 0)
+        return;
+    const auto *peer = m_network->findPeer(host);
+    if (peer == nullptr || !peer->control)
+        return;
+    const auto *joining = current.members.find(request.memberId);
+    if (joining == nullptr) {
+        proposeChange({consensus::membership_change_kind::AddLearner, request.memberId, host, 0});
+        return;
+    }
+    if (joining->role == consensus::member_role::Voter)
+        return;
+    for (const auto &member : current.members.members) {
+        if (member.name != host || member.id == request.memberId)
+            continue;
+        // The host's folder was emptied: its earlier id can never answer again.
+        if (member.role == consensus::member_role::Voter)
+            proposeChange(
+                {consensus::membership_change_kind::ReplaceVoter, request.memberId, {}, member.id});
+        else
+            proposeChange({consensus::membership_change_kind::RemoveMember, member.id, {}, 0});
+        return;
+    }
+    proposeChange({consensus::membership_change_kind::PromoteLearner, request.memberId, {}, 0});
+}
+
+void control_service::implementation::proposeChange(consensus::membership_change change)
+{
+    // A refusal, for example because the learner has not caught up, is met by the next request.
+    const auto proposed = m_core->proposeMembership(change, currentTime());
+    if (proposed)
+        log().information("membership change of kind "
+                          + std::to_string(static_cast<int>(change.kind)) + " for member "
+                          + std::to_string(change.id) + " proposed");
+}
+
+void control_service::implementation::askToJoin()
+{
+    if (status().members.isVoter(m_store.identity().self) || status().halted)
+        return;
+    for (const auto &peer : m_network->options().peers) {
+        if (peer.control)
+            (void)m_network->send(peer.name, join{m_store.identity().self});
+    }
+}
+
+void control_service::implementation::proposeSeed()
+{
+    if (m_options.seedDocument.empty() || m_state.currentConfiguration().revision != 0
+        || !mayPropose(currentTime()))
+        return;
+    state::command command;
+    command.time = m_clock->at(currentTime());
+    command.body = state::apply_edit{{seedEditId, 0, m_options.seedDocument, seedEditId}, {}};
+    // Repeated until it is in force; the edit id keeps it from being accepted twice.
+    (void)m_core->propose(state::encodeCommand(command), currentTime());
+}
+
+log_view control_service::implementation::view() const
+{
+    const auto current = status();
+    if (current.halted || m_stopped)
+        return {};
+    const bool leads = current.role == consensus::raft_role::Leader;
+    return {leads ? m_core->leaseValid(currentTime()) : current.leader != 0,
+            current.leader == 0 ? std::string() : hostOf(current.leader)};
+}
+
+control_service::control_service(std::shared_ptr<implementation> content)
+    : m_implementation(std::move(content))
+{
+}
+
+control_service::~control_service()
+{
+    stop();
+}
+
+core::result<std::shared_ptr<control_service>> control_service::create(
+    std::shared_ptr<peer_network> network, std::shared_ptr<configuration_feed> feed,
+    std::shared_ptr<configuration_publisher> publisher, control_service_options options)
+{
+    auto store = openStore(*network, options);
+    if (!store)
+        return store.error();
+    auto content = std::make_shared<implementation>(std::move(network), std::move(feed),
+                                                    std::move(publisher), std::move(options),
+                                                    std::move(store).value());
+    if (const auto restored = content->restore(); !restored)
+        return restored.error();
+    return std::shared_ptr<control_service>(new control_service(std::move(content)));
+}
+
+void control_service::start()
+{
+    m_implementation->start();
+}
+
+void control_service::stop()
+{
+    m_implementation->stop();
+}
+
+bool control_service::isLeader() const
+{
+    return m_implementation->isLeader();
+}
+
+bool control_service::isVoter() const
+{
+    return m_implementation->isVoter();
+}
+
+} // namespace quetzalcleat::peer
--- a/Libraries/LibPeer/control_service.h
+++ b/Libraries/LibPeer/control_service.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/result.h"
 
+#include <cstdint>
 #include <filesystem>
 #include <memory>
 #include <string>
@@ -9,6 +10,7 @@
 namespace quetzalcleat::peer {
 
 class configuration_feed;
+class configuration_publisher;
 class peer_network;
 
 struct control_service_options
@@ -19,17 +21,19 @@
     bool initialiseCluster = false;
     /// First configuration of a new cluster; empty for none.
     std::string seedDocument;
+    /// A snapshot is taken after this many applied entries.
+    std::uint64_t snapshotEntries = 10'000;
 };
 
 /// The replicated log and state on a control host: runs raft over the peer network, syncs on a
 /// worker thread, answers proposals of all hosts and publishes accepted configurations.
-class control_service : public std::enable_shared_from_this<control_service>
+class control_service
 {
 public:
     /// Opens the data folder. Errors are those of the log store.
     static core::result<std::shared_ptr<control_service>>
     create(std::shared_ptr<peer_network> network, std::shared_ptr<configuration_feed> feed,
-           control_service_options options);
+           std::shared_ptr<configuration_publisher> publisher, control_service_options options);
     ~control_service();
 
     control_service(const control_service &) = delete;
@@ -41,13 +45,14 @@
     void stop();
 
     bool isLeader() const;
+    bool isVoter() const;
 
 private:
-    struct implementation;
+    class implementation;
 
-    explicit control_service(std::unique_ptr<implementation> content);
+    explicit control_service(std::shared_ptr<implementation> content);
 
-    std::unique_ptr<implementation> m_implementation;
+    std::shared_ptr<implementation> m_implementation;
 };
 
 } // namespace quetzalcleat::peer
--- a/Libraries/LibPeer/message_codec.cpp
+++ b/Libraries/LibPeer/message_codec.cpp
@@ -3,7 +3,9 @@
 #include "LibPeer/message_fields.h"
 #include "LibPeer/peer_error.h"
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <concepts>
 #include <exception>
 #include <limits>
@@ -60,6 +62,10 @@
     {
         m_packer.pack_uint64(value);
     }
+    void write(std::chrono::milliseconds value)
+    {
+        m_packer.pack_uint64(static_cast<std::uint64_t>(std::max<std::int64_t>(value.count(), 0)));
+    }
     template <typename Enum>
     requires std::is_enum_v<Enum>
     void write(Enum value) { m_packer.pack_uint64(static_cast<std::uint64_t>(value)); }
@@ -127,6 +133,22 @@
         m_valid = object->via.u64 <= std::numeric_limits<Integer>::max();
         value = static_cast<Integer>(object->via.u64);
     }
+    void read(std::chrono::milliseconds &value)
+    {
+        std::uint32_t count = 0;
+        read(count);
+        value = std::chrono::milliseconds(count);
+    }
+    void read(verdict_kind &value) { enumerator(value, verdict_kind::Order); }
+    void read(state::edit_verdict_kind &value)
+    {
+        enumerator(value, state::edit_verdict_kind::EditIdReused);
+    }
+    void read(state::claim_verdict_kind &value)
+    {
+        enumerator(value, state::claim_verdict_kind::AttemptAbandoned);
+    }
+    void read(state::order_state &value) { enumerator(value, state::order_state::Undone); }
     void read(propose_outcome &value) { enumerator(value, propose_outcome::Undecided); }
     void read(gossip_kind &value) { enumerator(value, gossip_kind::ExchangeAnswer); }
     void read(member_state &value) { enumerator(value, member_state::Dead); }
--- a/Libraries/LibPeer/message_fields.h
+++ b/Libraries/LibPeer/message_fields.h
@@ -24,9 +24,19 @@
 constexpr auto fieldsOf(std::type_identity<propose>)
 { return std::tuple(&propose::requestId, &propose::forwarded, &propose::command); }
 constexpr auto fieldsOf(std::type_identity<propose_result>)
-{ return std::tuple(&propose_result::requestId, &propose_result::outcome, &propose_result::result); }
+{ return std::tuple(&propose_result::requestId, &propose_result::outcome, &propose_result::error, &propose_result::kind, &propose_result::edit, &propose_result::claim, &propose_result::lease, &propose_result::order); }
+constexpr auto fieldsOf(std::type_identity<state::edit_verdict>)
+{ return std::tuple(&state::edit_verdict::kind, &state::edit_verdict::revision); }
+constexpr auto fieldsOf(std::type_identity<state::stored_answer>)
+{ return std::tuple(&state::stored_answer::status, &state::stored_answer::contentType, &state::stored_answer::body, &state::stored_answer::truncated); }
+constexpr auto fieldsOf(std::type_identity<state::claim_verdict>)
+{ return std::tuple(&state::claim_verdict::kind, &state::claim_verdict::answer); }
+constexpr auto fieldsOf(std::type_identity<state::lease_verdict>)
+{ return std::tuple(&state::lease_verdict::granted, &state::lease_verdict::holder, &state::lease_verdict::holderIncarnation, &state::lease_verdict::fencing, &state::lease_verdict::remaining, &state::lease_verdict::waitBeforeUnfencedOrders); }
+constexpr auto fieldsOf(std::type_identity<state::order_verdict>)
+{ return std::tuple(&state::order_verdict::state, &state::order_verdict::alreadyKnown); }
 constexpr auto fieldsOf(std::type_identity<subscribe>)
-{ return std::tuple(&subscribe::revision); }
+{ return std::tuple(&subscribe::revision, &subscribe::push); }
 constexpr auto fieldsOf(std::type_identity<state::configuration>)
 { return std::tuple(&state::configuration::revision, &state::configuration::document, &state::configuration::editId, &state::configuration::author); }
 constexpr auto fieldsOf(std::type_identity<configuration_update>)
@@ -41,6 +51,10 @@
 { return std::tuple(&host_report::host, &host_report::incarnation, &host_report::revision, &host_report::ageMilliseconds); }
 constexpr auto fieldsOf(std::type_identity<status_report>)
 { return std::tuple(&status_report::hosts); }
+constexpr auto fieldsOf(std::type_identity<share_request>)
+{ return std::tuple(&share_request::host, &share_request::incarnation, &share_request::sequence, &share_request::ledger, &share_request::current, &share_request::demand); }
+constexpr auto fieldsOf(std::type_identity<share_grant>)
+{ return std::tuple(&share_grant::sequence, &share_grant::ledger, &share_grant::granted, &share_grant::share); }
 constexpr auto fieldsOf(std::type_identity<join>)
 { return std::tuple(&join::memberId); }
 // clang-format on
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibState/edits.h"
+#include "LibState/command_result.h"
 
 #include <cstdint>
 #include <string>
@@ -83,19 +83,33 @@
     Undecided, ///< Repeat the command.
 };
 
+enum class verdict_kind : std::uint8_t { None, Edit, Claim, Lease, Order };
+
 struct propose_result
 {
     std::uint64_t requestId = 0;
     propose_outcome outcome = propose_outcome::Undecided;
-    std::string result; ///< Encoded by LibState; empty unless committed.
+    std::uint32_t error = 0; ///< state::state_error, or 0 for none.
+    verdict_kind kind = verdict_kind::None; ///< Which of the following is set.
+    state::edit_verdict edit;
+    state::claim_verdict claim;
+    state::lease_verdict lease;
+    state::order_verdict order;
 
-    bool operator==(const propose_result &) const = default;
+    bool operator==(const propose_result &other) const;
 };
 
+/// Puts the result of a committed command into the wire form, and back.
+propose_result makeProposeResult(std::uint64_t requestId, const state::command_result &result);
+state::command_result commandResult(const propose_result &result);
+
 /// Asks for configurations newer than the one in force at the sender.
 struct subscribe
 {
     std::uint64_t revision = 0;
+    /// Whether later configurations are to be pushed for the next few seconds. Only one sender
+    /// pushes to a host, since documents are large.
+    bool push = true;
 
     bool operator==(const subscribe &) const = default;
 };
@@ -184,8 +198,32 @@
     bool operator==(const join &) const = default;
 };
 
-using message = std::variant<hello, challenge, challenge_response, heartbeat, fragment,
-                             raft_payload, propose, propose_result, subscribe, configuration_update,
-                             gossip, status_request, status_report, join>;
+/// Sent to the leader; see share_ledger.
+struct share_request
+{
+    std::string host;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0; ///< Grows; the holder ignores grants for earlier requests.
+    std::uint64_t ledger = 0; ///< The ledger that answered last; 0 for none.
+    std::uint32_t current = 0; ///< Millionths of the limit that the host uses now.
+    std::uint64_t demand = 0; ///< Recent demand, in any unit that is the same on all hosts.
+
+    bool operator==(const share_request &) const = default;
+};
+
+struct share_grant
+{
+    std::uint64_t sequence = 0; ///< Of the request.
+    std::uint64_t ledger = 0; ///< Who answers.
+    bool granted = false; ///< False: the share is unchanged; ask again.
+    std::uint32_t share = 0; ///< Millionths of the limit.
+
+    bool operator==(const share_grant &) const = default;
+};
+
+using message
+    = std::variant<hello, challenge, challenge_response, heartbeat, fragment, raft_payload, propose,
+                   propose_result, subscribe, configuration_update, gossip, status_request,
+                   status_report, join, share_request, share_grant>;
 
 } // namespace quetzalcleat::peer
--- /dev/null
+++ b/Tests/Peer/test_control.cpp
@@ -0,0 +1,259 @@
+#include "LibPeer/peer_error.h"
+#include "LibState/state_error.h"
+#include "test_cluster.h"
+
+namespace core = quetzalcleat::core;
+namespace peer = quetzalcleat::peer;
+namespace state = quetzalcleat::state;
+using peer::test::runFor;
+using std::chrono::milliseconds;
+
+using control = peer::test::test_cluster;
+
+namespace {
+
+state::edit makeEdit(const std::string &id, std::uint64_t base)
+{
+    return {id, base, "document " + id, "operator"};
+}
+
+} // namespace
+
+// Guards against an accepted edit that is not in force on every host, against revisions that do
+// not strictly grow in a process, and against a resend or a conflict that is decided anew.
+TEST_F(control, EditIsInForceOnEveryHost)
+{
+    startAll();
+    ASSERT_TRUE(until([&] { return allHaveRevision(1); }));
+    const auto accepted = edit("e1", makeEdit("first", 1));
+    ASSERT_TRUE(accepted) << accepted.error().message();
+    EXPECT_EQ(accepted.value().kind, state::edit_verdict_kind::Accepted);
+    const auto revision = accepted.value().revision;
+    ASSERT_TRUE(until([&] { return allHaveRevision(revision); }));
+    ASSERT_TRUE(until([&] {
+        const auto status = client("e2").status();
+        return !status.stale && !status.leader.empty() && status.hosts.size() == 7
+            && std::all_of(status.hosts.begin(), status.hosts.end(),
+                           [&](const auto &host) { return host.revision == revision; });
+    }));
+
+    const auto again = edit("e3", makeEdit("first", 1));
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again.value().kind, state::edit_verdict_kind::Accepted);
+    EXPECT_EQ(again.value().revision, revision);
+    const auto conflict = edit("e2", makeEdit("second", 1));
+    ASSERT_TRUE(conflict);
+    EXPECT_EQ(conflict.value().kind, state::edit_verdict_kind::Conflict);
+    for (const auto &[name, host] : hosts) {
+        EXPECT_TRUE(
+            std::is_sorted(host.revisions.begin(), host.revisions.end(), std::less_equal<>()))
+            << name;
+        EXPECT_EQ(host.revisions.back(), revision) << name;
+    }
+}
+
+// Guards against a key that is granted twice when several hosts claim it at the same time.
+TEST_F(control, KeyIsGrantedOnce)
+{
+    startAll();
+    ASSERT_TRUE(until([&] { return allHaveRevision(1); }));
+    constexpr std::size_t keys = 40;
+    std::map<std::string, int> granted;
+    std::size_t answers = 0;
+    for (std::size_t index = 0; index < keys; ++index) {
+        for (const std::string host : {"e1", "e2", "e3", "c1"}) {
+            const auto key = "key-" + std::to_string(index);
+            client(host).claim(request(host, key), patience, [&, key](auto verdict) {
+                ++answers;
+                ASSERT_TRUE(verdict) << verdict.error().message();
+                granted[key] += verdict.value().kind == state::claim_verdict_kind::Granted ? 1 : 0;
+            });
+        }
+    }
+    ASSERT_TRUE(until([&] { return answers == 4 * keys; }));
+    EXPECT_EQ(granted.size(), keys);
+    for (const auto &[key, count] : granted)
+        EXPECT_EQ(count, 1) << key;
+}
+
+// Guards against a claim that is granted twice, or an accepted edit that is lost, when the leader
+// crashes while proposals are under way; and against a cluster that does not recover.
+TEST_F(control, LossOfTheLeaderLosesAndRepeatsNothing)
+{
+    startAll();
+    ASSERT_TRUE(until([&] { return allHaveRevision(1) && !leader().empty(); }));
+    ASSERT_TRUE(edit("e1", makeEdit("before", 1)));
+    const auto killed = leader();
+    std::map<std::string, int> granted;
+    std::size_t answers = 0;
+    constexpr std::size_t keys = 30;
+    for (std::size_t index = 0; index < keys; ++index) {
+        for (const std::string host : {"e1", "e2"}) {
+            const auto key = "key-" + std::to_string(index);
+            client(host).claim(request(host, key), patience, [&, key](auto verdict) {
+                ++answers;
+                if (verdict && verdict.value().kind == state::claim_verdict_kind::Granted)
+                    ++granted[key];
+            });
+        }
+        runFor(context, milliseconds(1));
+        if (index == keys / 2)
+            stopHost(killed);
+    }
+    ASSERT_TRUE(until([&] { return answers == 2 * keys; }));
+    EXPECT_EQ(granted.size(), keys);
+    for (const auto &[key, count] : granted)
+        EXPECT_EQ(count, 1) << key;
+
+    const auto after = edit("e2", makeEdit("after", 2));
+    ASSERT_TRUE(after) << after.error().message();
+    EXPECT_EQ(after.value().kind, state::edit_verdict_kind::Accepted);
+    startHost(killed);
+    EXPECT_TRUE(until([&] { return allHaveRevision(3); }));
+}
+
+// Guards against a minority that decides, or that refuses what it cannot know.
+TEST_F(control, IsolatedMinorityAnswersUndecided)
+{
+    startAll();
+    ASSERT_TRUE(until([&] { return allHaveRevision(1) && !leader().empty(); }));
+    const auto isolated = leader();
+    const auto entry = isolated == "c1" ? "e1" : "e2";
+    setIsolated({isolated, entry}, true);
+    for (const auto &host : {isolated, std::string(entry)}) {
+        const auto verdict = edit(host, makeEdit("minority " + host, 1), milliseconds(1500));
+        EXPECT_EQ(verdict.error(), peer::peer_error::Undecided);
+        EXPECT_EQ(claim(request(host, "key"), milliseconds(500)).error(),
+                  peer::peer_error::Undecided);
+    }
+    EXPECT_TRUE(until([&] { return client(entry).status().stale; }));
+
+    const auto majority = edit("e3", makeEdit("majority", 1));
+    ASSERT_TRUE(majority) << majority.error().message();
+    ASSERT_EQ(majority.value().kind, state::edit_verdict_kind::Accepted);
+    EXPECT_EQ(client(entry).status().revision, 1U);
+    setIsolated({isolated, entry}, false);
+    ASSERT_TRUE(until([&] { return allHaveRevision(2); }));
+    EXPECT_EQ(edit(entry, makeEdit("minority " + isolated, 1)).value().kind,
+              state::edit_verdict_kind::Conflict);
+    // The attempts of the minority were abandoned, so they do not keep the key.
+    EXPECT_TRUE(until([&] {
+        const auto verdict = claim(request("e3", "key"));
+        return verdict && verdict.value().kind == state::claim_verdict_kind::Granted;
+    }));
+}
+
+// Guards against answers, claims or accepted edits that are forgotten when all processes restart.
+TEST_F(control, StateSurvivesARestartOfAllHosts)
+{
+    startAll();
+    ASSERT_TRUE(until([&] { return allHaveRevision(1); }));
+    ASSERT_TRUE(edit("e1", makeEdit("kept", 1)));
+    const auto finished = request("e1", "finished");
+    ASSERT_EQ(claim(finished).value().kind, state::claim_verdict_kind::Granted);
+    const state::stored_answer answer{201, "text/plain", "crew 7 is booked", false};
+    client("e1").finishClaim({finished.attempt, true, answer});
+    ASSERT_EQ(claim(request("e1", "running")).value().kind, state::claim_verdict_kind::Granted);
+    ASSERT_TRUE(until([&] {
+        return claim(request("e2", "finished")).value().kind == state::claim_verdict_kind::Finished;
+    }));
+    for (const auto &[name, host] : hosts)
+        stopHost(name);
+    for (const auto &[name, host] : hosts)
+        startHost(name);
+    ASSERT_TRUE(until([&] { return allHaveRevision(2); }));
+    const auto duplicate = claim(request("e2", "finished"));
+    ASSERT_TRUE(duplicate);
+    EXPECT_EQ(duplicate.value().kind, state::claim_verdict_kind::Finished);
+    EXPECT_EQ(duplicate.value().answer, answer);
+    // The owner's process has ended: it may have sent the call, so the outcome is unknown.
+    EXPECT_TRUE(until([&] {
+        return claim(request("e2", "running")).value().kind == state::claim_verdict_kind::Unknown;
+    }));
+}
+
+// Guards against a grant that arrives after the call has timed out and is delivered, or keeps the
+// key for nobody.
+TEST_F(control, LateGrantIsAbandoned)
+{
+    startAll();
+    ASSERT_TRUE(until([&] { return allHaveRevision(1) && !client("e3").status().stale; }));
+    setDelay("e3", milliseconds(150));
+    int answers = 0;
+    client("e3").claim(request("e3", "key"), milliseconds(100), [&](auto verdict) {
+        ++answers;
+        EXPECT_EQ(verdict.error(), peer::peer_error::Undecided);
+    });
+    ASSERT_TRUE(until([&] { return answers == 1; }));
+    setDelay("e3", milliseconds(0));
+    EXPECT_TRUE(until([&] {
+        const auto verdict = claim(request("e1", "key"));
+        return verdict && verdict.value().kind == state::claim_verdict_kind::Granted;
+    }));
+    EXPECT_EQ(answers, 1);
+}
+
+// Guards against a diskless host that restarts in a data centre without a link to the others and
+// runs without a configuration, or with an older one than its peers have.
+TEST_F(control, RestartedHostInCutOffCentreTakesRevisionFromPeer)
+{
+    startAll();
+    ASSERT_TRUE(until([&] { return allHaveRevision(1); }));
+    ASSERT_TRUE(edit("e1", makeEdit("newest", 1)));
+    ASSERT_TRUE(until([&] { return allHaveRevision(2); }));
+    setIsolated({"e3", "e4"}, true);
+    stopHost("e4");
+    startHost("e4");
+    EXPECT_TRUE(until([&] { return client("e4").status().revision == 2; }));
+    EXPECT_TRUE(client("e4").status().stale);
+    EXPECT_EQ(hosts["e4"].revisions, std::vector<std::uint64_t>{2});
+
+    ASSERT_TRUE(edit("e1", makeEdit("missed", 2)));
+    setIsolated({"e3", "e4"}, false);
+    EXPECT_TRUE(until([&] { return allHaveRevision(3) && !client("e4").status().stale; }));
+}
+
+// Guards against a control host with an emptied disk that votes under its old identity, or that is
+// never taken in again.
+TEST_F(control, EmptiedControlHostIsReplacedByANewMember)
+{
+    startAll();
+    ASSERT_TRUE(until([&] { return allHaveRevision(1) && !leader().empty(); }));
+    const std::string emptied = leader() == "c3" ? "c2" : "c3";
+    stopHost(emptied);
+    emptyDataFolder(emptied);
+    ASSERT_TRUE(edit("e1", makeEdit("while away", 1)));
+    startHost(emptied);
+    ASSERT_TRUE(until([&] { return allHaveRevision(2); }));
+    // Once it counts as a voter, it makes a majority with one of the other two.
+    std::uint64_t base = 2;
+    const auto other = emptied == "c3" ? "c2" : "c3";
+    ASSERT_TRUE(until([&] { return isVoter(emptied); }));
+    stopHost(leader() == "c1" ? "c1" : other);
+    const auto accepted = edit("e3", makeEdit("with the new member", base));
+    ASSERT_TRUE(accepted) << accepted.error().message();
+    EXPECT_EQ(accepted.value().kind, state::edit_verdict_kind::Accepted);
+}
+
+// Guards against shares of the fleet-wide limits that exceed the limit during a cut, or that no
+// host gets.
+TEST_F(control, SharesOfLimitsLapseInACut)
+{
+    startAll();
+    const auto sum = [&] {
+        double total = 0;
+        for (const auto &[name, host] : hosts)
+            total += client(name).leasedShare();
+        EXPECT_LE(total, 1.000001);
+        return total;
+    };
+    for (const auto &[name, host] : hosts)
+        client(name).reportDemand(10);
+    ASSERT_TRUE(until([&] { return sum() > 0.99; }));
+    setIsolated({"e3", "e4"}, true);
+    ASSERT_TRUE(until([&] {
+        return sum() > 0.99 && client("e3").leasedShare() == 0 && client("e4").leasedShare() == 0;
+    }));
+    setIsolated({"e3", "e4"}, false);
+    EXPECT_TRUE(until([&] { return sum() > 0.99 && client("e3").leasedShare() > 0.05; }));
+}
--- a/Tests/Peer/test_frames.cpp
+++ b/Tests/Peer/test_frames.cpp
@@ -8,6 +8,7 @@
 #include <rapidcheck/gtest.h>
 
 namespace peer = quetzalcleat::peer;
+namespace state = quetzalcleat::state;
 
 namespace {
 
@@ -32,8 +33,16 @@
         true,
         *rc::gen::arbitrary<bool>(),
         arbitraryBytes()};
-    const peer::propose_result result{*rc::gen::arbitrary<std::uint64_t>(),
-                                      peer::propose_outcome::Undecided, arbitraryBytes()};
+    peer::propose_result result;
+    result.requestId = *rc::gen::arbitrary<std::uint64_t>();
+    result.error = *rc::gen::arbitrary<std::uint32_t>();
+    result.kind = peer::verdict_kind::Claim;
+    result.edit = {state::edit_verdict_kind::EditIdReused, 5};
+    result.claim = {state::claim_verdict_kind::AttemptAbandoned,
+                    {*rc::gen::arbitrary<std::uint16_t>(), "text/plain", arbitraryBytes(), true}};
+    result.lease
+        = {true, "holder", 3, 4, std::chrono::milliseconds(5), std::chrono::milliseconds(6)};
+    result.order = {state::order_state::Undone, true};
     const peer::status_report report{{{arbitraryBytes(), 1, 2, 3}, {"b", 4, 5, 6}}};
     return *rc::gen::element<peer::message>(
         gossip, update, result, report, peer::status_request{}, peer::join{7},
--- a/Tests/Peer/test_network.cpp
+++ b/Tests/Peer/test_network.cpp
@@ -93,11 +93,12 @@
 {
     start(oneKey, oneKey);
     for (std::uint64_t revision = 1; revision <= 50; ++revision)
-        ASSERT_TRUE(a->send("b", peer::subscribe{revision}));
+        ASSERT_TRUE(a->send("b", peer::subscribe{revision, true}));
     ASSERT_TRUE(runUntil(context, [&] { return received["b"].size() == 50; }));
     for (std::uint64_t revision = 1; revision <= 50; ++revision) {
         EXPECT_EQ(received["b"][revision - 1].first, "a");
-        EXPECT_EQ(received["b"][revision - 1].second, peer::message(peer::subscribe{revision}));
+        EXPECT_EQ(received["b"][revision - 1].second,
+                  peer::message(peer::subscribe{revision, true}));
     }
     ASSERT_TRUE(b->send("a", peer::join{7}));
     EXPECT_TRUE(runUntil(context, [&] { return received["a"].size() == 1; }));
