LibPeer: Add the planner of orders to endpoints

Cause: models are to be placed by one controller at a time, and an interrupted change must be finished or undone by the next one. Change: a pure planner that begins an order in the replicated state before it is sent, sends it under the fencing number of the present lease, finishes or undoes orders of a predecessor, waits for the old lease where endpoints ignore the number, and limits loads from the weight store; control_lease counts its time from before the request. It is not connected to the runtime and to an HTTP sender yet.

--- /dev/null
+++ b/Libraries/LibPeer/order_planner.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "LibCore/time.h"
+#include "LibState/command.h"
+#include "LibState/command_result.h"
+#include "LibState/replicated_state.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace quetzalcleat::peer {
+
+/// The control lease as its holder may use it. Pure.
+class control_lease
+{
+public:
+    control_lease(std::string host, std::uint64_t incarnation)
+        : m_host(std::move(host)), m_incarnation(incarnation)
+    {
+    }
+
+    /// The command that acquires or renews the lease, if it is time for that.
+    std::optional<state::lease_acquire> request(core::instant now);
+
+    /// The verdict on the last request. Time counts from when the request was made.
+    void handle(const state::lease_verdict &verdict, core::instant now);
+
+    /// No verdict came, or an endpoint has seen a later fencing number.
+    void lose();
+
+    bool isHeld(core::instant now) const { return now < m_usableUntil; }
+    std::uint64_t fencing() const { return m_fencing; }
+
+    /// From when on endpoints that do not check fencing numbers may be given orders: the lease of
+    /// the predecessor has ended then, and its last orders have arrived or never will.
+    core::instant unfencedFrom() const { return m_unfencedFrom; }
+
+private:
+    std::string m_host;
+    std::uint64_t m_incarnation;
+    std::uint64_t m_fencing = 0;
+    core::instant m_requestedAt;
+    core::instant m_usableUntil;
+    core::instant m_unfencedFrom;
+};
+
+/// What the rules want on an endpoint.
+struct model_placement
+{
+    std::string endpoint;
+    std::string model;
+    std::string version;
+
+    bool operator==(const model_placement &) const = default;
+    bool operator<(const model_placement &other) const
+    {
+        return std::tie(endpoint, model, version)
+            < std::tie(other.endpoint, other.model, other.version);
+    }
+};
+
+/// What an endpoint reports.
+struct endpoint_view
+{
+    bool checksFencing = false;
+    bool reachable = false; ///< Whether `loaded` is recent.
+    std::set<std::pair<std::string, std::string>> loaded; ///< Model and version.
+};
+
+struct order_plan
+{
+    /// To be proposed. An order is sent only once it is in the replicated state, so that a
+    /// successor of this holder knows of it.
+    std::vector<state::order_begin> begin;
+    std::vector<state::order_finish> finish; ///< To be proposed.
+    std::vector<state::order_begin> send; ///< To be sent to the endpoint, also again.
+};
+
+struct order_planner_options
+{
+    /// Loads that draw on the weight store at the same time, over all holders of the lease.
+    std::size_t maximumLoads = 2;
+    std::chrono::milliseconds resendInterval{3000};
+};
+
+constexpr auto loadModelOrder = "load_model";
+constexpr auto unloadModelOrder = "unload_model";
+
+/// Compares what the rules want with what the endpoints report, and says which orders to begin,
+/// send and finish. Pure; the holder of the control lease calls plan() at intervals.
+///
+/// Orders of a predecessor are in the replicated state: they are sent again under the fencing
+/// number of the present lease if the rules still want them, and otherwise recorded as undone. A
+/// load that takes effect after that is seen in the reports and unloaded by an order of its own.
+class order_planner
+{
+public:
+    explicit order_planner(order_planner_options options) : m_options(options) { }
+
+    order_plan plan(const control_lease &lease, const std::set<model_placement> &wanted,
+                    const std::map<std::string, endpoint_view> &endpoints,
+                    const std::map<std::string, state::order_record> &orders, core::instant now);
+
+private:
+    struct proposed_order
+    {
+        state::order_begin order;
+        core::instant at;
+    };
+
+    void planOpenOrder(const state::order_begin &order, const control_lease &lease,
+                       const std::set<model_placement> &wanted,
+                       const std::map<std::string, endpoint_view> &endpoints, order_plan &plan,
+                       core::instant now);
+    void begin(const char *kind, const model_placement &placement, const control_lease &lease,
+               order_plan &plan, core::instant now);
+    bool maySend(const endpoint_view &endpoint, const control_lease &lease,
+                 core::instant now) const;
+
+    order_planner_options m_options;
+    std::map<std::string, proposed_order> m_proposed; ///< Not in the replicated state yet.
+    std::map<std::string, core::instant> m_sentAt;
+    std::uint64_t m_lastNumber = 0;
+    std::uint64_t m_fencing = 0;
+};
+
+/// Sends orders to endpoints. Satisfied by the HTTP client and by fakes.
+enum class order_answer { Accepted, StaleFencing, Failed };
+
+template <typename Type>
+concept order_sender = requires(Type &sender, const state::order_begin &order,
+                                std::function<void(order_answer)> handler)
+{
+    sender.sendOrder(order, handler);
+};
+
+} // namespace quetzalcleat::peer
