quetzalcleatd: Resume with the right generation and an attempt id of its own

Cause: a closed loop of 10,000 requests against nine hosts broke 2 answers. The arguments of optional::emplace referred to the generation that it destroys, so X-Generation-Id held freed memory and the engine closed the connection; ids of up to 15 bytes, which the tests used, live in the string object and hid it. Ruled out: the engine stand-in (3 x 10,000 direct requests whole) and the DELETE of a preempted attempt. Change: the id is copied first. Figures: ResumesOnlyTheSameGeneration with a long id fails before ("q/0 q/1" delivered) and passes after; 233 tests pass. Conclusion: the cause is found and tested.

--- a/Services/quetzalcleatd/completion_session.cpp
+++ b/Services/quetzalcleatd/completion_session.cpp
@@ -152,11 +152,13 @@
         attemptFailed(daemon_error::UnfinishedAnswer);
         return;
     }
-    // A generation belongs to the request id that it was started under.
-    if (!resumes)
-        m_attemptId = m_requestId + '.' + newRequestId() + '.' + std::to_string(m_attempts);
+    // Each attempt has an id of its own: the cancellation of an earlier attempt may reach the
+    // engine after the request that resumes it.
+    m_attemptId = m_requestId + '.' + newRequestId() + '.' + std::to_string(m_attempts);
     if (resumes) {
-        m_generation.emplace(m_attemptId, m_generation->generationId(), m_generation->nextIndex());
+        // emplace() destroys the old generation before it reads its arguments.
+        const auto generationId = m_generation->generationId();
+        m_generation.emplace(m_attemptId, generationId, m_generation->nextIndex());
     } else {
         m_generation.emplace(m_attemptId);
         m_collected.clear();
--- a/Tests/Daemon/fake_engine.h
+++ b/Tests/Daemon/fake_engine.h
@@ -40,9 +40,12 @@
     const std::vector<engine_call> &calls() const { return m_calls; }
     const std::vector<std::string> &cancelled() const { return m_cancelled; }
 
+    /// Long enough to be kept outside of the string object, as ids of real engines are.
+    inline static const std::string generationId = "generation-of-the-first-attempt";
+
     /// One event of a stream, as a chunk.
     static std::string event(const engine_call &call, std::uint32_t index, bool last,
-                             const std::string &generation = "g1");
+                             const std::string &generation = generationId);
     static std::string done();
     static std::string expectedToken(const std::string &prompt, std::uint32_t index);
     static std::string expectedAnswer(const std::string &prompt, std::uint32_t tokens);
