Tests: Name the fixture and includes as the linter expects

Cause: the linter could not find headers outside of Libraries and refused the fixture's name. Change: relative includes of the simulation, log_store_test. Conclusion: no change of behaviour.

--- a/Tests/Consensus/test_log_store.cpp
+++ b/Tests/Consensus/test_log_store.cpp
@@ -1,6 +1,6 @@
+#include "../../Utilities/explore-schedules/simulated_files.h"
 #include "LibConsensus/log_store_implementation.h"
 #include "raft_fixture.h"
-#include "simulated_files.h"
 
 #include <gtest/gtest.h>
 
@@ -24,7 +24,7 @@
     return work;
 }
 
-class LogStore : public testing::Test
+class log_store_test : public testing::Test
 {
 protected:
     void SetUp() override
@@ -77,7 +77,7 @@
 } // namespace
 
 // Guards against lost or changed entries and hard state after a restart.
-TEST_F(LogStore, ReadsBackWhatWasWritten)
+TEST_F(log_store_test, ReadsBackWhatWasWritten)
 {
     write({entries(2, 4), entries(4, 5, 3)});
     const auto restored = reopen();
@@ -88,7 +88,7 @@
 }
 
 // Guards against acknowledged entries that a loss of power takes away.
-TEST_F(LogStore, SyncedEntriesSurviveALossOfPower)
+TEST_F(log_store_test, SyncedEntriesSurviveALossOfPower)
 {
     for (log_index index = 2; index < 40; ++index) {
         write({entries(index, index)});
@@ -98,7 +98,7 @@
 }
 
 // Guards against a torn, never acknowledged batch that keeps the member from starting.
-TEST_F(LogStore, DropsATornTail)
+TEST_F(log_store_test, DropsATornTail)
 {
     write({entries(2, 3)});
     auto opened = open();
@@ -113,7 +113,7 @@
 }
 
 // Guards against acknowledged entries that are taken for a torn tail.
-TEST_F(LogStore, RefusesAnAcknowledgedTail)
+TEST_F(log_store_test, RefusesAnAcknowledgedTail)
 {
     write({entries(2, 3), entries(4, 5)});
     const auto whole = newestSegment();
@@ -132,7 +132,7 @@
 }
 
 // Guards against a write after a failed one, which could leave a hole in the log.
-TEST_F(LogStore, StaysFailedUntilReopened)
+TEST_F(log_store_test, StaysFailedUntilReopened)
 {
     auto opened = open();
     disk->freeBytes = 20;
@@ -144,7 +144,7 @@
 }
 
 // Guards against data that the operating system shows after a failed sync but never saves.
-TEST_F(LogStore, TrustsNothingAfterAFailedSync)
+TEST_F(log_store_test, TrustsNothingAfterAFailedSync)
 {
     auto opened = open();
     disk->failNextSync = true;
@@ -155,7 +155,7 @@
 }
 
 // Guards against segments that are removed too early or never, and against missing ones.
-TEST_F(LogStore, SnapshotsReplaceOldSegments)
+TEST_F(log_store_test, SnapshotsReplaceOldSegments)
 {
     chosen.segmentBytes = 200;
     auto opened = open();
@@ -183,7 +183,7 @@
 
 // Guards against an installed snapshot that is mixed with the void log before it. The store once
 // removed the segment that it had just begun, because an empty one had the same number.
-TEST_F(LogStore, InstalledSnapshotStartsTheLogAnew)
+TEST_F(log_store_test, InstalledSnapshotStartsTheLogAnew)
 {
     write({entries(2, 3)});
     auto opened = open();
@@ -202,7 +202,7 @@
 }
 
 // Guards against a damaged snapshot that is loaded, and a lost one that goes unnoticed.
-TEST_F(LogStore, RefusesDamagedSnapshots)
+TEST_F(log_store_test, RefusesDamagedSnapshots)
 {
     ready work = entries(51, 52);
     work.snapshotToInstall = snapshotAt(50);
@@ -215,7 +215,7 @@
 }
 
 // Guards against a member that forgets its votes because its identity was lost.
-TEST_F(LogStore, RefusesALostIdentity)
+TEST_F(log_store_test, RefusesALostIdentity)
 {
     write({entries(2, 3)});
     disk->names["identity"]->visible[14] ^= std::byte{1};
--- a/Tests/Consensus/test_schedules.cpp
+++ b/Tests/Consensus/test_schedules.cpp
@@ -1,4 +1,4 @@
-#include "simulated_cluster.h"
+#include "../../Utilities/explore-schedules/simulated_cluster.h"
 
 #include <gtest/gtest.h>
 
