--- a/Tests/Peer/test_cluster.h
+++ b/Tests/Peer/test_cluster.h
@@ -106,6 +106,14 @@
         }
     }
 
+    std::uint64_t forwardedBytes() const
+    {
+        std::uint64_t bytes = 0;
+        for (const auto &[link, relay] : m_relays)
+            bytes += relay->forwardedBytes();
+        return bytes;
+    }
+
     void setDelay(const std::string &name, std::chrono::milliseconds delay)
     {
         for (auto &[link, relay] : m_relays) {
--- a/Tests/Peer/test_control.cpp
+++ b/Tests/Peer/test_control.cpp
@@ -2,6 +2,8 @@
 #include "LibState/state_error.h"
 #include "test_cluster.h"
 
+#include <iostream>
+
 namespace core = quetzalcleat::core;
 namespace peer = quetzalcleat::peer;
 namespace state = quetzalcleat::state;
@@ -257,3 +259,19 @@
     setIsolated({"e3", "e4"}, false);
     EXPECT_TRUE(until([&] { return sum() > 0.99 && client("e3").leasedShare() > 0.05; }));
 }
+
+// Guards against control traffic of an idle fleet above 5 KB/s per host. The time window is not
+// exact on a slow machine, which can only lower the figure.
+TEST_F(control, IdleTrafficIsSmall)
+{
+    startAll();
+    ASSERT_TRUE(until([&] { return allHaveRevision(1) && !leader().empty(); }));
+    runFor(context, milliseconds(2000));
+    const auto before = forwardedBytes();
+    runFor(context, milliseconds(4000));
+    const auto perHost
+        = static_cast<double>(forwardedBytes() - before) / 4.0 / static_cast<double>(hosts.size());
+    std::cout << perHost << " bytes per second and host with " << hosts.size() << " hosts\n";
+    // Each byte is sent by one host and received by another one.
+    EXPECT_LT(perHost, 5000);
+}
--- a/Utilities/quetzalcleat-relay/tcp_relay.cpp
+++ b/Utilities/quetzalcleat-relay/tcp_relay.cpp
@@ -135,6 +135,7 @@
         close(session);
         return;
     }
+    m_forwardedBytes += pump.bytes;
     auto &destination = way == direction::Forward ? session->target : session->client;
     asio::async_write(
         destination, asio::buffer(pump.buffer.data(), pump.bytes),
--- a/Utilities/quetzalcleat-relay/tcp_relay.h
+++ b/Utilities/quetzalcleat-relay/tcp_relay.h
@@ -35,6 +35,8 @@
     void closeOpenConnections();
     void stop();
 
+    std::uint64_t forwardedBytes() const { return m_forwardedBytes; } ///< In both directions.
+
 private:
     struct pump
     {
@@ -79,6 +81,7 @@
     std::vector<session_pointer> m_sessions;
     std::chrono::milliseconds m_delay{0};
     std::array<bool, 2> m_cut{};
+    std::uint64_t m_forwardedBytes = 0;
     bool m_stopped = false;
 };
 
