--- a/Libraries/LibPolicy/decision_core.cpp
+++ b/Libraries/LibPolicy/decision_core.cpp
@@ -481,6 +481,27 @@
     }
 }
 
+template <routing_policy Routing>
+void basic_decision_core<Routing>::servePools(core::instant now)
+{
+    auto restedLeft = m_tables.options.restedPoolsPerTick;
+    const auto count = static_cast<std::uint32_t>(m_tables.pools.size());
+    const std::uint32_t first = m_firstPool;
+    for (std::uint32_t offset = 0; offset < count; ++offset) {
+        const std::uint32_t index = (first + offset) % count;
+        auto &pool = m_tables.pools[index];
+        if (pool.queued == 0)
+            continue;
+        if (!pool.changed) {
+            if (restedLeft == 0 || now - pool.servedAt < m_tables.options.longestRest)
+                continue;
+            --restedLeft;
+            m_firstPool = index + 1;
+        }
+        servePool(pool, now);
+    }
+}
+
 template <routing_policy Routing>
 std::vector<decision> basic_decision_core<Routing>::tick(core::instant now)
 {
@@ -490,11 +511,7 @@
     expire(now);
     if constexpr (Routing::usesTiers)
         m_totals.ejected += m_outliers.run(m_tables, now);
-    for (auto &pool : m_tables.pools) {
-        const bool isDue = pool.changed || now - pool.servedAt >= m_tables.options.longestRest;
-        if (pool.queued > 0 && isDue)
-            servePool(pool, now);
-    }
+    servePools(now);
     return std::exchange(m_decisions, {});
 }
 
--- a/Libraries/LibPolicy/decision_core.h
+++ b/Libraries/LibPolicy/decision_core.h
@@ -89,6 +89,7 @@
     void shed(request_id victim, decision_reason reason, const request_record &beneficiary,
               core::instant now);
     void expire(core::instant now);
+    void servePools(core::instant now);
     void servePool(pool_record &pool, core::instant now);
     bool preemptFor(const queue_selection &selection, core::instant now);
     void dispatch(const queue_selection &selection, const routing_choice &choice,
@@ -111,6 +112,7 @@
     decision_journal m_journal;
     decision_totals m_totals;
     std::vector<decision> m_decisions; ///< Of the next or the running tick.
+    std::uint32_t m_firstPool = 0; ///< Where the next tick starts to look for unchanged pools.
     std::uint32_t m_preemptionsLeft = 0; ///< In the running tick.
     core::instant m_now{}; ///< Of the last call, for dump().
 };
--- a/Libraries/LibPolicy/policy_options.h
+++ b/Libraries/LibPolicy/policy_options.h
@@ -44,6 +44,9 @@
     /// limits refill and reports age without a change.
     std::chrono::milliseconds longestRest{10};
 
+    /// Unchanged pools that one tick looks at, so that a tick with many pools stays short.
+    std::uint32_t restedPoolsPerTick = 2;
+
     /// Tokens that one prefix block stands for.
     std::uint32_t tokensPerBlock = 16;
 
--- a/Tests/Policy/test_endpoints.cpp
+++ b/Tests/Policy/test_endpoints.cpp
@@ -98,6 +98,9 @@
     const auto decisions = driver.tick();
     EXPECT_EQ(std::ranges::count(decisions, decision_reason::Probe, &decision::reason), 1);
     EXPECT_EQ(driver.endpoint(0).inFlight, 1U);
+    driver.submit(makeSpec(1));
+    driver.tick(10ms);
+    EXPECT_EQ(driver.endpoint(0).inFlight, 1U);
 }
 
 // Guards against an endpoint that stopped answering and so gives no samples.
