LibPolicy: Test service calls and repeatable decisions

Cause: two promises of the header had no test: calls to services, and equal decisions for equal calls and seeds. Change: a test for each; the second compares 2000 rounds with many documents.

--- a/Tests/Policy/test_reconfiguration.cpp
+++ b/Tests/Policy/test_reconfiguration.cpp
@@ -58,12 +58,15 @@
     EXPECT_EQ(driver.core.dump().classes.at(1).queued, 0U);
 }
 
-// Guards against slots that are mixed up when names come, go and come back under load.
-TEST(Reconfiguration, SurvivesManyDocuments)
+namespace {
+
+/// Runs a long history with many documents; returns every decision and the final state.
+std::pair<std::vector<decision>, dump_view> runManyDocuments(std::uint64_t seed)
 {
     const auto document = makeDocument(3, 4, 2, 2);
-    driver driver(document);
+    driver driver(document, {}, seed);
     random_source random(5);
+    std::vector<decision> decisions;
     for (int round = 0; round < 2000; ++round) {
         for (int index = 0; index < 3; ++index)
             driver.submit(makeSpec(random.below(3), random.below(2)));
@@ -77,13 +80,33 @@
             changed.endpoints.back().name = "extra-" + std::to_string(random.below(7));
             driver.core.configure(changed, {"host", "north-a"}, driver.now);
         }
-        driver.tick(10ms);
+        const auto made = driver.tick(10ms);
+        decisions.insert(decisions.end(), made.begin(), made.end());
         while (driver.running.size() > 4)
             driver.finish(driver.running.begin()->first);
     }
-    const auto view = driver.core.dump();
+    auto view = driver.core.dump();
     std::uint32_t running = 0;
     for (const auto &entry : view.classes)
         running += entry.running;
     EXPECT_EQ(running, driver.running.size());
+    return {decisions, view};
+}
+
+} // namespace
+
+// Guards against slots that are mixed up when names come, go and come back under load, and against
+// decisions that depend on anything but the calls and the seed.
+TEST(Reconfiguration, ManyDocumentsGiveRepeatableDecisions)
+{
+    const auto [first, firstView] = runManyDocuments(1);
+    const auto [second, secondView] = runManyDocuments(1);
+    ASSERT_EQ(first.size(), second.size());
+    EXPECT_GT(first.size(), 2000U);
+    for (std::size_t index = 0; index < first.size(); ++index) {
+        ASSERT_EQ(first[index].kind, second[index].kind);
+        ASSERT_EQ(first[index].request, second[index].request);
+        ASSERT_EQ(first[index].endpoint, second[index].endpoint);
+    }
+    EXPECT_EQ(firstView.totals.shed, secondView.totals.shed);
 }
--- a/Tests/Policy/test_routing.cpp
+++ b/Tests/Policy/test_routing.cpp
@@ -155,6 +155,33 @@
     }
 }
 
+// Guards against calls to a service that wait for reports which only engines give, or that reach
+// another service.
+TEST(Routing, ServiceCallsGoToTheirService)
+{
+    auto document = makeDocument(1, 2, 0, 4);
+    for (const char *name : {"booking", "orders"}) {
+        inventory::endpoint service;
+        service.name = name;
+        service.service = name;
+        service.kind = inventory::endpoint_kind::Service;
+        document.endpoints.push_back(service);
+    }
+    driver driver(document);
+    auto spec = makeSpec(0);
+    spec.model.clear();
+    spec.service = "orders";
+    spec.repeatable = false;
+    for (int index = 0; index < 10; ++index) {
+        const auto id = driver.submit(spec);
+        driver.tick(20ms);
+        EXPECT_EQ(driver.running.at(id).endpoint, endpoint_id{3});
+        EXPECT_FALSE(driver.finish(id));
+    }
+    spec.service = "unknown";
+    EXPECT_EQ(driver.refusal(spec), policy_error::NoEndpoint);
+}
+
 // Guards against preemption while the higher tier has time, and against a missing one.
 TEST(Routing, PreemptsOnlyWhenTheTargetWouldBeMissed)
 {
