LibPolicy: Leave room for the top tier and keep stragglers out in overload

Cause: a trial in virtual time on a scratch copy (3 hosts, 4 engines with 8 slots, one six times slower, reports 5 s late, twice the capacity) showed four faults: requests past their maximum wait went before those that could still meet their target, so that nearly all answers of the middle class were late; hosts filled engines above their capacity, so that the top tier waited inside them; lower tiers held every slot; a straggler passed its probe because in overload only its tokens are conspicuously slow. Change: aged requests always pay for overtaking; the room at an endpoint is rounded down; lower tiers leave slots free in proportion to how often the top tier is dispatched late; a probe is judged by its whole answer; aged requests take 1/16 of the dispatches, before 1/8.

--- a/Libraries/LibPolicy/decision_core.cpp
+++ b/Libraries/LibPolicy/decision_core.cpp
@@ -186,6 +186,7 @@
     if (record == nullptr || !record->running || record->firstTokenSeen)
         return;
     record->firstTokenSeen = true;
+    record->firstTokenAt = now;
     record->lastTokenAt = now;
     auto &endpoint = m_tables.endpoints[record->endpointSlot];
     const double sample = normalisedFirstToken(*record, now);
@@ -193,11 +194,10 @@
     // The prefill is done, so the prompt's blocks are in the engine's cache now.
     if (endpoint.inSubset)
         endpoint.cache.assumeStored(record->prefixBlocks);
-    if (!record->probe)
-        return;
-    record->probe = false;
-    outlier_detector::judgeProbe(m_tables, m_tables.pools[record->pool], record->endpointSlot,
-                                 sample, now);
+    if (record->probe
+        && outlier_detector::judgeFirstToken(m_tables, m_tables.pools[record->pool],
+                                             record->endpointSlot, sample, now))
+        record->probe = false;
 }
 
 template <routing_policy Routing>
@@ -248,6 +248,12 @@
         // A service may have answered without a first token being reported.
         reportFirstToken(record.id, now);
         health.countSuccess();
+        if (record.probe) {
+            const std::chrono::duration<double, std::milli> answering = now - record.firstTokenAt;
+            outlier_detector::judgeAnswer(
+                m_tables, m_tables.pools[record.pool], record.endpointSlot,
+                answering.count() / std::max(1U, record.deliveredTokens), now);
+        }
         m_tables.pools[record.pool].serviceTime.add(
             std::chrono::duration<double, std::milli>(now - record.dispatchedAt).count());
         if (record.expectedOutput > 0) {
@@ -396,6 +402,11 @@
     auto &record = *m_tables.requests.find(selection.waiting.request);
     auto &pool = m_tables.pools[record.pool];
     queue_scheduler::noteDispatch(m_tables, pool, selection, record.work());
+    if (m_tables.classes[record.classSlot].rank == 0) {
+        // Late in time to act on it: half of the target is left for the endpoint.
+        const bool late = now - record.submittedAt > (record.due - record.submittedAt) / 2;
+        pool.topTierRoom.noteTopTier(late, pool.usableSlots, m_tables.options);
+    }
     m_tables.dequeue(record);
     m_tables.startAttempt(record, choice.endpointSlot, now);
     record.keepsPlace = selection.overtakes.has_value();
@@ -416,6 +427,19 @@
     m_candidates.noteDispatch(choice.endpointSlot);
 }
 
+template <routing_policy Routing>
+bool basic_decision_core<Routing>::isHeldBack(const pool_record &pool,
+                                              const queue_selection &selection,
+                                              core::instant now) const
+{
+    const auto &entry = m_tables.classes[selection.classSlot];
+    if (entry.rank == 0 || selection.overtakes)
+        return false;
+    const auto &record = *m_tables.requests.find(selection.waiting.request);
+    return now - record.submittedAt < entry.rules.maximumWait
+        && m_candidates.freeSlots() <= pool.topTierRoom.slots();
+}
+
 template <routing_policy Routing>
 bool basic_decision_core<Routing>::preemptFor(const queue_selection &selection, core::instant now)
 {
@@ -458,6 +482,7 @@
     pool.servedAt = now;
     m_candidates.refresh(m_tables, pool, !Routing::usesTiers, now);
     m_scheduler.begin(m_tables, pool, now);
+    pool.topTierRoom.decay(now, m_tables.options);
     while (pool.queued > 0) {
         std::optional<queue_selection> selection;
         if constexpr (Routing::usesTiers)
@@ -466,6 +491,12 @@
             selection = m_scheduler.nextInArrivalOrder(m_tables, pool);
         if (!selection)
             return;
+        if constexpr (Routing::usesTiers) {
+            if (isHeldBack(pool, *selection, now)) {
+                m_scheduler.block(selection->classSlot);
+                continue;
+            }
+        }
         const auto &record = *m_tables.requests.find(selection->waiting.request);
         const auto candidates = m_candidates.forRequest(m_tables, record, now);
         const auto choice = m_routing.choose(record, pool, candidates, m_tables.options, m_random);
--- a/Libraries/LibPolicy/decision_core.h
+++ b/Libraries/LibPolicy/decision_core.h
@@ -91,6 +91,8 @@
     void expire(core::instant now);
     void servePools(core::instant now);
     void servePool(pool_record &pool, core::instant now);
+    bool isHeldBack(const pool_record &pool, const queue_selection &selection,
+                    core::instant now) const;
     bool preemptFor(const queue_selection &selection, core::instant now);
     void dispatch(const queue_selection &selection, const routing_choice &choice,
                   core::instant now);
--- a/Libraries/LibPolicy/outlier_detector.cpp
+++ b/Libraries/LibPolicy/outlier_detector.cpp
@@ -134,15 +134,25 @@
     return true;
 }
 
-void outlier_detector::judgeProbe(core_tables &tables, const pool_record &pool,
-                                  std::uint32_t endpointSlot, double firstToken, core::instant now)
+bool outlier_detector::judgeFirstToken(core_tables &tables, const pool_record &pool,
+                                       std::uint32_t endpointSlot, double firstToken,
+                                       core::instant now)
 {
-    auto &health = tables.endpoints[endpointSlot].health;
-    if (health.health() != endpoint_health::HalfOpen)
-        return;
     const double allowed
         = pool.medianFirstToken * tables.options.stragglerRatio + noiseMilliseconds;
     if (pool.medianFirstToken <= 0 || firstToken <= allowed)
+        return false;
+    tables.endpoints[endpointSlot].health.eject(tables.options, now);
+    return true;
+}
+
+void outlier_detector::judgeAnswer(core_tables &tables, const pool_record &pool,
+                                   std::uint32_t endpointSlot, double betweenTokens,
+                                   core::instant now)
+{
+    auto &health = tables.endpoints[endpointSlot].health;
+    const double allowed = pool.medianBetweenTokens * tables.options.stragglerRatio;
+    if (pool.medianBetweenTokens <= 0 || betweenTokens <= allowed)
         health.probeSucceeded(now);
     else
         health.eject(tables.options, now);
--- a/Libraries/LibPolicy/outlier_detector.h
+++ b/Libraries/LibPolicy/outlier_detector.h
@@ -20,9 +20,15 @@
     static bool ejectIfAllowed(core_tables &tables, const pool_record &pool,
                                std::uint32_t endpointSlot, core::instant now);
 
-    /// Judges the first token of a probe: reinstates the endpoint or ejects it again.
-    static void judgeProbe(core_tables &tables, const pool_record &pool, std::uint32_t endpointSlot,
-                           double firstToken, core::instant now);
+    /// Ejects the endpoint again if the first token of its probe was late. Returns whether it was.
+    static bool judgeFirstToken(core_tables &tables, const pool_record &pool,
+                                std::uint32_t endpointSlot, double firstToken, core::instant now);
+
+    /// Judges a probe that was answered, by the time between its tokens (0 if it had none):
+    /// reinstates the endpoint or ejects it again. In overload a straggler's first token is not
+    /// conspicuous, because the first tokens of its peers wait for a free place.
+    static void judgeAnswer(core_tables &tables, const pool_record &pool,
+                            std::uint32_t endpointSlot, double betweenTokens, core::instant now);
 
 private:
     std::uint32_t judge(core_tables &tables, pool_record &pool, core::instant now);
--- a/Libraries/LibPolicy/policy_options.h
+++ b/Libraries/LibPolicy/policy_options.h
@@ -15,7 +15,7 @@
 
     /// Part of the dispatches that requests past their maximum wait may take from higher tiers.
     /// A larger part shortens the longest wait of the lowest class and costs the top tier.
-    double agedDispatchShare = 0.125;
+    double agedDispatchShare = 0.0625;
 
     /// A load report counts fully at age zero and no longer at this age.
     std::chrono::milliseconds reportHorizon{10000};
@@ -70,6 +70,12 @@
     double retryReserve = 10;
     std::uint32_t maximumAttempts = 3;
 
+    /// Slots that lower tiers leave free for the top tier; see headroom.
+    double headroomStep = 0.5;
+    double toleratedLatePart = 0.03;
+    double largestHeadroom = 0.6; ///< Part of the usable slots.
+    double headroomDecayPerSecond = 0.02; ///< In slots.
+
     std::uint32_t preemptionsPerTick = 4;
     std::uint32_t maximumPreemptions = 2; ///< Of one request.
 
--- a/Libraries/LibPolicy/pool_candidates.cpp
+++ b/Libraries/LibPolicy/pool_candidates.cpp
@@ -1,6 +1,7 @@
 #include "LibPolicy/pool_candidates.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace quetzalcleat::policy {
 
@@ -85,7 +86,9 @@
     // them first for ever.
     const double fairPart = isNear ? capacity / hosts : 0;
     entry entry;
-    entry.limit = std::max(capacity - foreign, fairPart);
+    // Whole attempts, rounded down: an engine above its capacity makes the top tier wait inside it.
+    // One is always allowed near by, so that a small endpoint is not left idle by all hosts.
+    entry.limit = std::max(std::floor(std::max(capacity - foreign, fairPart)), isNear ? 1.0 : 0.0);
     entry.capacity = std::max(1.0, capacity);
     entry.candidate = {slot, &endpoint, (endpoint.inFlight() + foreign) / entry.capacity, false};
     m_nearUsable = m_nearUsable || isNear;
@@ -141,6 +144,15 @@
     return m_result;
 }
 
+double pool_candidates::freeSlots() const
+{
+    double free = 0;
+    for (const auto *entries : {&m_near, &m_far})
+        for (const auto &entry : *entries)
+            free += entry.limit - entry.candidate.endpoint->inFlight();
+    return free;
+}
+
 void pool_candidates::noteDispatch(std::uint32_t endpointSlot)
 {
     std::erase_if(m_probes, [endpointSlot](const entry &entry) {
--- a/Libraries/LibPolicy/pool_candidates.h
+++ b/Libraries/LibPolicy/pool_candidates.h
@@ -23,6 +23,9 @@
     /// Updates the load of an endpoint that was given a request.
     void noteDispatch(std::uint32_t endpointSlot);
 
+    /// Attempts that the endpoints still have room for.
+    double freeSlots() const;
+
     bool empty() const { return m_near.empty() && m_far.empty() && m_probes.empty(); }
 
 private:
--- a/Libraries/LibPolicy/queue_scheduler.cpp
+++ b/Libraries/LibPolicy/queue_scheduler.cpp
@@ -59,12 +59,15 @@
     }
     if (!chosen)
         return std::nullopt;
-    const bool overtakes = higherTierWaits(tables, pool, tables.classes[*chosen].rank);
-    if (overtakes && pool.agedCredit < 1)
-        return std::nullopt;
     const auto waiting = pool.queues[*chosen].waiting.oldest(callerMayRun(tables));
     if (!waiting)
         return std::nullopt;
+    // Requests that are late already must not keep those from their target that can still meet
+    // it, not even in their own class: in overload every answer would be late.
+    const auto inTurn = nextByTier(tables, pool);
+    const bool overtakes = inTurn && inTurn->waiting.request != waiting->request;
+    if (overtakes && pool.agedCredit < 1)
+        return std::nullopt;
     queue_selection selection{*chosen, *waiting, {}};
     if (overtakes)
         selection.overtakes = decision_reason::WaitLimit;
--- a/Libraries/LibPolicy/queue_scheduler.h
+++ b/Libraries/LibPolicy/queue_scheduler.h
@@ -14,7 +14,7 @@
     std::uint32_t classSlot = 0;
     fair_queue::waiting waiting;
 
-    /// WaitLimit or MinimumShare if it goes before requests of a higher tier.
+    /// WaitLimit or MinimumShare if it goes before requests that would be next otherwise.
     std::optional<decision_reason> overtakes;
 };
 
@@ -23,7 +23,7 @@
 /// A class with a request past its maximum wait goes first, then a class that is owed a part of
 /// its minimum share, then the tiers by rank; within a tier the class with the earliest due time.
 /// Requests past their maximum wait take at most policy_options::agedDispatchShare of the
-/// dispatches from higher tiers, which bounds both their wait and the harm to the top tier.
+/// dispatches from the others, which bounds both their wait and the harm to the top tier.
 class queue_scheduler
 {
 public:
--- a/Libraries/LibPolicy/request_table.h
+++ b/Libraries/LibPolicy/request_table.h
@@ -38,6 +38,7 @@
     core::instant due; ///< For the first token, or the deadline if the class has no target.
     core::instant deadline;
     core::instant dispatchedAt;
+    core::instant firstTokenAt;
     core::instant lastTokenAt;
 
     double work() const { return static_cast<double>(promptTokens) + expectedOutput + 1; }
--- a/Libraries/LibPolicy/tables.h
+++ b/Libraries/LibPolicy/tables.h
@@ -6,6 +6,7 @@
 #include "LibPolicy/entity_table.h"
 #include "LibPolicy/fair_queue.h"
 #include "LibPolicy/foreign_load.h"
+#include "LibPolicy/headroom.h"
 #include "LibPolicy/output_length_estimator.h"
 #include "LibPolicy/policy_options.h"
 #include "LibPolicy/prefix_cache_view.h"
@@ -116,6 +117,7 @@
 
     retry_budget retries;
     std::uint32_t nextRoundRobin = 0;
+    headroom topTierRoom;
     double usableSlots = 0; ///< Of the last look at the endpoints.
     latency_average serviceTime; ///< Of whole attempts.
     double medianFirstToken = 0; ///< Milliseconds, normalised, over endpoints; 0 if unknown.
--- a/Tests/Policy/test_admission.cpp
+++ b/Tests/Policy/test_admission.cpp
@@ -148,6 +148,33 @@
     EXPECT_EQ(order, (std::vector{urgent, relaxed, late}));
 }
 
+// Guards against lower tiers that hold every slot while the top tier misses its target.
+TEST(Admission, LateTopTierMakesLowerTiersLeaveRoom)
+{
+    auto document = makeDocument(2, 1, 0, 8);
+    document.classes[0].timeToFirstToken = 100ms;
+    document.classes[1].maximumWait = 1h;
+    document.classes[1].deadline = 1h;
+    driver driver(document);
+    for (int index = 0; index < 6; ++index) {
+        driver.submit(makeSpec(0));
+        driver.tick(index < 4 ? 80ms : 0ms);
+    }
+    while (!driver.running.empty())
+        driver.finish(driver.running.begin()->first);
+    for (int index = 0; index < 8; ++index)
+        driver.submit(makeSpec(1));
+    driver.tick();
+    EXPECT_EQ(driver.running.size(), 7U);
+    const auto top = driver.submit(makeSpec(0));
+    driver.tick();
+    EXPECT_TRUE(driver.running.contains(top));
+    driver.finish(top);
+    EXPECT_TRUE(driver.tick().empty());
+    // Without any work of the top tier the room comes back.
+    EXPECT_EQ(driver.tick(100s).size(), 1U);
+}
+
 // Guards against work on requests that cannot be answered in time any more.
 TEST(Admission, DeadlinesExpireAndUnreachableOnesAreRefused)
 {
--- a/Tests/Policy/test_endpoints.cpp
+++ b/Tests/Policy/test_endpoints.cpp
@@ -87,6 +87,31 @@
     EXPECT_EQ(driver.endpoint(0).health, endpoint_health::Healthy);
 }
 
+// Guards against a straggler that passes its probe because only its tokens are slow.
+TEST(Endpoints, SlowTokensFailAProbe)
+{
+    driver driver(makeDocument(2, 4, 0, 4));
+    const auto answer = [&driver](std::chrono::milliseconds slowGap) {
+        const auto id = driver.submit(makeSpec(1));
+        driver.tick(10ms);
+        const bool isSlow = driver.running.at(id).endpoint.value == 0;
+        driver.now += 20ms;
+        driver.core.reportFirstToken(id, driver.now);
+        driver.now += isSlow ? slowGap : 25ms;
+        driver.core.reportTokens(id, 1, driver.now);
+        driver.finish(id);
+    };
+    for (int index = 0; index < 80; ++index)
+        answer(200ms);
+    EXPECT_EQ(driver.endpoint(0).health, endpoint_health::Ejected);
+    driver.now += 5s;
+    answer(200ms);
+    EXPECT_EQ(driver.endpoint(0).health, endpoint_health::Ejected);
+    driver.now += 10s;
+    answer(25ms);
+    EXPECT_EQ(driver.endpoint(0).health, endpoint_health::SlowStart);
+}
+
 // Guards against more than one probe at a time.
 TEST(Endpoints, HalfOpenGetsOneProbe)
 {
