quetzalcleatd: Use the replicated control plane

The program now runs on peer::control_runtime instead of a control plane in memory. It raises its limit of open files and bounds the connections of callers by it, because RESTinio gives up an accept slot for good after "too many open files". The health check says "starting" until a configuration is in force. After the last answer of a planned stop the process runs on for 500 ms, so that results of claims reach the ledger. A host without the entry role serves no callers.

--- a/Services/quetzalcleatd/entry.h
+++ b/Services/quetzalcleatd/entry.h
@@ -57,8 +57,10 @@
     /// system.
     core::result<void> start()
     {
-        if (auto opened = m_callers.open(); !opened)
-            return opened;
+        if (m_options.servesCallers) {
+            if (auto opened = m_callers.open(); !opened)
+                return opened;
+        }
         if (auto opened = m_operators.open(); !opened)
             return opened;
         m_decisions.start();
@@ -123,10 +125,7 @@
     {
         const auto &request = exchange->request();
         if (request.path == "/healthz") {
-            const bool leaves = leaving();
-            exchange->respond({static_cast<std::uint16_t>(leaves ? 503 : 200),
-                               {{"Content-Type", "application/json"}}},
-                              leaves ? R"({"status":"leaving"})" : R"({"status":"live"})");
+            sendHealth(*exchange);
             return;
         }
         auto requestId = requestIdOf(request.headers);
@@ -151,6 +150,17 @@
                       requestId);
     }
 
+    void sendHealth(http::caller_exchange &exchange) const
+    {
+        // Without a configuration every request would be refused.
+        const bool ready = m_environment.routing != nullptr;
+        const bool live = ready && !leaving();
+        const auto *status = leaving() ? "leaving" : (ready ? "live" : "starting");
+        exchange.respond(
+            {static_cast<std::uint16_t>(live ? 200 : 503), {{"Content-Type", "application/json"}}},
+            std::string(R"({"status":")") + status + R"("})");
+    }
+
     void startCompletion(const exchange_pointer &exchange, std::string requestId,
                          completion_kind kind)
     {
--- a/Services/quetzalcleatd/entry_options.cpp
+++ b/Services/quetzalcleatd/entry_options.cpp
@@ -9,6 +9,7 @@
     entry_options options;
     options.hostName = settings.hostName;
     options.dataCentre = settings.dataCentre;
+    options.servesCallers = settings.entry;
     options.callerAddress = settings.callerAddress;
     options.operatorAddress = settings.operatorAddress;
     options.operatorKey = settings.operatorKey;
--- a/Services/quetzalcleatd/entry_options.h
+++ b/Services/quetzalcleatd/entry_options.h
@@ -16,6 +16,7 @@
 {
     std::string hostName;
     std::string dataCentre;
+    bool servesCallers = true; ///< False on hosts that have only the control role.
     core::socket_address callerAddress;
     core::socket_address operatorAddress;
     std::string operatorKey;
--- a/Services/quetzalcleatd/main.cpp
+++ b/Services/quetzalcleatd/main.cpp
@@ -1,37 +1,63 @@
 #include "LibCore/counter_registry.h"
 #include "LibCore/logger.h"
-#include "fake_control_plane.h"
+#include "LibPeer/control_runtime.h"
 #include "quetzalcleatd/command_line.h"
 #include "quetzalcleatd/configuration_check.h"
 #include "quetzalcleatd/process.h"
 
-#include <chrono>
+#include <algorithm>
+#include <csignal>
 #include <iostream>
 
+#include <sys/resource.h>
+
 using namespace quetzalcleat;
 
 namespace {
 
-std::uint64_t incarnationNow()
+/// Raises the limit of open files as far as the system allows and returns how many connections of
+/// callers fit: each may need one to an endpoint, and the rest of the process needs some.
+std::size_t raiseConnectionLimit()
 {
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
-                                          std::chrono::system_clock::now().time_since_epoch())
-                                          .count());
+    constexpr rlim_t reserve = 256;
+    constexpr std::size_t largest = 16384;
+    constexpr std::size_t smallest = 64;
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return smallest;
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur <= reserve)
+        return smallest;
+    return std::clamp<std::size_t>((limit.rlim_cur - reserve) / 3, smallest, largest);
 }
 
-int runDaemon(const daemon::start_configuration &configuration)
+int runDaemon(const daemon::start_configuration &configuration, bool initialiseCluster)
 {
-    core::logger::initialise(configuration.settings.logLevel);
+    const auto &settings = configuration.settings;
+    core::logger::initialise(settings.logLevel);
+    const core::logger log("quetzalcleatd");
+    // A caller that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
     asio::io_context context(1);
     core::counter_registry counters;
-    // FIXME: Replace this stand-in of a single host by peer::control_runtime.
-    tests::fake_control_plane control(context);
-    if (!configuration.seedDocument.empty())
-        control.publish(configuration.seedDocument);
-    daemon::process<tests::fake_control_plane> process(
-        context, control, counters,
-        daemon::entryOptionsFrom(configuration.settings, incarnationNow()));
-    return process.run();
+    peer::control_runtime_options options;
+    options.initialiseCluster = initialiseCluster;
+    options.seedDocument = configuration.seedDocument;
+    const auto runtime = peer::control_runtime::create(context, settings, counters, options);
+    if (!runtime) {
+        log.error("cannot start the control plane: " + runtime.error().message());
+        return daemon::exitFailed;
+    }
+    auto &control = *runtime.value();
+    auto entryOptions = daemon::entryOptionsFrom(settings, control.incarnation());
+    entryOptions.maximumConnections = raiseConnectionLimit();
+    daemon::process<peer::control_client> process(context, control.client(), counters,
+                                                  std::move(entryOptions));
+    control.start();
+    const int exitCode = process.run();
+    control.stop();
+    return exitCode;
 }
 
 } // namespace
@@ -51,5 +77,5 @@
         std::cout << commands->configFile.string() << ": valid\n";
         return daemon::exitDone;
     }
-    return runDaemon(std::get<daemon::start_configuration>(loaded));
+    return runDaemon(std::get<daemon::start_configuration>(loaded), commands->initialiseCluster);
 }
--- a/Services/quetzalcleatd/process.h
+++ b/Services/quetzalcleatd/process.h
@@ -8,7 +8,9 @@
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
 
+#include <chrono>
 #include <csignal>
 #include <system_error>
 
@@ -24,7 +26,7 @@
             entry_options options)
         : m_context(context), m_log("quetzalcleatd"),
           m_entry(context, control, counters, std::move(options)),
-          m_signals(context, SIGTERM, SIGINT)
+          m_signals(context, SIGTERM, SIGINT), m_settleTimer(context)
     {
     }
 
@@ -52,19 +54,27 @@
                 m_entry.hurryStop();
             } else {
                 m_stopping = true;
-                m_entry.beginStop([this](bool complete) {
-                    m_exitCode = complete ? exitDone : exitFailed;
-                    m_context.stop();
-                });
+                m_entry.beginStop([this](bool complete) { settle(complete); });
             }
             awaitSignal();
         });
     }
 
+    /// Results of claims are on their way to the ledger when the last answer is out. One that does
+    /// not arrive leaves its call with an unknown outcome.
+    void settle(bool complete)
+    {
+        constexpr std::chrono::milliseconds settleTime{500};
+        m_exitCode = complete ? exitDone : exitFailed;
+        m_settleTimer.expires_after(settleTime);
+        m_settleTimer.async_wait([this](std::error_code) { m_context.stop(); });
+    }
+
     asio::io_context &m_context;
     core::logger m_log;
     entry<Control> m_entry;
     asio::signal_set m_signals;
+    asio::steady_timer m_settleTimer;
     bool m_stopping = false;
     int m_exitCode = exitDone;
 };
--- a/Tests/Daemon/test_stop.cpp
+++ b/Tests/Daemon/test_stop.cpp
@@ -35,7 +35,7 @@
     m_daemon->hurryStop();
     await([&] { return engine.calls().size() == streams + 1; });
     // The listener closes at the end of the notice time; the streams are still open then.
-    await([&] { return answers.back()->body.size() > 0; });
+    await([&] { return !answers.back()->body.empty(); });
     EXPECT_FALSE(stopped);
     for (const auto &call : engine.calls())
         engine.sendRest(call, 1);
