LibHttp: Limit connections without RESTinio's limiter

Connections above the limit are now closed by an IP blocker right after they are accepted. The tests' event loop included Asio before any standard header, which chose another allocator than the other files did.

--- a/Libraries/LibHttp/caller_server.cpp
+++ b/Libraries/LibHttp/caller_server.cpp
@@ -54,12 +54,29 @@
     std::function<void(std::uint64_t, bool)> m_changed;
 };
 
+/// Closes new connections above a number. RESTinio's own limiter is not used: its connections refer
+/// to the server even after the server is gone.
+class connection_limit
+{
+public:
+    explicit connection_limit(std::function<bool()> allowed) : m_allowed(std::move(allowed)) { }
+
+    restinio::ip_blocker::inspection_result_t
+    inspect(const restinio::ip_blocker::incoming_info_t &) noexcept
+    {
+        return m_allowed() ? restinio::ip_blocker::allow() : restinio::ip_blocker::deny();
+    }
+
+private:
+    std::function<bool()> m_allowed;
+};
+
 struct server_traits : public restinio::default_single_thread_traits_t
 {
     using request_handler_t
         = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
     using connection_state_listener_t = connection_listener;
-    static constexpr bool use_connection_count_limiter = true; // NOLINT
+    using ip_blocker_t = connection_limit;
 };
 
 using server = restinio::http_server_t<server_traits>;
@@ -287,7 +304,6 @@
         .address(asio::ip::make_address(m_options.address.ip))
         .protocol(m_options.address.ip.find(':') == std::string::npos ? asio::ip::tcp::v4()
                                                                       : asio::ip::tcp::v6())
-        .max_parallel_connections(m_options.maximumConnections)
         .concurrent_accepts_count(acceptSlots)
         .max_pipelined_requests(pipelinedRequests)
         .handle_request_timeout(handlingTimeLimit)
@@ -306,6 +322,10 @@
         .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) {
             m_port = acceptor.local_endpoint().port();
         })
+        .ip_blocker(std::make_shared<connection_limit>(
+            [state = m_state, limit = m_options.maximumConnections] {
+                return state->openConnections < limit;
+            }))
         .connection_state_listener(std::make_shared<connection_listener>(
             [weak = weak_from_this()](std::uint64_t connection, bool opened) {
                 if (const auto self = weak.lock())
--- a/Tests/Daemon/event_loop.h
+++ b/Tests/Daemon/event_loop.h
@@ -1,9 +1,11 @@
 #pragma once
 
-#include <asio/io_context.hpp>
-
 #include <functional>
 
+// After a standard header: Asio chooses its allocator by a macro that these define, and all files
+// of a program must choose the same one.
+#include <asio/io_context.hpp>
+
 namespace quetzalcleat::tests {
 
 /// Runs the loop until the condition holds. Returns false only if the test is stuck: the limit is
