quetzalcleatd: Keep queued ticks from running after the dispatcher is gone

The address sanitizer showed that a tick that was already queued used the dispatcher after its end. Queued handlers now check a token that expires with it.

Conclusion: 30 tests of the daemon pass, with the sanitizers too; the leak checker still reports transfers at the end of that run.

--- a/Services/quetzalcleatd/dispatcher.cpp
+++ b/Services/quetzalcleatd/dispatcher.cpp
@@ -79,8 +79,8 @@
 void dispatcher::scheduleTick()
 {
     m_timer.expires_after(tickInterval);
-    m_timer.async_wait([this](std::error_code error) {
-        if (error || m_stopped)
+    m_timer.async_wait([this, alive = std::weak_ptr(m_alive)](std::error_code error) {
+        if (error || alive.expired() || m_stopped)
             return;
         tick();
         scheduleTick();
@@ -92,7 +92,9 @@
     if (m_tickPosted || m_stopped)
         return;
     m_tickPosted = true;
-    asio::post(m_context, [this] {
+    asio::post(m_context, [this, alive = std::weak_ptr(m_alive)] {
+        if (alive.expired())
+            return;
         m_tickPosted = false;
         tick();
     });
--- a/Services/quetzalcleatd/dispatcher.h
+++ b/Services/quetzalcleatd/dispatcher.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 
 namespace quetzalcleat::daemon {
 
@@ -56,6 +57,8 @@
     policy::decision_core m_core;
     asio::steady_timer m_timer;
     std::map<policy::request_id, decision_handler> m_handlers;
+    /// Expires with the dispatcher; handlers that are already queued check it.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     bool m_tickPosted = false;
     bool m_stopped = false;
 };
