--- a/Tests/Daemon/daemon_fixture.cpp
+++ b/Tests/Daemon/daemon_fixture.cpp
@@ -92,6 +92,9 @@
     if (m_daemon)
         m_daemon->shutDown();
     m_client.shutDown();
+    // Ended transfers let go of their handlers from the event loop.
+    m_context.restart();
+    m_context.poll();
 }
 
 fake_engine &daemon_fixture::addEngine(bool canResume)
