--- a/Libraries/LibPeer/control_runtime.cpp
+++ b/Libraries/LibPeer/control_runtime.cpp
@@ -64,9 +64,10 @@
     content->feed = std::make_shared<configuration_feed>();
     content->publisher = configuration_publisher::create(content->network, content->feed);
     if (settings.control) {
-        auto service = control_service::create(
-            content->network, content->feed, content->publisher,
-            {settings.dataFolder, options.initialiseCluster, std::move(options.seedDocument)});
+        auto service
+            = control_service::create(content->network, content->feed, content->publisher,
+                                      {settings.dataFolder, options.initialiseCluster,
+                                       std::move(options.seedDocument), options.snapshotEntries});
         if (!service) {
             content->network->stop();
             return service.error();
--- a/Libraries/LibPeer/control_runtime.h
+++ b/Libraries/LibPeer/control_runtime.h
@@ -23,6 +23,8 @@
     /// for the current calendar time in microseconds.
     std::uint64_t incarnation = 0;
     control_client_options client;
+    /// A control host takes a snapshot after this many applied entries.
+    std::uint64_t snapshotEntries = 10'000;
 };
 
 /// Everything that a process needs to take part in the fleet: the connections to the other
--- a/Libraries/LibPeer/peer_network.cpp
+++ b/Libraries/LibPeer/peer_network.cpp
@@ -174,16 +174,6 @@
         || (found != m_links.end() && !found->second.open.empty());
 }
 
-void peer_network::disconnect(const std::string &host)
-{
-    const auto found = m_links.find(host);
-    if (found == m_links.end())
-        return;
-    const auto connections = found->second.open;
-    for (const auto &connection : connections)
-        connection->close(peer_error::ConnectionClosed);
-}
-
 void peer_network::acceptNext()
 {
     m_acceptor.async_accept(
--- a/Libraries/LibPeer/peer_network.h
+++ b/Libraries/LibPeer/peer_network.h
@@ -66,9 +66,6 @@
 
     bool isConnected(const std::string &host) const;
 
-    /// Closes the connections to a host, for example because it does not answer.
-    void disconnect(const std::string &host);
-
     const peer_network_options &options() const { return m_options; }
     const std::string &host() const { return m_options.identity.host; }
     std::uint64_t incarnation() const { return m_options.identity.incarnation; }
--- a/Tests/Peer/test_cluster.h
+++ b/Tests/Peer/test_cluster.h
@@ -63,7 +63,7 @@
         host.revisions.clear();
         auto runtime = control_runtime::create(
             context, host.settings, host.counters,
-            {initialise, initialise ? "seed document" : "", ++m_incarnation, {}});
+            {initialise, initialise ? "seed document" : "", ++m_incarnation, {}, snapshotEntries});
         ASSERT_TRUE(runtime) << name << ": " << runtime.error().message();
         host.runtime = std::move(runtime).value();
         for (auto &[link, relay] : m_relays) {
@@ -92,6 +92,16 @@
         std::filesystem::create_directories(hosts[name].settings.dataFolder);
     }
 
+    bool hasSnapshot(const std::string &name)
+    {
+        for (const auto &entry :
+             std::filesystem::directory_iterator(hosts[name].settings.dataFolder)) {
+            if (entry.path().filename().string().starts_with("snapshot-"))
+                return true;
+        }
+        return false;
+    }
+
     /// Cuts or restores every link between the hosts listed and the others.
     void setIsolated(const std::vector<std::string> &inside, bool isolated)
     {
@@ -179,6 +189,7 @@
     static constexpr std::chrono::milliseconds patience{40'000};
 
     asio::io_context context;
+    std::uint64_t snapshotEntries = 10'000;
     std::map<std::string, host> hosts;
 
 private:
--- a/Tests/Peer/test_control.cpp
+++ b/Tests/Peer/test_control.cpp
@@ -275,3 +275,42 @@
     // Each byte is sent by one host and received by another one.
     EXPECT_LT(perHost, 5000);
 }
+
+// Guards against a log that grows for ever, and against a member that gets its state from a
+// snapshot and lacks part of it, also after a restart.
+TEST_F(control, MemberCatchesUpFromASnapshot)
+{
+    snapshotEntries = 300;
+    startAll();
+    ASSERT_TRUE(until([&] { return allHaveRevision(1) && !leader().empty(); }));
+    const std::string emptied = leader() == "c3" ? "c2" : "c3";
+    stopHost(emptied);
+    emptyDataFolder(emptied);
+    // More than the entries that are kept behind a snapshot.
+    constexpr std::size_t claims = 2500;
+    std::size_t granted = 0;
+    for (std::size_t index = 0; index < claims; ++index) {
+        client("e1").claim(request("e1", "key-" + std::to_string(index)), patience,
+                           [&](auto verdict) { granted += verdict ? 1 : 0; });
+    }
+    ASSERT_TRUE(until([&] { return granted == claims; }));
+    ASSERT_TRUE(
+        until([&] { return hasSnapshot("c1") && hasSnapshot(emptied == "c3" ? "c2" : "c3"); }));
+    // A further snapshot covers the last claims.
+    runFor(context, milliseconds(1000));
+    startHost(emptied);
+    ASSERT_TRUE(until([&] { return isVoter(emptied) && allHaveRevision(1); }));
+
+    // All state has to come from the new member and one of the others.
+    for (const auto &[name, host] : hosts)
+        stopHost(name);
+    const std::string lost = emptied == "c3" ? "c2" : "c3";
+    for (const auto &[name, host] : hosts) {
+        if (name != lost)
+            startHost(name);
+    }
+    ASSERT_TRUE(until([&] { return allHaveRevision(1) && !leader().empty(); }));
+    const auto duplicate = claim(request("e2", "key-7"));
+    ASSERT_TRUE(duplicate) << duplicate.error().message();
+    EXPECT_NE(duplicate.value().kind, state::claim_verdict_kind::Granted);
+}
--- a/Tests/Peer/test_gossip.cpp
+++ b/Tests/Peer/test_gossip.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <iostream>
-#include <queue>
 #include <set>
 
 namespace core = quetzalcleat::core;
@@ -25,8 +24,7 @@
 class virtual_centre
 {
 public:
-    virtual_centre(std::size_t count, double lossRate)
-        : m_random(seed), m_lossRate(lossRate), m_delivered(count)
+    virtual_centre(std::size_t count, double lossRate) : m_random(seed), m_lossRate(lossRate)
     {
         for (std::size_t index = 0; index < count; ++index)
             m_names.push_back(hostName(index));
@@ -119,7 +117,6 @@
     std::vector<std::string> m_names;
     std::map<std::string, std::unique_ptr<peer::gossip_core>> m_hosts;
     std::vector<std::pair<std::string, peer::gossip_send>> m_inFlight;
-    std::vector<std::uint64_t> m_delivered;
 };
 
 class centre_size : public testing::TestWithParam<std::size_t>
