--- a/Tests/Peer/test_control.cpp
+++ b/Tests/Peer/test_control.cpp
@@ -4,7 +4,6 @@
 
 #include <iostream>
 
-namespace core = quetzalcleat::core;
 namespace peer = quetzalcleat::peer;
 namespace state = quetzalcleat::state;
 using peer::test::runFor;
