Tests: Check that the fault matrix emptied every disk it was to empty

Cause: a disk is emptied only while a voter may be replaced, so a cell could end without its fault and still count as held.

Change: a cell whose disk was not emptied within the fault time counts as not reached, which fails the test.

--- a/Tests/FaultMatrix/matrix_cluster.cpp
+++ b/Tests/FaultMatrix/matrix_cluster.cpp
@@ -98,6 +98,8 @@
     while (m_now < faultsUntil)
         advance();
     m_armed = false;
+    // A disk that could not be emptied in time leaves the cell without its fault.
+    m_injected = m_injected && m_disksToEmpty == 0;
     m_planned.clear();
     healAfter(milliseconds(0));
     m_pausedUntil = {};
@@ -291,6 +293,7 @@
         || m_controls.at(current).core->members().replacement != 0)
         return at(milliseconds(100), again);
     auto &each = m_controls.at(host);
+    --m_disksToEmpty;
     m_replacement = {each.id, ++m_lastId};
     ++m_starts.at(host);
     each.core.reset();
@@ -857,6 +860,7 @@
         return;
     case fault::SecondVoterLost:
         m_crashAfterReplacement = true;
+        ++m_disksToEmpty;
         return emptyDisk((control + 1) % controlHosts);
     case fault::DiskFull:
         disk.freeBytes = m_random.below(200);
@@ -868,6 +872,7 @@
         disk.operationsLeft = m_random.below(4);
         return;
     case fault::EmptyDisk:
+        ++m_disksToEmpty;
         return emptyDisk(m_random.chance(500) ? control : (control + 1) % controlHosts);
     case fault::ClockJump:
         // Only a new leader reads the wall clock.
--- a/Tests/FaultMatrix/matrix_cluster.h
+++ b/Tests/FaultMatrix/matrix_cluster.h
@@ -185,6 +185,7 @@
     std::vector<planned_event> m_planned;
     std::optional<std::pair<consensus::member_id, consensus::member_id>> m_replacement;
     bool m_crashAfterReplacement = false;
+    std::size_t m_disksToEmpty = 0; ///< Faults that wait until a voter may be replaced.
     consensus::member_id m_lastId = 0;
     std::uint64_t m_lastProposal = 0;
 
