--- a/Libraries/LibPolicy/policy_options.h
+++ b/Libraries/LibPolicy/policy_options.h
@@ -50,9 +50,10 @@
     /// Tokens that one prefix block stands for.
     std::uint32_t tokensPerBlock = 16;
 
-    /// A request goes to another data centre after this part of its first-token target, so that a
-    /// short burst does not cause billed cross-region traffic.
-    double spillFraction = 0.25;
+    /// A request goes to another data centre after this part of its first-token target. Measured:
+    /// waiting 0.25 of the target raised the time to first token by half and did not reduce the
+    /// cross-region bytes of the example workload spennuvir.
+    double spillFraction = 0;
     std::chrono::milliseconds longestSpillDelay{500};
 
     /// Outlier ejection: slower than this multiple of the peers' median, or this many failures in
--- a/Tests/Policy/test_routing.cpp
+++ b/Tests/Policy/test_routing.cpp
@@ -61,7 +61,9 @@
 {
     auto document = makeDocument(1, 1, 1, 2);
     document.classes[0].timeToFirstToken = 1000ms;
-    driver driver(document);
+    policy_options options;
+    options.spillFraction = 0.25;
+    driver driver(document, options);
     // Without a report the other region is taken to be as busy as this one.
     driver.core.reportLoad(endpoint_id{1}, {}, driver.now);
     for (int index = 0; index < 3; ++index)
