LibPolicy: Keep headroom for the highest tier that uses a pool

Cause: headroom was held only for tier 0, which uses plain services alone in both examples, so history-review and motif-sheet waited for engine slots that lower tiers held. Change: each pool notes the highest tier that it has served and keeps headroom for that one.

--- a/Libraries/LibPolicy/decision_core.cpp
+++ b/Libraries/LibPolicy/decision_core.cpp
@@ -402,7 +402,10 @@
     auto &record = *m_tables.requests.find(selection.waiting.request);
     auto &pool = m_tables.pools[record.pool];
     queue_scheduler::noteDispatch(m_tables, pool, selection, record.work());
-    if (m_tables.classes[record.classSlot].rank == 0) {
+    // The highest tier of the document may use no engines, so each pool has a top tier of its own.
+    const std::uint32_t rank = m_tables.classes[record.classSlot].rank;
+    pool.topRank = std::min(pool.topRank, rank);
+    if (rank == pool.topRank) {
         // Late in time to act on it: half of the target is left for the endpoint.
         const bool late = now - record.submittedAt > (record.due - record.submittedAt) / 2;
         pool.topTierRoom.noteTopTier(late, pool.usableSlots, m_tables.options);
@@ -433,7 +436,7 @@
                                               core::instant now) const
 {
     const auto &entry = m_tables.classes[selection.classSlot];
-    if (entry.rank == 0 || selection.overtakes)
+    if (entry.rank <= pool.topRank || selection.overtakes)
         return false;
     const auto &record = *m_tables.requests.find(selection.waiting.request);
     return now - record.submittedAt < entry.rules.maximumWait
--- a/Libraries/LibPolicy/tables.h
+++ b/Libraries/LibPolicy/tables.h
@@ -118,6 +118,7 @@
     retry_budget retries;
     std::uint32_t nextRoundRobin = 0;
     headroom topTierRoom;
+    std::uint32_t topRank = ~0U; ///< Rank of the highest tier whose requests ran in this pool.
     double usableSlots = 0; ///< Of the last look at the endpoints.
     latency_average serviceTime; ///< Of whole attempts.
     double medianFirstToken = 0; ///< Milliseconds, normalised, over endpoints; 0 if unknown.
