--- a/Utilities/quetzalcleat-fakes/engine_server.cpp
+++ b/Utilities/quetzalcleat-fakes/engine_server.cpp
@@ -201,8 +201,8 @@
     work.priority = parseNumber<std::uint32_t>(headerOf(request, "X-Priority")).value_or(0);
     // The id of a generation depends on the incarnation, so that a resumption after a crash is
     // recognised as another generation.
-    self.generationId = "gen-" + std::to_string(m_model.incarnation()) + '-'
-        + hexOf(core::hash64(*prompt));
+    self.generationId
+        = "gen-" + std::to_string(m_model.incarnation()) + '-' + hexOf(core::hash64(*prompt));
     if (const auto from = parseNumber<std::uint32_t>(headerOf(request, "X-Resume-From"))) {
         if (headerOf(request, "X-Generation-Id") != self.generationId || *from > self.outputTokens)
             return replyError(*exchange, 409, "unknown_generation");
