LibPolicy: Resume a stream only at the engine that began it

Change: a request that must resume is a candidate only for its own engine; if that engine cannot take it, the answer ends in a typed error. The outcome is called Resume.

--- a/Libraries/LibPolicy/decision_core.cpp
+++ b/Libraries/LibPolicy/decision_core.cpp
@@ -270,16 +270,17 @@
 bool basic_decision_core<Routing>::mayRunAgain(const request_record &record,
                                                attempt_outcome outcome, core::instant now)
 {
-    const bool wanted = outcome == attempt_outcome::RetryBeforeFirstByte
-        || outcome == attempt_outcome::ResumeElsewhere;
+    const bool wanted
+        = outcome == attempt_outcome::RetryBeforeFirstByte || outcome == attempt_outcome::Resume;
     if (!wanted || !record.repeatable || now >= record.deadline
         || record.failedAttempts + 1U >= m_tables.options.maximumAttempts)
         return false;
     auto &pool = m_tables.pools[record.pool];
-    const bool resumes = outcome == attempt_outcome::ResumeElsewhere || record.mustResume;
+    const bool resumes = outcome == attempt_outcome::Resume || record.mustResume;
     const bool possible = std::ranges::any_of(pool.endpoints, [&](std::uint32_t slot) {
         const auto &endpoint = m_tables.endpoints[slot];
-        return endpoint.acceptsWork() && (!resumes || endpoint.description.canResume);
+        return endpoint.acceptsWork()
+            && (!resumes || (slot == record.endpointSlot && endpoint.description.canResume));
     });
     if (!possible)
         return false;
@@ -306,7 +307,7 @@
         return false;
     }
     ++record->failedAttempts;
-    record->mustResume = record->mustResume || outcome == attempt_outcome::ResumeElsewhere;
+    record->mustResume = record->mustResume || outcome == attempt_outcome::Resume;
     ++m_totals.retried;
     m_tables.enqueue(*record);
     return true;
--- a/Libraries/LibPolicy/policy_types.h
+++ b/Libraries/LibPolicy/policy_types.h
@@ -88,7 +88,8 @@
     Completed,
     Failed, ///< Not to be retried.
     RetryBeforeFirstByte, ///< Failed before a byte reached the caller; may be queued again.
-    ResumeElsewhere, ///< Broke after a byte reached the caller; may go on where engines can resume.
+    Resume, ///< Broke after a byte reached the caller; may go on at the same engine if it can
+            ///< resume.
     Cancelled,
 };
 
--- a/Libraries/LibPolicy/pool_candidates.cpp
+++ b/Libraries/LibPolicy/pool_candidates.cpp
@@ -99,7 +99,8 @@
 {
     for (const auto &entry : entries) {
         const auto &candidate = entry.candidate;
-        if (request.mustResume && !candidate.endpoint->description.canResume)
+        // Another engine would generate another answer, which must not be joined to this one.
+        if (request.mustResume && candidate.endpointSlot != request.endpointSlot)
             continue;
         m_result.push_back(candidate);
     }
--- a/Services/quetzalcleatd/completion_session.cpp
+++ b/Services/quetzalcleatd/completion_session.cpp
@@ -397,7 +397,7 @@
                               m_requestId);
     auto outcome = policy::attempt_outcome::RetryBeforeFirstByte;
     if (m_streaming)
-        outcome = mayResume && m_engine.canResume ? policy::attempt_outcome::ResumeElsewhere
+        outcome = mayResume && m_engine.canResume ? policy::attempt_outcome::Resume
                                                   : policy::attempt_outcome::Failed;
     m_phase = phase::Queued;
     flush();
--- /dev/null
+++ b/Tests/Experiment/test_targets.cpp
@@ -0,0 +1,138 @@
+#include "LibExperiment/baseline_policy.h"
+#include "LibExperiment/experiment.h"
+#include "LibExperiment/workload_parser.h"
+#include "LibInventory/parser.h"
+#include "LibPolicy/decision_core.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+namespace experiment = quetzalcleat::experiment;
+namespace inventory = quetzalcleat::inventory;
+namespace policy = quetzalcleat::policy;
+
+namespace {
+
+constexpr std::uint64_t seeds[] = {1, 2, 3};
+
+/// The stated targets, for each example deployment. Bounds come from the requirements.
+class policy_targets : public testing::TestWithParam<const char *>
+{
+protected:
+    void SetUp() override
+    {
+        const std::string name = GetParam();
+        m_document = std::get<inventory::document>(inventory::parse(read(name + ".toml"), name));
+        m_load = std::get<experiment::workload>(
+            experiment::parseWorkload(read("workloads/" + name + ".toml"), name, m_document));
+        m_load.duration = std::chrono::seconds(60);
+    }
+
+    template <typename Policy>
+    std::vector<experiment::run_report> run(std::string_view scenarioName) const
+    {
+        const auto &conditions = *std::ranges::find(experiment::scenarios(), scenarioName,
+                                                    &experiment::scenario::name);
+        std::vector<experiment::run_report> reports;
+        for (const auto seed : seeds)
+            reports.push_back(experiment::virtual_experiment<Policy>(m_document, m_load, conditions,
+                                                                     "policy", seed)
+                                  .run());
+        return reports;
+    }
+
+    template <typename Figure>
+    static double median(const std::vector<experiment::run_report> &reports, Figure figure)
+    {
+        std::vector<double> values;
+        values.reserve(reports.size());
+        for (const auto &report : reports)
+            values.push_back(static_cast<double>(figure(report)));
+        return experiment::quantile(values, 0.5);
+    }
+
+    static double goodputOf(const std::vector<experiment::run_report> &reports)
+    {
+        return median(reports, [](const auto &report) { return report.goodput(); });
+    }
+
+private:
+    static std::string read(const std::string &name)
+    {
+        std::ifstream stream(std::string(EXAMPLES_FOLDER) + '/' + name);
+        std::ostringstream content;
+        content << stream.rdbuf();
+        return content.str();
+    }
+
+    inventory::document m_document;
+    experiment::workload m_load;
+};
+
+} // namespace
+
+INSTANTIATE_TEST_SUITE_P(deployments, policy_targets, testing::Values("spennuvir", "kasavu"),
+                         [](const auto &entry) { return std::string(entry.param); });
+
+// Guards against tiers that fail when it matters: twice the capacity, a straggler, late reports.
+TEST_P(policy_targets, ProtectedClassesMeetTheirTargetInOverload)
+{
+    const auto reports = run<policy::decision_core>("overload-straggler-late");
+    EXPECT_GE(median(reports, [](const auto &report) { return report.protectedAttainment(); }),
+              0.95);
+}
+
+// Guards against a shed or preemption for a lower tier, two generations in one answer, and a class
+// that is never served.
+TEST_P(policy_targets, GuaranteesHoldInOverload)
+{
+    for (const auto &report : run<policy::decision_core>("overload-straggler-late")) {
+        EXPECT_EQ(report.tierViolations, 0U);
+        EXPECT_EQ(report.splices, 0U);
+        for (const auto &row : report.classes)
+            EXPECT_GT(row.whole, 0U) << row.name;
+    }
+}
+
+// Guards against a policy that is no better than a plain router when demand exceeds capacity.
+TEST_P(policy_targets, GoodputInOverloadIsFarAboveRoundRobin)
+{
+    EXPECT_GE(goodputOf(run<policy::decision_core>("overload")),
+              1.3 * goodputOf(run<experiment::round_robin_policy>("overload")));
+}
+
+// Guards against a policy that loses to plain balancing where capacity suffices.
+TEST_P(policy_targets, GoodputWithLateReportsMatchesTheBestBaseline)
+{
+    EXPECT_GE(goodputOf(run<policy::decision_core>("late-reports")),
+              std::max(goodputOf(run<experiment::round_robin_policy>("late-reports")),
+                       goodputOf(run<experiment::least_in_flight_policy>("late-reports"))));
+}
+
+// Guards against work that is thrown away: preempted, repeated or generated for nobody.
+TEST_P(policy_targets, LittleWorkIsWastedWithoutFaults)
+{
+    for (const char *name : {"steady", "overload"})
+        EXPECT_LE(median(run<policy::decision_core>(name),
+                         [](const auto &report) { return report.wastedPart(); }),
+                  0.02)
+            << name;
+}
+
+// Guards against work that is thrown away after a crash.
+TEST_P(policy_targets, LittleWorkIsWastedWithAStragglerAndACrash)
+{
+    EXPECT_LE(median(run<policy::decision_core>("straggler-crash"),
+                     [](const auto &report) { return report.wastedPart(); }),
+              0.05);
+}
+
+// Guards against billed traffic between regions while the region's own engines suffice.
+TEST_P(policy_targets, CrossRegionBytesAreATenthOfRoundRobin)
+{
+    const auto bytes = [](const auto &report) { return report.crossRegionBytes; };
+    EXPECT_LE(median(run<policy::decision_core>("steady"), bytes),
+              0.1 * median(run<experiment::round_robin_policy>("steady"), bytes));
+}
