--- /dev/null
+++ b/Libraries/LibFleet/control_node.h
@@ -0,0 +1,247 @@
+#pragma once
+
+#include "LibFleet/deployment_dialect.h"
+#include "LibForward/event_log.h"
+#include "LibForward/plain_server.h"
+#include "LibPeer/configuration_feed.h"
+#include "LibPeer/configuration_publisher.h"
+#include "LibPeer/configuration_writer.h"
+#include "LibPeer/control_service.h"
+#include "LibPeer/peer_network.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <asio/io_context.hpp>
+
+namespace quetzalcleat::fleet {
+
+/// The control role: holds the replicated log and answers operators.
+template <deployment_dialect Dialect>
+class control_node : public std::enable_shared_from_this<control_node<Dialect>>
+{
+public:
+    static core::result<std::shared_ptr<control_node>>
+    create(asio::io_context &context, std::shared_ptr<peer::peer_network> network,
+           core::counter_registry &counters, forward::event_log &log, const node_settings &settings)
+    {
+        std::shared_ptr<control_node> self(
+            new control_node(context, std::move(network), counters, log, settings));
+        if (const auto opened = self->open(); !opened)
+            return opened.error();
+        return self;
+    }
+
+    core::result<void> start()
+    {
+        m_service->start();
+        const std::weak_ptr<control_node> weak = this->weak_from_this();
+        m_server = std::make_shared<forward::plain_server>(
+            m_context,
+            [weak](const forward::http_head &head, std::string body,
+                   forward::plain_server::responder respond) {
+                if (const auto self = weak.lock())
+                    self->handle(head, std::move(body), std::move(respond));
+            });
+        startTimer();
+        return m_server->start(*m_settings.controlAddress);
+    }
+
+    /// Hands leadership on, so that a planned stop costs no election timeout.
+    void beginStop() { m_service->leaveLeadership(); }
+
+    void stop()
+    {
+        m_stopped = true;
+        m_timer.cancel();
+        m_server->stop();
+        m_writer->stop();
+        m_service->stop();
+    }
+
+    const peer::control_service &service() const { return *m_service; }
+    std::uint64_t revision() const { return m_feed->revision(); }
+
+private:
+    using responder = forward::plain_server::responder;
+
+    control_node(asio::io_context &context, std::shared_ptr<peer::peer_network> network,
+                 core::counter_registry &counters, forward::event_log &log,
+                 const node_settings &settings)
+        : m_context(context), m_network(std::move(network)), m_counters(counters), m_log(log),
+          m_settings(settings), m_timer(context)
+    {
+    }
+
+    core::result<void> open()
+    {
+        // Configurations are large: a snapshot after few of them keeps the log within the disk.
+        constexpr std::uint64_t snapshotEntries = 100;
+        m_feed = std::make_shared<peer::configuration_feed>();
+        m_publisher = peer::configuration_publisher::create(m_network, m_feed);
+        peer::control_service_options options;
+        options.dataFolder = m_settings.dataFolder;
+        const bool isSeed
+            = std::find(m_settings.seeds.begin(), m_settings.seeds.end(), m_settings.ip)
+            != m_settings.seeds.end();
+        options.initialiseCluster = m_settings.firstStart && isSeed;
+        options.snapshotEntries = snapshotEntries;
+        options.minimumVoters = 2 * m_settings.disksThatMayBeLost + 1;
+        options.rejoins = true;
+        const auto voters = options.minimumVoters;
+        auto service
+            = peer::control_service::create(m_network, m_feed, m_publisher, std::move(options));
+        if (!service) {
+            m_log.write(
+                "store_refused",
+                {{"folder", m_settings.dataFolder.string()}, {"error", service.error().message()}});
+            return service.error();
+        }
+        m_service = std::move(service).value();
+        m_writer = peer::configuration_writer::create(
+            m_network, m_service, voters, [](const std::string &document) {
+                const auto content = Dialect::readConfiguration(document);
+                return content ? content.value().version : std::uint64_t{0};
+            });
+        return {};
+    }
+
+    void startTimer()
+    {
+        constexpr std::chrono::milliseconds interval{200};
+        m_timer.expires_after(interval);
+        m_timer.async_wait([weak = this->weak_from_this()](std::error_code error) {
+            const auto self = weak.lock();
+            if (error || !self || self->m_stopped)
+                return;
+            self->noteLeader();
+            self->m_log.flush();
+            self->startTimer();
+        });
+    }
+
+    void noteLeader()
+    {
+        auto leader = m_service->leaderHost();
+        if (leader == m_lastLeader)
+            return;
+        m_log.write("leader_changed",
+                    {{"from", m_lastLeader.empty() ? "-" : m_lastLeader},
+                     {"to", leader.empty() ? "-" : leader},
+                     {"revision", std::to_string(m_feed->revision())}});
+        m_lastLeader = std::move(leader);
+    }
+
+    void handle(const forward::http_head &head, std::string body, responder respond)
+    {
+        switch (Dialect::outsideCall(head)) {
+        case outside_call::ReadConfiguration:
+            read(head.target, respond);
+            return;
+        case outside_call::WriteConfiguration:
+            write(head.target, std::move(body), std::move(respond));
+            return;
+        case outside_call::Readiness:
+        case outside_call::Unknown:
+            respond({404, "text/plain", {}, "no such call\n"});
+            return;
+        }
+    }
+
+    void read(const std::string &target, const responder &respond)
+    {
+        const auto newest = m_service->confirmedConfiguration();
+        if (newest && newest->revision != 0) {
+            m_log.write("configuration_read",
+                        {{"revision", std::to_string(newest->revision)}, {"outcome", "newest"}});
+            respond({200, "application/json", {}, newest->document});
+            return;
+        }
+        redirect(target, respond, "configuration_read");
+    }
+
+    void redirect(const std::string &target, const responder &respond, const char *call)
+    {
+        const auto leader = m_service->leaderHost();
+        if (leader.empty() || leader == m_settings.ip) {
+            m_log.write(call, {{"outcome", "no_leader"}});
+            respond({503, "application/json", {}, "{\"error\":\"no confirmed leader\"}\n"});
+            return;
+        }
+        m_log.write(call, {{"outcome", "redirected"}, {"leader", leader}});
+        const core::socket_address address{leader, m_settings.controlAddress->port};
+        respond({307, "application/json", "http://" + address.text() + target, "{}\n"});
+    }
+
+    void write(const std::string &target, std::string body, responder respond)
+    {
+        // Only the leader reads the document, which takes time in proportion to its size.
+        if (!m_service->confirmedConfiguration()) {
+            redirect(target, respond, "configuration_write");
+            return;
+        }
+        auto content = Dialect::readConfiguration(body);
+        if (!content) {
+            refuse(content.error(), respond);
+            return;
+        }
+        const auto version = content.value().version;
+        const auto checked = forward::route_table::create(std::move(content).value());
+        if (!checked) {
+            refuse(checked.error(), respond);
+            return;
+        }
+        const auto self = this->shared_from_this();
+        m_writer->write(std::move(body), version,
+                        [self, version, target, respond](peer::write_outcome outcome) {
+                            self->finishWrite(version, target, outcome, respond);
+                        });
+    }
+
+    void refuse(std::error_code error, const responder &respond)
+    {
+        m_log.write("configuration_write", {{"outcome", "invalid"}, {"error", error.message()}});
+        respond({400, "application/json", {}, "{\"error\":\"" + error.message() + "\"}\n"});
+    }
+
+    void finishWrite(std::uint64_t version, const std::string &target, peer::write_outcome outcome,
+                     const responder &respond)
+    {
+        if (outcome == peer::write_outcome::NotLeader) {
+            redirect(target, respond, "configuration_write");
+            return;
+        }
+        const char *name = "undecided";
+        if (outcome == peer::write_outcome::Accepted)
+            name = "accepted";
+        else if (outcome == peer::write_outcome::NotNewer)
+            name = "not_newer";
+        m_log.write("configuration_write",
+                    {{"version", std::to_string(version)},
+                     {"outcome", name},
+                     {"revision", std::to_string(m_feed->revision())}});
+        ++m_counters.counter("configuration_writes_total", std::string("outcome=\"") + name + '"');
+        if (outcome == peer::write_outcome::Undecided)
+            respond({503, "application/json", {}, "{\"error\":\"undecided\"}\n"});
+        else
+            respond({200, "application/json", {}, "{}\n"});
+    }
+
+    asio::io_context &m_context;
+    std::shared_ptr<peer::peer_network> m_network;
+    core::counter_registry &m_counters;
+    forward::event_log &m_log;
+    node_settings m_settings;
+    asio::steady_timer m_timer;
+    std::shared_ptr<peer::configuration_feed> m_feed;
+    std::shared_ptr<peer::configuration_publisher> m_publisher;
+    std::shared_ptr<peer::control_service> m_service;
+    std::shared_ptr<peer::configuration_writer> m_writer;
+    std::shared_ptr<forward::plain_server> m_server;
+    std::string m_lastLeader;
+    bool m_stopped = false;
+};
+
+} // namespace quetzalcleat::fleet
--- /dev/null
+++ b/Libraries/LibFleet/deployment_dialect.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "LibCore/result.h"
+#include "LibFleet/node_settings.h"
+#include "LibForward/list_reader.h"
+#include "LibForward/route_table.h"
+#include "LibForward/wire_names.h"
+
+#include <concepts>
+#include <string>
+
+namespace quetzalcleat::fleet {
+
+/// Calls that other systems make at this one, beside forwarded requests.
+enum class outside_call { ReadConfiguration, WriteConfiguration, Readiness, Unknown };
+
+/// How a deployment names things on the wire. Decides nothing.
+template <typename Dialect>
+concept deployment_dialect
+    = forward::list_dialect<Dialect> && requires(const std::string &text,
+                                                 const forward::http_head &head)
+{
+    {
+        Dialect::readSettings(text)
+        } -> std::same_as<core::result<node_settings>>;
+    {
+        Dialect::readConfiguration(text)
+        } -> std::same_as<core::result<forward::configuration>>;
+    {
+        Dialect::wireNames()
+        } -> std::same_as<forward::wire_names>;
+    {
+        Dialect::outsideCall(head)
+        } -> std::same_as<outside_call>;
+};
+
+} // namespace quetzalcleat::fleet
--- /dev/null
+++ b/Libraries/LibFleet/entry_node.h
@@ -0,0 +1,226 @@
+#pragma once
+
+#include "LibFleet/deployment_dialect.h"
+#include "LibForward/forwarder.h"
+#include "LibForward/plain_server.h"
+#include "LibPeer/configuration_lease.h"
+#include "LibPeer/peer_network.h"
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace quetzalcleat::fleet {
+
+/// The entry role: accepts callers and forwards their requests.
+template <deployment_dialect Dialect>
+class entry_node : public std::enable_shared_from_this<entry_node<Dialect>>
+{
+public:
+    entry_node(asio::io_context &context, std::shared_ptr<peer::peer_network> network,
+               core::counter_registry &counters, forward::event_log &log,
+               const node_settings &settings)
+        : m_context(context), m_network(std::move(network)), m_counters(counters), m_log(log),
+          m_settings(settings)
+    {
+    }
+
+    core::result<void> start()
+    {
+        const std::weak_ptr<entry_node> weak = this->weak_from_this();
+        m_forwarder = std::make_shared<forward::forwarder>(
+            m_context, m_counters, m_log, forwarderOptions(), [weak] {
+                const auto self = weak.lock();
+                return self ? self->m_lease->age() : std::chrono::milliseconds::max();
+            });
+        startLease(weak);
+        forward::list_reader_options list;
+        list.address = m_settings.listAddress;
+        m_list = std::make_shared<forward::list_reader<Dialect>>(
+            m_forwarder->pool(), m_log, list,
+            [weak](const std::vector<forward::listed_endpoint> &endpoints) {
+                if (const auto self = weak.lock())
+                    self->m_forwarder->setEndpoints(endpoints);
+            });
+        m_ready = std::make_shared<forward::plain_server>(
+            m_context,
+            [weak](const forward::http_head &head, const std::string &,
+                   const forward::plain_server::responder &respond) {
+                if (const auto self = weak.lock())
+                    self->answerReadiness(head, respond);
+            });
+        m_lease->start();
+        m_list->start();
+        if (const auto listening = m_ready->start(*m_settings.readyAddress); !listening)
+            return listening;
+        return m_forwarder->start();
+    }
+
+    void setSeeds(std::vector<std::string> seeds) { m_lease->setSeeds(std::move(seeds)); }
+
+    void beginStop() { m_forwarder->beginStop(); }
+
+    /// Closes idle connections. True if nothing is in progress any more.
+    bool drained()
+    {
+        m_forwarder->closeIdle();
+        return m_forwarder->requestsInProgress() == 0;
+    }
+
+    void stop()
+    {
+        m_ready->stop();
+        m_list->stop();
+        m_lease->stop();
+        m_forwarder->stop();
+    }
+
+    bool isReady() const
+    {
+        return !m_forwarder->isStopping() && m_forwarder->routes() && m_list->hasRead()
+            && m_forwarder->hasFreshLease();
+    }
+
+private:
+    forward::forwarder_options forwarderOptions() const
+    {
+        // Part of the revocation time that a confirmation counts for; the rest covers requests that
+        // are on their way and the timers of a busy host.
+        constexpr double leaseShare = 0.8;
+        // Descriptors for files, peers and the list.
+        constexpr std::uint64_t reserve = 400;
+        forward::forwarder_options options;
+        options.callerAddress = *m_settings.callerAddress;
+        options.names = Dialect::wireNames();
+        options.placement.dataCentre = m_settings.dataCentre;
+        options.placement.region = m_settings.region;
+        options.placement.regions = m_settings.regions;
+        options.retries.ratio = m_settings.retryRatio;
+        options.retries.window = m_settings.retryWindow;
+        options.retries.slack = m_settings.retrySlack;
+        options.retries.slackShare = 0.02;
+        options.leaseTime = std::chrono::milliseconds(static_cast<std::int64_t>(
+            static_cast<double>(m_settings.revocationTime.count()) * leaseShare));
+        // A caller and the endpoint of its request.
+        options.maximumSessions = (std::max(m_settings.descriptorLimit, 2 * reserve) - reserve) / 2;
+        return options;
+    }
+
+    void startLease(const std::weak_ptr<entry_node> &weak)
+    {
+        peer::configuration_lease::handlers handlers;
+        handlers.changed = [weak](const state::configuration &newest) {
+            if (const auto self = weak.lock())
+                self->applyConfiguration(newest);
+        };
+        handlers.ownLoads = [weak] {
+            const auto self = weak.lock();
+            return self ? self->ownLoads() : std::vector<peer::endpoint_load>();
+        };
+        handlers.loads
+            = [weak](const std::vector<peer::endpoint_load> &loads, std::uint32_t hosts) {
+                  if (const auto self = weak.lock())
+                      self->applyLoads(loads, hosts);
+              };
+        handlers.confirmed = [weak](bool isConfirmed) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->m_log.write(isConfirmed ? "control_regained" : "control_lost",
+                              {{"leader", self->m_lease->leader()},
+                               {"revision", std::to_string(self->m_lease->revision())}});
+        };
+        m_lease = peer::configuration_lease::create(m_network, m_settings.seeds, {},
+                                                    std::move(handlers));
+    }
+
+    void applyConfiguration(const state::configuration &newest)
+    {
+        auto content = Dialect::readConfiguration(newest.document);
+        auto routes = content
+            ? forward::route_table::create(std::move(content).value())
+            : core::result<std::shared_ptr<const forward::route_table>>(content.error());
+        if (!routes) {
+            // Checked before it was accepted, so only a host of another program version gets here.
+            m_log.write("configuration_unreadable",
+                        {{"revision", std::to_string(newest.revision)},
+                         {"error", routes.error().message()}});
+            return;
+        }
+        m_log.write("configuration_in_force",
+                    {{"revision", std::to_string(newest.revision)},
+                     {"version", std::to_string(routes.value()->content().version)},
+                     {"routes", std::to_string(routes.value()->content().routes.size())}});
+        m_forwarder->setRoutes(std::move(routes).value());
+    }
+
+    std::vector<peer::endpoint_load> ownLoads() const
+    {
+        std::vector<peer::endpoint_load> loads;
+        for (const auto &[incarnation, target] : m_forwarder->endpoints().all()) {
+            if (target->running > 0)
+                loads.push_back({incarnation, target->running, target->waitingTokens});
+        }
+        return loads;
+    }
+
+    void applyLoads(const std::vector<peer::endpoint_load> &loads, std::uint32_t hosts)
+    {
+        for (const auto &[incarnation, target] : m_forwarder->endpoints().all()) {
+            target->runningElsewhere = 0;
+            target->waitingTokensElsewhere = 0;
+        }
+        for (const auto &load : loads) {
+            const auto found = m_forwarder->endpoints().all().find(load.incarnation);
+            if (found == m_forwarder->endpoints().all().end())
+                continue;
+            found->second->runningElsewhere = load.running;
+            found->second->waitingTokensElsewhere = load.waitingTokens;
+        }
+        // The largest number seen, so that hosts out of the leader's sight keep their part.
+        m_hosts = std::max(m_hosts, hosts);
+        m_forwarder->retries().setSlackShare(1.0 / static_cast<double>(std::max(m_hosts, 1U)));
+    }
+
+    void answerReadiness(const forward::http_head &head,
+                         const forward::plain_server::responder &respond)
+    {
+        if (Dialect::outsideCall(head) != outside_call::Readiness) {
+            respond({404, "text/plain", {}, "no such call\n"});
+            return;
+        }
+        const bool ready = isReady();
+        if (ready != m_wasReady) {
+            m_wasReady = ready;
+            m_log.write(
+                "readiness_changed",
+                {{"ready", ready ? "yes" : "no"},
+                 {"stopping", m_forwarder->isStopping() ? "yes" : "no"},
+                 {"configuration", m_forwarder->routes() ? "yes" : "no"},
+                 {"list", m_list->hasRead() ? "yes" : "no"},
+                 {"lease_age_ms",
+                  std::to_string(std::min<std::int64_t>(m_lease->age().count(), 999'999))}});
+        }
+        respond({ready ? 200 : 503, "text/plain", {}, ready ? "ready\n" : "not ready\n"});
+    }
+
+    asio::io_context &m_context;
+    std::shared_ptr<peer::peer_network> m_network;
+    core::counter_registry &m_counters;
+    forward::event_log &m_log;
+    node_settings m_settings;
+    std::shared_ptr<forward::forwarder> m_forwarder;
+    std::shared_ptr<peer::configuration_lease> m_lease;
+    std::shared_ptr<forward::list_reader<Dialect>> m_list;
+    std::shared_ptr<forward::plain_server> m_ready;
+    std::uint32_t m_hosts = 0;
+    bool m_wasReady = false;
+};
+
+} // namespace quetzalcleat::fleet
--- /dev/null
+++ b/Libraries/LibFleet/node_process.h
@@ -0,0 +1,261 @@
+#pragma once
+
+#include "LibCore/counter_registry.h"
+#include "LibFleet/control_node.h"
+#include "LibFleet/entry_node.h"
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace quetzalcleat::fleet {
+
+struct process_options
+{
+    std::filesystem::path settingsFile;
+    std::uint16_t metricsPort = 0; ///< 0 for none.
+};
+
+/// A process with the roles of its settings, from its start to its exit.
+template <deployment_dialect Dialect>
+class node_process
+{
+public:
+    explicit node_process(process_options options)
+        : m_options(std::move(options)), m_context(1),
+          m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_timer(m_context)
+    {
+    }
+
+    /// Returns the exit code: 0 after a planned stop, 1 if the process cannot start.
+    int run()
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        const auto text = readFile();
+        auto settings = Dialect::readSettings(text);
+        if (!settings) {
+            forward::event_log log("-");
+            log.write(
+                "settings_refused",
+                {{"file", m_options.settingsFile.string()}, {"error", settings.error().message()}});
+            log.flush();
+            return 1;
+        }
+        m_settings = std::move(settings).value();
+        m_settingsText = text;
+        m_log.emplace(m_settings.hostName);
+        if (const auto started = start(); !started) {
+            m_log->write("start_failed", {{"error", started.error().message()}});
+            m_log->flush();
+            return 1;
+        }
+        m_log->write("started",
+                     {{"entry", m_entry ? "yes" : "no"},
+                      {"control", m_control ? "yes" : "no"},
+                      {"data_centre", m_settings.dataCentre},
+                      {"first_start", m_settings.firstStart ? "yes" : "no"},
+                      {"seeds", std::to_string(m_settings.seeds.size())}});
+        waitForSignal();
+        startTimer();
+        m_context.run();
+        m_log->write("stopped", {});
+        m_log->flush();
+        return 0;
+    }
+
+private:
+    /// Between the first "not ready" and the end of accepting: two missed checks of a balancer that
+    /// asks once a second, and its own delay.
+    static constexpr std::chrono::milliseconds balancerNotice{2600};
+    /// Kept from the grace time for closing.
+    static constexpr std::chrono::milliseconds stopMargin{400};
+    static constexpr std::chrono::milliseconds tick{100};
+    static constexpr std::chrono::milliseconds settingsInterval{1000};
+    /// A control host that hands its leadership on has done so by then.
+    static constexpr std::chrono::milliseconds handOverTime{600};
+
+    std::string readFile() const
+    {
+        std::ifstream file(m_options.settingsFile, std::ios::binary);
+        return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    }
+
+    core::result<void> start()
+    {
+        peer::peer_network_options options;
+        const auto incarnation
+            = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                             std::chrono::system_clock::now().time_since_epoch())
+                                             .count());
+        // FIXME: The settings hold no key of the deployment, so peers only prove the same program.
+        options.identity
+            = {"fleet", m_settings.ip, incarnation, {"quetzalcleat-fleet-without-a-secret-key"}};
+        options.dataCentre = m_settings.dataCentre;
+        options.control = m_settings.controlAddress.has_value();
+        options.address = {m_settings.ip, m_settings.peerPort};
+        options.commonPort = m_settings.peerPort;
+        options.peers = seedPeers();
+        auto network = peer::peer_network::create(m_context, m_counters, std::move(options));
+        if (!network)
+            return network.error();
+        m_network = std::move(network).value();
+        if (m_settings.controlAddress) {
+            auto control = control_node<Dialect>::create(m_context, m_network, m_counters, *m_log,
+                                                         m_settings);
+            if (!control)
+                return control.error();
+            m_control = std::move(control).value();
+            if (const auto started = m_control->start(); !started)
+                return started;
+        }
+        if (m_settings.callerAddress) {
+            m_entry = std::make_shared<entry_node<Dialect>>(m_context, m_network, m_counters,
+                                                            *m_log, m_settings);
+            if (const auto started = m_entry->start(); !started)
+                return started;
+        }
+        m_network->start();
+        return startMetrics();
+    }
+
+    std::vector<core::peer_settings> seedPeers() const
+    {
+        std::vector<core::peer_settings> peers;
+        for (const auto &seed : m_settings.seeds) {
+            if (seed != m_settings.ip)
+                peers.push_back({seed, {}, {seed, m_settings.peerPort}, true});
+        }
+        return peers;
+    }
+
+    core::result<void> startMetrics()
+    {
+        if (m_options.metricsPort == 0)
+            return {};
+        m_metrics = std::make_shared<forward::plain_server>(
+            m_context,
+            [this](const forward::http_head &, const std::string &,
+                   const forward::plain_server::responder &respond) {
+                respond({200, "text/plain; version=0.0.4", {}, m_counters.text()});
+            });
+        return m_metrics->start({m_settings.ip, m_options.metricsPort});
+    }
+
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](std::error_code error, int signal) {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                reloadSettings("signal");
+            else
+                beginStop();
+            waitForSignal();
+        });
+    }
+
+    void reloadSettings(const char *cause)
+    {
+        auto text = readFile();
+        if (text == m_settingsText)
+            return;
+        auto settings = Dialect::readSettings(text);
+        if (!settings) {
+            m_log->write("reload_refused",
+                         {{"cause", cause}, {"error", settings.error().message()}});
+            return;
+        }
+        m_settingsText = std::move(text);
+        // Only the seeds may change while the process runs.
+        m_settings.seeds = std::move(settings).value().seeds;
+        for (auto &peer : seedPeers())
+            m_network->addPeer(std::move(peer));
+        if (m_entry)
+            m_entry->setSeeds(m_settings.seeds);
+        m_log->write("reloaded",
+                     {{"cause", cause}, {"seeds", std::to_string(m_settings.seeds.size())}});
+    }
+
+    void beginStop()
+    {
+        if (m_stopSince)
+            return;
+        m_stopSince = std::chrono::steady_clock::now();
+        m_log->write("stopping", {});
+        if (m_entry)
+            m_entry->beginStop();
+        if (m_control)
+            m_control->beginStop();
+    }
+
+    void startTimer()
+    {
+        m_timer.expires_after(tick);
+        m_timer.async_wait([this](std::error_code error) {
+            if (error)
+                return;
+            const auto now = std::chrono::steady_clock::now();
+            if (now - m_settingsRead >= settingsInterval) {
+                m_settingsRead = now;
+                reloadSettings("file");
+            }
+            m_log->flush();
+            if (m_stopSince && mayExit(now))
+                stop();
+            else
+                startTimer();
+        });
+    }
+
+    bool mayExit(core::instant now)
+    {
+        const auto since = now - *m_stopSince;
+        if (since >= m_settings.graceTime - stopMargin)
+            return true;
+        if (m_control && since < handOverTime)
+            return false;
+        if (!m_entry)
+            return true;
+        return since >= balancerNotice && m_entry->drained();
+    }
+
+    void stop()
+    {
+        m_signals.cancel();
+        if (m_entry)
+            m_entry->stop();
+        if (m_control)
+            m_control->stop();
+        if (m_metrics)
+            m_metrics->stop();
+        m_network->stop();
+        m_log->flush();
+        m_context.stop();
+    }
+
+    process_options m_options;
+    asio::io_context m_context;
+    asio::signal_set m_signals;
+    asio::steady_timer m_timer;
+    core::counter_registry m_counters;
+    std::optional<forward::event_log> m_log;
+    node_settings m_settings;
+    std::string m_settingsText;
+    core::instant m_settingsRead;
+    std::shared_ptr<peer::peer_network> m_network;
+    std::shared_ptr<control_node<Dialect>> m_control;
+    std::shared_ptr<entry_node<Dialect>> m_entry;
+    std::shared_ptr<forward::plain_server> m_metrics;
+    std::optional<core::instant> m_stopSince;
+};
+
+} // namespace quetzalcleat::fleet
--- /dev/null
+++ b/Libraries/LibFleet/node_settings.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "LibCore/settings.h"
+
+#include <chrono>
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace quetzalcleat::fleet {
+
+/// What a process of a fleet without a fixed list of peers learns from its settings. Hosts are
+/// named by their IP address; control hosts are found through a few seeds.
+struct node_settings
+{
+    std::string hostName; ///< For logs and metrics.
+    std::string ip;
+    std::string dataCentre;
+    std::string region;
+    std::map<std::string, std::string> regions; ///< Region of each data centre.
+
+    std::optional<core::socket_address> callerAddress; ///< Set on hosts with the entry role.
+    std::optional<core::socket_address> readyAddress;
+    std::optional<core::socket_address> controlAddress; ///< Set on hosts with the control role.
+    std::uint16_t peerPort = 0; ///< The same on all hosts.
+    std::vector<std::string> seeds; ///< Addresses of some control hosts; may be out of date.
+    bool firstStart = false; ///< The whole fleet starts for the first time.
+    std::filesystem::path dataFolder; ///< Control role only.
+    std::size_t disksThatMayBeLost = 1; ///< At the same time.
+
+    core::socket_address listAddress; ///< The platform's list of endpoints.
+    double listRate = 0; ///< Calls a second that the list takes from all hosts together.
+
+    std::chrono::milliseconds graceTime{8000}; ///< Between SIGTERM and SIGKILL.
+    std::chrono::milliseconds revocationTime{5000}; ///< Until a removed key must not work anywhere.
+    double retryRatio = 0.2;
+    std::chrono::milliseconds retryWindow{10'000};
+    double retrySlack = 0; ///< Over all hosts.
+    std::uint64_t descriptorLimit = 4096;
+};
+
+} // namespace quetzalcleat::fleet
--- /dev/null
+++ b/Libraries/LibForward/caller_session.cpp
@@ -0,0 +1,320 @@
+#include "LibForward/caller_session.h"
+
+#include "LibForward/exchange.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+
+namespace quetzalcleat::forward {
+
+namespace {
+
+constexpr std::size_t readBytes = std::size_t{16} * 1024;
+/// Bytes of further requests that are taken while one is in progress.
+constexpr std::size_t maximumAhead = std::size_t{64} * 1024;
+/// How long a closing connection reads on, so that a reset does not overtake the answer.
+constexpr std::chrono::milliseconds lingerTime{1000};
+
+} // namespace
+
+caller_session::caller_session(std::shared_ptr<forwarder> owner, asio::ip::tcp::socket socket)
+    : m_owner(std::move(owner)), m_socket(std::move(socket)), m_timer(m_owner->context())
+{
+}
+
+void caller_session::start()
+{
+    std::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_buffer.resize(readBytes);
+    const auto routes = m_owner->routes();
+    if (routes)
+        m_reader.limitHeader(routes->content().limits.headerBytes);
+    armTimer(routes ? routes->content().limits.idleTimeout : caller_limits{}.idleTimeout);
+    read();
+}
+
+void caller_session::read()
+{
+    if (m_reading || m_closed || (m_phase == phase::Busy && m_input.size() >= maximumAhead))
+        return;
+    m_reading = true;
+    m_socket.async_read_some(asio::buffer(m_buffer),
+                             [self = shared_from_this()](std::error_code error, std::size_t bytes) {
+                                 self->m_reading = false;
+                                 if (self->m_closed)
+                                     return;
+                                 if (error) {
+                                     self->handleCallerGone();
+                                     return;
+                                 }
+                                 if (self->m_phase != phase::Closing) {
+                                     if (self->m_input.empty() && self->m_phase == phase::Idle)
+                                         self->m_requestStart = std::chrono::steady_clock::now();
+                                     self->m_input.append(self->m_buffer.data(), bytes);
+                                     self->process();
+                                 }
+                                 self->read();
+                             });
+}
+
+void caller_session::process()
+{
+    while (!m_closed && !m_input.empty() && (m_phase == phase::Idle || m_phase == phase::Reading)) {
+        if (m_phase == phase::Idle) {
+            m_phase = phase::Reading;
+            m_headChecked = false;
+            m_reader.restart();
+            m_body.clear();
+            const auto routes = m_owner->routes();
+            const auto limits = routes ? routes->content().limits : caller_limits{};
+            m_reader.limitHeader(limits.headerBytes);
+            armTimer(limits.headerTimeout);
+        }
+        const auto used = m_reader.read(m_input, m_body);
+        if (!used) {
+            if (used.error() == forward_error::HeaderTooLarge)
+                refuse(431, "Request Header Fields Too Large");
+            else
+                refuse(400, "Bad Request");
+            return;
+        }
+        m_input.erase(0, used.value());
+        if (m_reader.headComplete() && !m_headChecked)
+            checkHead();
+        if (m_phase != phase::Reading)
+            return;
+        const auto routes = m_owner->routes();
+        if (m_body.size() > (routes ? routes->content().limits : caller_limits{}).bodyBytes) {
+            refuse(413, "Content Too Large");
+            return;
+        }
+        if (m_reader.complete())
+            startExchange();
+        else if (used.value() == 0)
+            return;
+    }
+}
+
+void caller_session::checkHead()
+{
+    m_headChecked = true;
+    const auto routes = m_owner->routes();
+    const auto limits = routes ? routes->content().limits : caller_limits{};
+    auto &head = m_reader.head();
+    const auto length = parseNumber(head.value("Content-Length"));
+    if (length && *length > limits.bodyBytes) {
+        refuse(413, "Content Too Large");
+        return;
+    }
+    if (!head.has("Host")) {
+        refuse(400, "Bad Request");
+        return;
+    }
+    armTimer(limits.idleTimeout);
+    if (!m_reader.complete() && equalsIgnoringCase(head.value("Expect"), "100-continue"))
+        queue("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void caller_session::startExchange()
+{
+    m_phase = phase::Busy;
+    m_timer.cancel();
+    m_keep = m_reader.keepsConnection();
+    m_answersHead = m_reader.head().method == "HEAD";
+    m_exchange = std::make_shared<exchange>(m_owner, shared_from_this(), std::move(m_reader.head()),
+                                            std::move(m_body), m_requestStart);
+    m_body.clear();
+    m_exchange->start();
+}
+
+void caller_session::refuse(int status, std::string_view reason)
+{
+    m_keep = false;
+    m_phase = phase::Busy;
+    m_timer.cancel();
+    m_owner->log().write("request_refused_unread",
+                         {{"status", std::to_string(status)}, {"reason", std::string(reason)}});
+    ++m_owner->counters().counter("requests_unread_total",
+                                  "status=\"" + std::to_string(status) + '"');
+    http_head head;
+    head.status = status;
+    head.reason = reason;
+    sendAnswer(std::move(head), {});
+}
+
+void caller_session::sendAnswer(http_head head, const std::string &body)
+{
+    if (m_closed)
+        return;
+    if (m_owner->isStopping())
+        m_keep = false;
+    head.set("Content-Length", std::to_string(body.size()));
+    if (!m_keep)
+        head.set("Connection", "close");
+    auto text = head.answerText() + "\r\n";
+    if (!m_answersHead)
+        text += body;
+    queue(std::move(text));
+    answerDone();
+}
+
+void caller_session::beginAnswer(http_head head)
+{
+    if (m_owner->isStopping())
+        m_keep = false;
+    m_chunked = true;
+    head.remove("Content-Length");
+    head.set("Transfer-Encoding", "chunked");
+    if (!m_keep)
+        head.set("Connection", "close");
+    queue(head.answerText() + "\r\n");
+}
+
+void caller_session::sendPart(const std::string &bytes)
+{
+    if (bytes.empty() || m_answersHead)
+        return;
+    std::array<char, 24> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    std::string chunk(size.data());
+    chunk.reserve(chunk.size() + bytes.size() + 2);
+    chunk.append(bytes).append("\r\n");
+    queue(std::move(chunk));
+}
+
+void caller_session::endAnswer()
+{
+    if (!m_answersHead)
+        queue("0\r\n\r\n");
+    answerDone();
+}
+
+void caller_session::abortAnswer()
+{
+    m_exchange.reset();
+    close();
+}
+
+void caller_session::answerDone()
+{
+    m_exchange.reset();
+    if (m_closed)
+        return;
+    if (!m_keep) {
+        shutDown();
+        return;
+    }
+    m_phase = phase::Idle;
+    m_requestStart = std::chrono::steady_clock::now();
+    const auto routes = m_owner->routes();
+    armTimer((routes ? routes->content().limits : caller_limits{}).idleTimeout);
+    // Not from within the exchange that has just ended.
+    asio::post(m_owner->context(), [self = shared_from_this()] {
+        if (self->m_closed)
+            return;
+        self->process();
+        self->read();
+    });
+}
+
+void caller_session::shutDown()
+{
+    m_phase = phase::Closing;
+    m_input.clear();
+    armTimer(lingerTime);
+    if (!m_writing && m_output.empty()) {
+        std::error_code ignored;
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+    read();
+}
+
+void caller_session::queue(std::string bytes)
+{
+    if (m_closed)
+        return;
+    m_waitingBytes += bytes.size();
+    m_output.push_back(std::move(bytes));
+    if (!m_writing)
+        write();
+}
+
+void caller_session::write()
+{
+    m_writing = true;
+    std::vector<asio::const_buffer> buffers;
+    const auto count = std::min<std::size_t>(m_output.size(), 32);
+    for (std::size_t index = 0; index < count; ++index)
+        buffers.emplace_back(asio::buffer(m_output[index]));
+    asio::async_write(m_socket, buffers,
+                      [self = shared_from_this(), count](std::error_code error, std::size_t bytes) {
+                          self->m_writing = false;
+                          if (self->m_closed)
+                              return;
+                          if (error) {
+                              self->handleCallerGone();
+                              return;
+                          }
+                          self->m_output.erase(self->m_output.begin(),
+                                               self->m_output.begin()
+                                                   + static_cast<std::ptrdiff_t>(count));
+                          self->m_waitingBytes -= std::min(bytes, self->m_waitingBytes);
+                          if (!self->m_output.empty())
+                              self->write();
+                          else if (self->m_phase == phase::Closing)
+                              self->shutDown();
+                          else if (self->m_exchange)
+                              self->m_exchange->callerReady();
+                      });
+}
+
+void caller_session::armTimer(std::chrono::milliseconds time)
+{
+    m_timer.expires_after(time);
+    m_timer.async_wait([self = shared_from_this()](std::error_code error) {
+        if (!error && !self->m_closed)
+            self->handleTimeout();
+    });
+}
+
+void caller_session::handleTimeout()
+{
+    // A timer that expired while the phase changed belongs to the phase before.
+    if (m_timer.expiry() > std::chrono::steady_clock::now())
+        return;
+    if (m_phase == phase::Reading)
+        refuse(408, "Request Timeout");
+    else if (m_phase != phase::Busy)
+        close();
+}
+
+void caller_session::handleCallerGone()
+{
+    if (const auto current = std::exchange(m_exchange, nullptr))
+        current->callerLeft();
+    close();
+}
+
+void caller_session::closeIfIdle()
+{
+    if (m_phase == phase::Idle && m_input.empty())
+        close();
+}
+
+void caller_session::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    m_timer.cancel();
+    std::error_code ignored;
+    m_socket.close(ignored);
+    m_owner->sessionEnded(shared_from_this());
+}
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/caller_session.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "LibForward/forwarder.h"
+#include "LibForward/http_reader.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace quetzalcleat::forward {
+
+class exchange;
+
+/// A connection of a caller. It keeps itself alive while the socket is open, reads one request
+/// after another, and notices that the caller leaves while a request is in progress.
+class caller_session : public std::enable_shared_from_this<caller_session>
+{
+public:
+    caller_session(std::shared_ptr<forwarder> owner, asio::ip::tcp::socket socket);
+
+    void start();
+
+    /// Closes now unless a request is being read or in progress.
+    void closeIfIdle();
+    void close();
+
+    /// A whole answer. The length is set here.
+    void sendAnswer(http_head head, const std::string &body);
+
+    /// Begins an answer whose body follows in parts.
+    void beginAnswer(http_head head);
+    void sendPart(const std::string &bytes);
+    void endAnswer();
+
+    /// Ends the connection so that the answer in progress does not look complete.
+    void abortAnswer();
+
+    std::size_t waitingBytes() const { return m_waitingBytes; }
+    void markNotKept() { m_keep = false; }
+
+private:
+    enum class phase { Idle, Reading, Busy, Closing };
+
+    void read();
+    void process();
+    void checkHead();
+    void startExchange();
+    void refuse(int status, std::string_view reason);
+    void queue(std::string bytes);
+    void write();
+    void answerDone();
+    void armTimer(std::chrono::milliseconds time);
+    void handleTimeout();
+    void handleCallerGone();
+    void shutDown();
+
+    std::shared_ptr<forwarder> m_owner;
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    http_reader m_reader{http_reader::message_kind::Request};
+    std::string m_buffer;
+    std::string m_input; ///< Received and not read yet.
+    std::string m_body;
+    std::deque<std::string> m_output;
+    std::size_t m_waitingBytes = 0;
+    std::shared_ptr<exchange> m_exchange;
+    core::instant m_requestStart;
+    phase m_phase = phase::Idle;
+    bool m_headChecked = false;
+    bool m_reading = false;
+    bool m_writing = false;
+    bool m_keep = true;
+    bool m_chunked = false;
+    bool m_answersHead = false;
+    bool m_closed = false;
+};
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/endpoint_table.cpp
@@ -0,0 +1,89 @@
+#include "LibForward/endpoint_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace quetzalcleat::forward {
+
+namespace {
+
+/// Weight of the newest outcome; about the last eight outcomes count.
+constexpr double outcomeWeight = 0.15;
+/// An endpoint that fails more than this share of its requests is ejected. Own failures of plain
+/// services reach 14 in 100 on the users' sheets, so this lies well above.
+constexpr double ejectionShare = 0.45;
+/// Outcomes before an average counts.
+constexpr std::uint32_t minimumOutcomes = 4;
+/// First ejection; doubled with each further one.
+constexpr std::chrono::milliseconds firstEjection{700};
+constexpr std::chrono::milliseconds longestEjection{6000};
+
+} // namespace
+
+void endpoint_table::update(const std::vector<listed_endpoint> &list)
+{
+    std::set<std::string_view> named;
+    for (const auto &entry : list) {
+        named.insert(entry.incarnation);
+        auto &known = m_endpoints[entry.incarnation];
+        if (!known) {
+            known = std::make_shared<endpoint>();
+            known->listed = entry;
+            m_services[entry.service].push_back(known);
+            continue;
+        }
+        const bool leaving = known->listed.isLeaving || entry.isLeaving;
+        known->listed = entry;
+        known->listed.isLeaving = leaving;
+        known->isGone = false;
+    }
+    for (auto &[incarnation, known] : m_endpoints)
+        known->isGone = !named.contains(incarnation);
+    for (auto &[service, endpoints] : m_services) {
+        std::erase_if(endpoints, [](const endpoint_pointer &entry) {
+            return entry->isGone && entry->running == 0;
+        });
+    }
+    std::erase_if(m_endpoints, [](const auto &entry) {
+        return entry.second->isGone && entry.second->running == 0;
+    });
+}
+
+const std::vector<endpoint_table::endpoint_pointer> &
+endpoint_table::of(std::string_view service) const
+{
+    static const std::vector<endpoint_pointer> none;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? none : found->second;
+}
+
+void endpoint_table::noteOutcome(endpoint &target, attempt_outcome outcome, core::instant now)
+{
+    const bool wasProbing = target.isProbing;
+    target.isProbing = false;
+    if (outcome == attempt_outcome::Abandoned || outcome == attempt_outcome::Refused)
+        return;
+    const bool failed = outcome != attempt_outcome::Served;
+    target.failureShare += outcomeWeight * ((failed ? 1.0 : 0.0) - target.failureShare);
+    target.outcomes = std::min(target.outcomes + 1, minimumOutcomes);
+    if (!failed) {
+        if (wasProbing) {
+            target.failureShare = 0;
+            target.outcomes = 0;
+        }
+        if (target.failureShare < ejectionShare / 2)
+            target.ejections = 0;
+        return;
+    }
+    const bool eject = outcome == attempt_outcome::Unreachable || wasProbing
+        || (target.outcomes >= minimumOutcomes && target.failureShare > ejectionShare);
+    if (!eject || target.ejectedUntil > now)
+        return;
+    const auto doublings = std::min(target.ejections, std::uint32_t{4});
+    const auto length = std::min(firstEjection * (1 << doublings), longestEjection);
+    ++target.ejections;
+    target.ejectedUntil = now + length;
+}
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/exchange.cpp
@@ -0,0 +1,653 @@
+#include "LibForward/exchange.h"
+
+#include "LibCore/hash.h"
+#include "LibForward/caller_session.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace quetzalcleat::forward {
+
+namespace {
+
+/// Answers of plain services are kept whole up to this size before the caller gets any of it, so
+/// that a broken one can still be replaced.
+constexpr std::size_t maximumKeptAnswer = std::size_t{256} * 1024;
+/// Bytes waiting for a slow caller beyond which the endpoint is not read.
+constexpr std::size_t maximumUnsent = std::size_t{256} * 1024;
+/// Less time left than this is not worth a send.
+constexpr std::chrono::milliseconds leastTimeLeft{15};
+/// Sends of one request, those that an endpoint refused included.
+constexpr int maximumSends = 4;
+/// An endpoint that sent something within this time is alive.
+constexpr std::chrono::milliseconds aliveTime{700};
+/// Callers leave a stream after a pause of 2 s, four objectives or eight gap objectives, whichever
+/// is longest (the users' protocol page); another endpoint is tried at this part of it.
+constexpr double patienceShare = 0.6;
+/// Bounds of Retry-After; callers wait for at most a third of the time they have left.
+constexpr std::chrono::milliseconds shortestReturn{300};
+constexpr std::chrono::milliseconds longestReturn{1500};
+
+std::string_view withoutPort(std::string_view host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+std::string seconds(std::chrono::milliseconds time)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", static_cast<double>(time.count()) / 1000.0);
+    return text.data();
+}
+
+bool isSuccess(int status)
+{
+    return status / 100 == 2;
+}
+
+std::string number(std::int64_t value)
+{
+    return std::to_string(value);
+}
+
+} // namespace
+
+exchange::exchange(std::shared_ptr<forwarder> owner, std::weak_ptr<caller_session> session,
+                   http_head request, std::string body, core::instant arrived)
+    : m_owner(std::move(owner)), m_session(std::move(session)), m_request(std::move(request)),
+      m_body(std::move(body)), m_arrived(arrived), m_deadlineTimer(m_owner->context()),
+      m_attemptTimer(m_owner->context()), m_routes(m_owner->routes())
+{
+    m_owner->requestStarted();
+}
+
+exchange::~exchange()
+{
+    m_owner->requestEnded();
+}
+
+void exchange::start()
+{
+    m_id = m_request.value(m_owner->options().names.requestId);
+    if (!m_routes) {
+        answer(503, "Service Unavailable", "no_configuration", longestReturn);
+        return;
+    }
+    const auto host = withoutPort(m_request.value("Host"));
+    m_route = m_routes->find(host, m_request.path());
+    if (m_route == nullptr) {
+        // A host that may be behind cannot know that there is no such route.
+        if (m_owner->hasFreshLease())
+            answer(404, "Not Found", "no_route");
+        else
+            answer(503, "Service Unavailable", "configuration_not_confirmed", shortestReturn);
+        return;
+    }
+    m_rank = m_route->rank;
+    if (!authorise())
+        return;
+    readDeadline();
+    readSize();
+    if (!chooseService()) {
+        answer(503, "Service Unavailable", "no_service", shortestReturn);
+        return;
+    }
+    m_owner->retries().noteRequest(m_service->name, std::chrono::steady_clock::now());
+    m_deadlineTimer.expires_at(m_deadline);
+    m_deadlineTimer.async_wait([weak = weak_from_this()](std::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->handleDeadline();
+    });
+    tryEndpoint();
+}
+
+bool exchange::authorise()
+{
+    if (!m_routes->content().requiresKeys || m_route->isPublic)
+        return true;
+    if (!m_owner->hasFreshLease()) {
+        answer(503, "Service Unavailable", "configuration_not_confirmed", shortestReturn);
+        return false;
+    }
+    constexpr std::string_view scheme = "Bearer ";
+    const auto value = m_request.value("Authorization");
+    if (value.size() > scheme.size() && equalsIgnoringCase(value.substr(0, scheme.size()), scheme))
+        m_account = m_routes->findAccount(value.substr(scheme.size()));
+    if (m_account == nullptr) {
+        answer(401, "Unauthorized", "unknown_key");
+        return false;
+    }
+    m_rank = m_account->rank.value_or(m_rank);
+    return true;
+}
+
+void exchange::readDeadline()
+{
+    const auto left = parseNumber(m_request.value(m_owner->options().names.timeLeft));
+    constexpr std::chrono::hours longest{24};
+    m_callerDeadline = m_arrived + longest;
+    if (left)
+        m_callerDeadline = std::min(m_callerDeadline,
+                                    m_arrived
+                                        + std::chrono::milliseconds(std::min<std::uint64_t>(
+                                            *left, std::chrono::milliseconds(longest).count())));
+    m_deadline = std::min(m_callerDeadline, m_arrived + m_route->timeout);
+}
+
+void exchange::readSize()
+{
+    const auto &names = m_owner->options().names;
+    const std::string_view counts = m_request.value(names.sizes);
+    const auto comma = counts.find(',');
+    const auto prompt = parseNumber(counts.substr(0, comma));
+    if (!prompt)
+        return;
+    m_hasSize = true;
+    m_size.promptTokens = static_cast<std::uint32_t>(*prompt);
+    if (comma != std::string_view::npos)
+        m_size.outputTokens
+            = static_cast<std::uint32_t>(parseNumber(counts.substr(comma + 1)).value_or(0));
+    m_size.expectedOutputTokens = static_cast<std::uint32_t>(
+        parseNumber(m_request.value(names.lengthEstimate)).value_or(m_size.outputTokens));
+    auto rest = std::string_view(m_request.value(names.promptParts));
+    std::string shared;
+    while (!rest.empty()) {
+        const auto end = rest.find(',');
+        const auto entry = rest.substr(0, end);
+        const auto colon = entry.find(':');
+        prompt_part part;
+        const auto identifier = entry.substr(0, colon);
+        std::from_chars(identifier.data(), identifier.data() + identifier.size(), part.id, 16);
+        if (colon != std::string_view::npos)
+            part.tokens
+                = static_cast<std::uint32_t>(parseNumber(entry.substr(colon + 1)).value_or(0));
+        m_size.parts.push_back(part);
+        if (end == std::string_view::npos)
+            break;
+        // The last part belongs to this request or its session; those before it are shared.
+        shared = identifier;
+        rest.remove_prefix(end + 1);
+    }
+    if (m_route->sharesPrefixes && !shared.empty())
+        m_affinity = core::hash64(shared) | 1U;
+}
+
+bool exchange::chooseService()
+{
+    std::uint64_t total = 0;
+    for (const auto &target : m_route->services)
+        total += target.weight;
+    if (total == 0)
+        return false;
+    auto place = core::hash64(m_id) % total;
+    for (const auto &target : m_route->services) {
+        if (place < target.weight) {
+            m_service = m_routes->findService(target.service);
+            return m_service != nullptr;
+        }
+        place -= target.weight;
+    }
+    return false;
+}
+
+std::string exchange::requestText(const endpoint &target, std::chrono::milliseconds left) const
+{
+    const auto &names = m_owner->options().names;
+    http_head head;
+    head.method = m_request.method;
+    head.target = m_request.target;
+    const auto connection = m_request.value("Connection");
+    const auto isOwn = [&](std::string_view name) {
+        const auto same = [&](const std::string &own) { return equalsIgnoringCase(name, own); };
+        return same(names.timeLeft) || same(names.expectedIncarnation) || same(names.account)
+            || same(names.urgency) || same("Authorization") || same("Content-Length")
+            || std::any_of(names.reserved.begin(), names.reserved.end(), same);
+    };
+    for (const auto &field : m_request.headers) {
+        if (!isHopByHop(field.name, connection) && !isOwn(field.name))
+            head.headers.push_back(field);
+    }
+    if (m_events.events() > 0 && m_events.lastId())
+        head.set("Last-Event-Id", number(static_cast<std::int64_t>(*m_events.lastId())));
+    head.headers.push_back({names.timeLeft, number(left.count())});
+    head.headers.push_back({names.expectedIncarnation, target.listed.incarnation});
+    if (m_account != nullptr)
+        head.headers.push_back({names.account, m_account->name});
+    if (m_service->engine)
+        head.headers.push_back({names.urgency, number(std::clamp(m_rank, 0, names.lowestUrgency))});
+    const bool hasBody
+        = !m_body.empty() || m_request.has("Content-Length") || m_request.has("Transfer-Encoding");
+    if (hasBody)
+        head.headers.push_back({"Content-Length", std::to_string(m_body.size())});
+    return head.requestText() + "\r\n" + m_body;
+}
+
+void exchange::tryEndpoint()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto left = timeLeft();
+    if (left < leastTimeLeft) {
+        handleDeadline();
+        return;
+    }
+    placement_request request;
+    request.target = m_service;
+    request.size = m_service->engine && m_hasSize ? &m_size : nullptr;
+    request.rank = m_rank;
+    request.affinity = m_service->engine ? m_affinity : 0;
+    request.excluded = m_tried;
+    const auto choice = place(m_owner->endpoints(), request, m_owner->options().placement, now);
+    if (!choice.chosen) {
+        giveUp("no_endpoint", m_possibleRuns > 0);
+        return;
+    }
+    m_endpoint = choice.chosen;
+    m_tried.push_back(m_endpoint);
+    m_attemptStart = now;
+    m_expectedWait = choice.expectedWait;
+    m_unread = choice.unreadTokens;
+    m_waitsForFirst = true;
+    ++m_endpoint->running;
+    ++m_endpoint->waitingPrompts;
+    m_endpoint->waitingTokens += m_unread;
+    m_endpoint->isProbing = m_endpoint->ejections > 0 && m_endpoint->ejectedUntil <= now;
+    if (m_service->engine) {
+        for (const auto &part : m_size.parts)
+            m_endpoint->parts[part.id] = now;
+    }
+    attempt::request content;
+    content.address = m_endpoint->listed.address;
+    content.key = content.address.text() + ' ' + m_endpoint->listed.incarnation;
+    content.text = requestText(*m_endpoint, left);
+    content.identifier = m_id;
+    content.identifierHeader = m_owner->options().names.requestId;
+    content.answersHead = m_request.method == "HEAD";
+    m_answer = {};
+    m_answerBody.clear();
+    m_events.startSource();
+    const std::weak_ptr<exchange> weak = weak_from_this();
+    attempt::handlers handlers;
+    handlers.sent = [weak] {
+        if (const auto self = weak.lock())
+            self->connectionOpened();
+    };
+    handlers.head = [weak](http_head &head) {
+        if (const auto self = weak.lock())
+            self->handleHead(head);
+    };
+    handlers.body = [weak](std::string &bytes) {
+        if (const auto self = weak.lock())
+            self->handleBody(bytes);
+    };
+    handlers.ended = [weak](const attempt::ending &ending) {
+        if (const auto self = weak.lock())
+            self->handleEnd(ending);
+    };
+    startAttemptTimer();
+    m_attempt = attempt::start(m_owner->pool(), std::move(content), std::move(handlers));
+}
+
+void exchange::connectionOpened()
+{
+    ++m_sends;
+    ++m_possibleRuns;
+}
+
+void exchange::handleHead(http_head &head)
+{
+    m_answer = std::move(head);
+    m_endpoint->lastHeard = std::chrono::steady_clock::now();
+    if (!m_service->engine || !isSuccess(m_answer.status))
+        return;
+    // Bytes that are not the endpoint's own answer.
+    if (!m_answer.has(m_owner->options().names.signature) || m_answer.has("Content-Encoding")) {
+        m_attempt->cancel();
+        attemptFailed("answer_unsigned", true);
+    }
+}
+
+void exchange::handleBody(std::string &bytes)
+{
+    const auto session = m_session.lock();
+    if (!session)
+        return;
+    m_endpoint->lastHeard = std::chrono::steady_clock::now();
+    const bool streams = isStream() && isSuccess(m_answer.status);
+    if (!streams && !m_relaying) {
+        m_answerBody.append(bytes);
+        const auto signature = m_owner->options().names.signature;
+        if (m_answerBody.size() <= maximumKeptAnswer || !m_answer.has(signature))
+            return;
+        m_relaying = true;
+        bytes = std::move(m_answerBody);
+        m_answerBody.clear();
+    }
+    auto part = streams ? m_events.take(bytes) : std::move(bytes);
+    if (m_events.hasGap()) {
+        m_attempt->cancel();
+        attemptFailed("events_missing", true);
+        return;
+    }
+    if (part.empty())
+        return;
+    if (std::exchange(m_waitsForFirst, false)) {
+        --m_endpoint->waitingPrompts;
+        m_endpoint->waitingTokens -= m_unread;
+    }
+    if (!std::exchange(m_answerStarted, true)) {
+        m_owner->latency(m_service->name).observe(elapsed());
+        http_head head = m_answer;
+        const std::string connection(head.value("Connection"));
+        std::erase_if(head.headers, [&](const header_field &field) {
+            return isHopByHop(field.name, connection);
+        });
+        session->beginAnswer(std::move(head));
+    }
+    startAttemptTimer();
+    session->sendPart(part);
+    if (session->waitingBytes() > maximumUnsent)
+        m_attempt->pause();
+}
+
+void exchange::callerReady()
+{
+    if (m_attempt)
+        m_attempt->resume();
+}
+
+void exchange::handleEnd(const attempt::ending &ending)
+{
+    if (m_done)
+        return;
+    m_attemptTimer.cancel();
+    const auto &names = m_owner->options().names;
+    if (!ending.wasSent) {
+        releaseEndpoint(attempt_outcome::Unreachable);
+        attemptFailed("unreachable", false);
+        return;
+    }
+    if (isStream() && isSuccess(m_answer.status) && m_answer.status != 0) {
+        handleStreamEnd(ending.error);
+        return;
+    }
+    if (ending.error) {
+        const bool stale = ending.wasReset && m_route->mayRunAgain();
+        releaseEndpoint(stale ? attempt_outcome::Abandoned : attempt_outcome::Failed);
+        attemptFailed("broken: " + ending.error.message(), true);
+        return;
+    }
+    if (m_answer.has(names.notRun) || m_answer.status == 421) {
+        --m_possibleRuns;
+        // Another incarnation answers at this address.
+        if (m_answer.status == 421)
+            m_endpoint->listed.isLeaving = true;
+        releaseEndpoint(attempt_outcome::Refused);
+        attemptFailed("refused: " + number(m_answer.status), false);
+        return;
+    }
+    handleWholeAnswer();
+}
+
+void exchange::handleWholeAnswer()
+{
+    const auto &names = m_owner->options().names;
+    const bool isValid = m_answer.has(names.signature) && !m_answer.has("Content-Encoding")
+        && m_answer.value(names.requestId) == m_id;
+    if (isSuccess(m_answer.status) && !isValid) {
+        releaseEndpoint(attempt_outcome::Failed);
+        attemptFailed("answer_unsigned", true);
+        return;
+    }
+    releaseEndpoint(m_answer.status >= 500 ? attempt_outcome::Failed : attempt_outcome::Served);
+    if (m_answer.status >= 500 && m_route->mayRunAgain() && mayTryAgain(true)) {
+        m_owner->log().write("request_repeated",
+                             {{"id", m_id}, {"cause", "status " + number(m_answer.status)}});
+        tryEndpoint();
+        return;
+    }
+    const auto session = m_session.lock();
+    if (!session)
+        return;
+    if (m_relaying) {
+        done(m_answer.status, "answered");
+        session->endAnswer();
+        return;
+    }
+    const int status = m_answer.status;
+    const std::string connection(m_answer.value("Connection"));
+    std::erase_if(m_answer.headers, [&](const header_field &field) {
+        return isHopByHop(field.name, connection)
+            || equalsIgnoringCase(field.name, "Content-Length");
+    });
+    m_owner->latency(m_service->name).observe(elapsed());
+    done(status, "answered");
+    session->sendAnswer(std::move(m_answer), m_answerBody);
+}
+
+void exchange::handleStreamEnd(std::error_code error)
+{
+    if (error || m_events.hasRest()) {
+        releaseEndpoint(attempt_outcome::Failed);
+        attemptFailed(error ? "broken: " + error.message() : "event_cut", true);
+        return;
+    }
+    releaseEndpoint(attempt_outcome::Served);
+    const auto session = m_session.lock();
+    if (!session)
+        return;
+    if (!m_answerStarted) {
+        giveUp("no_events", true);
+        return;
+    }
+    done(m_answer.status, "answered");
+    session->endAnswer();
+}
+
+void exchange::attemptFailed(std::string_view cause, bool mayHaveRun)
+{
+    if (m_done)
+        return;
+    if (m_endpoint)
+        releaseEndpoint(attempt_outcome::Failed);
+    m_attempt.reset();
+    const bool again = mayTryAgain(mayHaveRun);
+    m_owner->log().write("attempt_failed",
+                         {{"id", m_id},
+                          {"service", m_service->name},
+                          {"endpoint", m_tried.back()->listed.incarnation},
+                          {"cause", std::string(cause)},
+                          {"may_have_run", mayHaveRun ? "yes" : "no"},
+                          {"events", number(static_cast<std::int64_t>(m_events.events()))},
+                          {"again", again ? "yes" : "no"}});
+    ++m_owner->counters().counter("attempts_failed_total", "service=\"" + m_service->name + '"');
+    if (again)
+        tryEndpoint();
+    else
+        giveUp(cause, m_possibleRuns > 0);
+}
+
+bool exchange::mayTryAgain(bool mayHaveRun)
+{
+    if (m_relaying || m_events.hasGap())
+        return false;
+    if (mayHaveRun && !m_route->mayRunAgain())
+        return false;
+    if (m_possibleRuns > 0 && !m_route->mayRunAgain())
+        return false;
+    // FIXME: A stream that lacks ids cannot be continued; it is given up.
+    if (m_events.events() > 0 && !m_events.lastId())
+        return false;
+    if (m_possibleRuns >= m_route->maximumAttempts || m_sends >= maximumSends
+        || m_tried.size() >= 2 * maximumSends || timeLeft() < leastTimeLeft)
+        return false;
+    return m_sends == 0
+        || m_owner->retries().take(m_service->name, std::chrono::steady_clock::now());
+}
+
+void exchange::startAttemptTimer()
+{
+    if (!m_route->mayRunAgain())
+        return;
+    auto patience = std::max(m_route->latencyObjective, std::chrono::milliseconds(200));
+    if (isStream()) {
+        const auto longest
+            = std::max({std::chrono::milliseconds(2000), m_route->latencyObjective * 4,
+                        m_route->eventGapObjective * 8});
+        patience = std::chrono::milliseconds(
+            static_cast<std::int64_t>(static_cast<double>(longest.count()) * patienceShare));
+    }
+    m_attemptTimer.expires_after(patience);
+    m_attemptTimer.async_wait([weak = weak_from_this()](std::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || self->m_done || !self->m_attempt || !self->m_endpoint)
+            return;
+        if (self->m_attemptTimer.expiry() > std::chrono::steady_clock::now())
+            return;
+        const auto silence = std::chrono::steady_clock::now() - self->m_endpoint->lastHeard;
+        if (self->isStream() && silence < aliveTime) {
+            self->startAttemptTimer();
+            return;
+        }
+        if (!self->mayTryAgain(true))
+            return;
+        self->m_owner->log().write("attempt_silent",
+                                   {{"id", self->m_id},
+                                    {"endpoint", self->m_endpoint->listed.incarnation},
+                                    {"waited_ms", number(self->elapsed().count())}});
+        self->m_attempt->cancel();
+        self->m_attempt.reset();
+        self->releaseEndpoint(attempt_outcome::Failed);
+        self->tryEndpoint();
+    });
+}
+
+void exchange::handleDeadline()
+{
+    if (m_done)
+        return;
+    const bool ran = m_possibleRuns > 0;
+    if (m_attempt)
+        m_attempt->cancel();
+    m_attempt.reset();
+    releaseEndpoint(attempt_outcome::Abandoned);
+    if (!m_answerStarted && ran)
+        answer(504, "Gateway Timeout", "time_is_up");
+    else
+        giveUp("time_is_up", ran);
+}
+
+void exchange::callerLeft()
+{
+    if (m_done)
+        return;
+    if (m_attempt)
+        m_attempt->cancel();
+    m_attempt.reset();
+    releaseEndpoint(attempt_outcome::Abandoned);
+    done(0, "caller_left");
+}
+
+void exchange::releaseEndpoint(attempt_outcome outcome)
+{
+    const auto target = std::exchange(m_endpoint, nullptr);
+    if (!target)
+        return;
+    --target->running;
+    if (std::exchange(m_waitsForFirst, false)) {
+        --target->waitingPrompts;
+        target->waitingTokens -= m_unread;
+    }
+    const bool wasEjected = target->ejectedUntil > std::chrono::steady_clock::now();
+    m_owner->endpoints().noteOutcome(*target, outcome, std::chrono::steady_clock::now());
+    if (!wasEjected && target->ejectedUntil > std::chrono::steady_clock::now())
+        m_owner->log().write(
+            "endpoint_ejected",
+            {{"endpoint", target->listed.incarnation},
+             {"service", target->listed.service},
+             {"failure_percent", number(static_cast<std::int64_t>(target->failureShare * 100))},
+             {"ejections", number(target->ejections)}});
+}
+
+void exchange::answer(int status, std::string_view reason, std::string_view cause,
+                      std::chrono::milliseconds retryAfter)
+{
+    const auto session = m_session.lock();
+    done(status, cause);
+    if (!session)
+        return;
+    http_head head;
+    head.status = status;
+    head.reason = reason;
+    if (!m_id.empty())
+        head.headers.push_back({m_owner->options().names.requestId, m_id});
+    if (retryAfter.count() > 0)
+        head.headers.push_back({"Retry-After", seconds(retryAfter)});
+    session->sendAnswer(std::move(head), {});
+}
+
+void exchange::giveUp(std::string_view cause, bool mayHaveRun)
+{
+    if (m_answerStarted) {
+        const auto session = m_session.lock();
+        done(0, cause);
+        if (session)
+            session->abortAnswer();
+        return;
+    }
+    if (mayHaveRun)
+        answer(502, "Bad Gateway", cause);
+    else
+        answer(503, "Service Unavailable", cause, retryAfter());
+}
+
+void exchange::done(int status, std::string_view cause)
+{
+    if (std::exchange(m_done, true))
+        return;
+    m_deadlineTimer.cancel();
+    m_attemptTimer.cancel();
+    const auto labels = "status=\"" + number(status) + "\",cause=\""
+        + std::string(cause.substr(0, cause.find(':'))) + '"';
+    ++m_owner->counters().counter("requests_total", labels);
+    m_owner->log().write(
+        "request_done",
+        {{"id", m_id},
+         {"status", number(status)},
+         {"cause", std::string(cause)},
+         {"route", m_route == nullptr ? std::string("-") : m_route->name},
+         {"account", m_account == nullptr ? std::string("-") : m_account->name},
+         {"rank", number(m_rank)},
+         {"endpoint", m_tried.empty() ? std::string("-") : m_tried.back()->listed.incarnation},
+         {"sends", number(m_sends)},
+         {"elapsed_ms", number(elapsed().count())},
+         {"events", number(static_cast<std::int64_t>(m_events.events()))},
+         {"expected_wait_ms", number(m_expectedWait.count() / 1000)},
+         {"unread_tokens", number(static_cast<std::int64_t>(m_unread))},
+         {"version", number(m_routes ? static_cast<std::int64_t>(m_routes->content().version) : 0)},
+         {"lease_age_ms", number(std::min<std::int64_t>(m_owner->leaseAge().count(), 999'999))}});
+}
+
+std::chrono::milliseconds exchange::timeLeft() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_deadline - std::chrono::steady_clock::now());
+}
+
+std::chrono::milliseconds exchange::elapsed() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now()
+                                                                 - m_arrived);
+}
+
+std::chrono::milliseconds exchange::retryAfter() const
+{
+    // Spread by the request, so that callers refused together do not return together.
+    const auto span = static_cast<std::uint64_t>((longestReturn - shortestReturn).count());
+    return shortestReturn
+        + std::chrono::milliseconds(static_cast<std::int64_t>(core::hash64(m_id) % span));
+}
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/exchange.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "LibForward/event_splitter.h"
+#include "LibForward/forwarder.h"
+#include "LibForward/http_head.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <asio/steady_timer.hpp>
+
+namespace quetzalcleat::forward {
+
+class caller_session;
+
+/// One request of a caller from its arrival to its final answer, over all attempts at endpoints.
+class exchange : public std::enable_shared_from_this<exchange>
+{
+public:
+    exchange(std::shared_ptr<forwarder> owner, std::weak_ptr<caller_session> session,
+             http_head request, std::string body, core::instant arrived);
+    ~exchange();
+
+    exchange(const exchange &) = delete;
+    exchange &operator=(const exchange &) = delete;
+
+    void start();
+
+    /// The caller closed its connection: the endpoint is told at once by closing its connection.
+    void callerLeft();
+
+    /// The caller has taken all that was sent to it.
+    void callerReady();
+
+private:
+    enum class limit_kind { Caller, Route };
+
+    bool authorise();
+    void readDeadline();
+    void readSize();
+    bool chooseService();
+    std::string requestText(const endpoint &target, std::chrono::milliseconds left) const;
+
+    void tryEndpoint();
+    void connectionOpened();
+    void handleHead(http_head &head);
+    void handleBody(std::string &bytes);
+    void handleEnd(const attempt::ending &ending);
+    void handleWholeAnswer();
+    void handleStreamEnd(std::error_code error);
+    void attemptFailed(std::string_view cause, bool mayHaveRun);
+    bool mayTryAgain(bool mayHaveRun);
+    void startAttemptTimer();
+    void handleDeadline();
+
+    void releaseEndpoint(attempt_outcome outcome);
+    void answer(int status, std::string_view reason, std::string_view cause,
+                std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0));
+    void giveUp(std::string_view cause, bool mayHaveRun);
+    void done(int status, std::string_view cause);
+    std::chrono::milliseconds timeLeft() const;
+    std::chrono::milliseconds elapsed() const;
+    std::chrono::milliseconds retryAfter() const;
+    bool isStream() const { return m_route->kind == repeat_kind::Stream; }
+
+    std::shared_ptr<forwarder> m_owner;
+    std::weak_ptr<caller_session> m_session;
+    http_head m_request;
+    std::string m_body;
+    core::instant m_arrived;
+    core::instant m_deadline; ///< The earlier one of the caller's and the route's.
+    core::instant m_callerDeadline;
+    asio::steady_timer m_deadlineTimer;
+    asio::steady_timer m_attemptTimer;
+
+    std::shared_ptr<const route_table> m_routes; ///< In force when the request arrived.
+    const route *m_route = nullptr;
+    const client_account *m_account = nullptr;
+    const service *m_service = nullptr;
+    std::string m_id;
+    int m_rank = 0;
+    generation_size m_size;
+    bool m_hasSize = false;
+    std::uint64_t m_affinity = 0;
+
+    std::shared_ptr<attempt> m_attempt;
+    endpoint_table::endpoint_pointer m_endpoint; ///< Of the attempt in progress.
+    std::vector<endpoint_table::endpoint_pointer> m_tried;
+    std::uint64_t m_unread = 0; ///< Prompt tokens counted as waiting at the endpoint.
+    core::instant m_attemptStart;
+    std::chrono::microseconds m_expectedWait{0};
+    bool m_waitsForFirst = false;
+    int m_sends = 0; ///< Attempts whose connection opened.
+    int m_possibleRuns = 0; ///< Of these, those that may have run.
+
+    http_head m_answer; ///< Of the attempt in progress.
+    std::string m_answerBody;
+    event_splitter m_events;
+    bool m_answerStarted = false; ///< The caller has got the head.
+    bool m_relaying = false; ///< A body too long to keep is passed on as it comes.
+    bool m_done = false;
+};
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/forward_error.cpp
@@ -0,0 +1,64 @@
+#include "LibForward/forward_error.h"
+
+namespace quetzalcleat::forward {
+
+namespace {
+
+class forward_category final : public std::error_category
+{
+public:
+    const char *name() const noexcept override { return "forward"; }
+
+    std::string message(int value) const override
+    {
+        switch (static_cast<forward_error>(value)) {
+        case forward_error::Malformed:
+            return "the document cannot be read";
+        case forward_error::UnknownService:
+            return "a route names an unknown service";
+        case forward_error::DuplicatePlace:
+            return "two routes share host and path prefix";
+        case forward_error::NoWeight:
+            return "the weights of a route add up to 0";
+        case forward_error::NoTimeout:
+            return "a route has a timeout of 0";
+        case forward_error::SharedKey:
+            return "two client accounts share a key";
+        case forward_error::MissingField:
+            return "a field is missing";
+        case forward_error::BadField:
+            return "a field has the wrong type or an impossible value";
+        case forward_error::BadMessage:
+            return "the bytes are not an HTTP message";
+        case forward_error::HeaderTooLarge:
+            return "the header is too large";
+        case forward_error::BodyTooLarge:
+            return "the body is too large";
+        case forward_error::ConnectTimeout:
+            return "no connection within the time allowed";
+        case forward_error::ConnectionClosed:
+            return "the peer closed the connection early";
+        case forward_error::Cancelled:
+            return "cancelled";
+        case forward_error::TooManyConnections:
+            return "too many connections";
+        case forward_error::ListenFailed:
+            return "cannot listen";
+        case forward_error::NoLeader:
+            return "no leader of the replicated log is known";
+        case forward_error::Undecided:
+            return "it is not known whether the change was accepted";
+        }
+        return "unknown error";
+    }
+};
+
+} // namespace
+
+std::error_code make_error_code(forward_error error)
+{
+    static const forward_category category;
+    return {static_cast<int>(error), category};
+}
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/forward_error.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <system_error>
+
+namespace quetzalcleat::forward {
+
+enum class forward_error {
+    Malformed = 1, ///< The text cannot be read as a document.
+    UnknownService, ///< A route names a service that is not in the document.
+    DuplicatePlace, ///< Two routes have the same host and path prefix.
+    NoWeight, ///< The weights of a route add up to 0.
+    NoTimeout, ///< A route has a timeout of 0.
+    SharedKey, ///< Two client accounts hold the same key.
+    MissingField,
+    BadField,
+    BadMessage, ///< Bytes that are not HTTP.
+    HeaderTooLarge,
+    BodyTooLarge,
+    ConnectTimeout,
+    ConnectionClosed, ///< The peer closed before its message was complete.
+    Cancelled,
+    TooManyConnections,
+    ListenFailed,
+    NoLeader,
+    Undecided,
+};
+
+std::error_code make_error_code(forward_error error);
+
+} // namespace quetzalcleat::forward
+
+template <>
+struct std::is_error_code_enum<quetzalcleat::forward::forward_error> : std::true_type
+{
+};
--- /dev/null
+++ b/Libraries/LibForward/forwarder.cpp
@@ -0,0 +1,137 @@
+#include "LibForward/forwarder.h"
+
+#include "LibForward/caller_session.h"
+
+#include <utility>
+#include <vector>
+
+namespace quetzalcleat::forward {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickInterval{200};
+/// Connections that wait to be accepted.
+constexpr int backlog = 1024;
+/// Pause after an accept that failed, for example without a free descriptor.
+constexpr std::chrono::milliseconds acceptRetryDelay{20};
+
+} // namespace
+
+forwarder::forwarder(asio::io_context &context, core::counter_registry &counters, event_log &log,
+                     forwarder_options options, std::function<std::chrono::milliseconds()> leaseAge)
+    : m_context(context), m_counters(counters), m_log(log), m_options(std::move(options)),
+      m_leaseAge(std::move(leaseAge)), m_acceptor(context), m_timer(context),
+      m_pool(std::make_shared<connection_pool>(context, m_options.upstream)),
+      m_retries(m_options.retries)
+{
+}
+
+core::result<void> forwarder::start()
+{
+    std::error_code error;
+    const auto ip = asio::ip::make_address(m_options.callerAddress.ip, error);
+    const asio::ip::tcp::endpoint place(ip, m_options.callerAddress.port);
+    if (!error)
+        m_acceptor.open(place.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(place, error);
+    if (!error)
+        m_acceptor.listen(backlog, error);
+    if (error) {
+        m_log.write("listen_failed",
+                    {{"address", m_options.callerAddress.text()}, {"error", error.message()}});
+        return forward_error::ListenFailed;
+    }
+    acceptNext();
+    startTimer();
+    return {};
+}
+
+void forwarder::setEndpoints(const std::vector<listed_endpoint> &list)
+{
+    m_endpoints.update(list);
+}
+
+void forwarder::acceptNext()
+{
+    m_acceptor.async_accept([self = shared_from_this()](std::error_code error,
+                                                        asio::ip::tcp::socket socket) {
+        if (self->m_stopped)
+            return;
+        if (error) {
+            if (error == asio::error::operation_aborted)
+                return;
+            self->m_log.write("accept_failed", {{"error", error.message()}});
+            auto timer = std::make_shared<asio::steady_timer>(self->m_context, acceptRetryDelay);
+            timer->async_wait([self, timer](std::error_code) {
+                if (!self->m_stopped)
+                    self->acceptNext();
+            });
+            return;
+        }
+        if (self->m_sessions.size() < self->m_options.maximumSessions) {
+            auto session = std::make_shared<caller_session>(self, std::move(socket));
+            self->m_sessions.insert(session);
+            session->start();
+        } else {
+            ++self->m_counters.counter("connections_refused_total");
+        }
+        self->acceptNext();
+    });
+}
+
+void forwarder::startTimer()
+{
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([self = shared_from_this()](std::error_code error) {
+        if (error || self->m_stopped)
+            return;
+        self->m_pool->closeIdle(std::chrono::steady_clock::now());
+        self->m_log.flush();
+        self->startTimer();
+    });
+}
+
+core::latency_histogram &forwarder::latency(const std::string &service)
+{
+    auto found = m_latencies.find(service);
+    if (found == m_latencies.end())
+        found = m_latencies
+                    .emplace(service,
+                             core::latency_histogram(m_counters, "request_latency_ms",
+                                                     "service=\"" + service + '"'))
+                    .first;
+    return found->second;
+}
+
+void forwarder::closeIdle()
+{
+    std::error_code ignored;
+    m_acceptor.close(ignored);
+    const auto sessions = m_sessions;
+    for (const auto &session : sessions)
+        session->closeIfIdle();
+}
+
+void forwarder::stop()
+{
+    if (std::exchange(m_stopped, true))
+        return;
+    std::error_code ignored;
+    m_acceptor.close(ignored);
+    m_timer.cancel();
+    const auto sessions = std::exchange(m_sessions, {});
+    for (const auto &session : sessions)
+        session->close();
+    m_pool->closeAll();
+    m_log.flush();
+}
+
+void forwarder::sessionEnded(const std::shared_ptr<caller_session> &session)
+{
+    m_sessions.erase(session);
+}
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/forwarder.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "LibCore/counter_registry.h"
+#include "LibCore/latency_histogram.h"
+#include "LibForward/endpoint_table.h"
+#include "LibForward/event_log.h"
+#include "LibForward/placement.h"
+#include "LibForward/retry_allowance.h"
+#include "LibForward/route_table.h"
+#include "LibForward/upstream.h"
+#include "LibForward/wire_names.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace quetzalcleat::forward {
+
+class caller_session;
+
+struct forwarder_options
+{
+    core::socket_address callerAddress;
+    wire_names names;
+    placement_options placement;
+    retry_limits retries;
+    upstream_options upstream;
+    /// A confirmation of the configuration that is older does not admit requests with keys.
+    std::chrono::milliseconds leaseTime{4000};
+    std::size_t maximumSessions = 2500;
+};
+
+/// Accepts callers and forwards their requests to endpoints.
+///
+/// Belongs to the thread of the event loop.
+class forwarder : public std::enable_shared_from_this<forwarder>
+{
+public:
+    /// `leaseAge` tells how long ago the configuration was known to be the newest.
+    forwarder(asio::io_context &context, core::counter_registry &counters, event_log &log,
+              forwarder_options options, std::function<std::chrono::milliseconds()> leaseAge);
+
+    /// Listens on the caller address. Errors: ListenFailed.
+    core::result<void> start();
+
+    void setRoutes(std::shared_ptr<const route_table> routes) { m_routes = std::move(routes); }
+    void setEndpoints(const std::vector<listed_endpoint> &list);
+
+    /// Kept connections end with their next answer; new ones are still accepted.
+    void beginStop() { m_stopping = true; }
+    /// Closes the listener and idle connections.
+    void closeIdle();
+    void stop();
+
+    bool isStopping() const { return m_stopping; }
+    bool hasFreshLease() const { return m_leaseAge() <= m_options.leaseTime; }
+    std::chrono::milliseconds leaseAge() const { return m_leaseAge(); }
+    std::size_t requestsInProgress() const { return m_requests; }
+    std::size_t sessions() const { return m_sessions.size(); }
+
+    const std::shared_ptr<const route_table> &routes() const { return m_routes; }
+    endpoint_table &endpoints() { return m_endpoints; }
+    retry_allowance &retries() { return m_retries; }
+    const std::shared_ptr<connection_pool> &pool() const { return m_pool; }
+    const forwarder_options &options() const { return m_options; }
+    core::counter_registry &counters() { return m_counters; }
+    event_log &log() { return m_log; }
+    asio::io_context &context() { return m_context; }
+    core::latency_histogram &latency(const std::string &service);
+
+    void sessionEnded(const std::shared_ptr<caller_session> &session);
+    void requestStarted() { ++m_requests; }
+    void requestEnded() { --m_requests; }
+
+private:
+    void acceptNext();
+    void startTimer();
+
+    asio::io_context &m_context;
+    core::counter_registry &m_counters;
+    event_log &m_log;
+    forwarder_options m_options;
+    std::function<std::chrono::milliseconds()> m_leaseAge;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_timer;
+    std::shared_ptr<connection_pool> m_pool;
+    std::shared_ptr<const route_table> m_routes;
+    endpoint_table m_endpoints;
+    retry_allowance m_retries;
+    std::set<std::shared_ptr<caller_session>> m_sessions;
+    std::map<std::string, core::latency_histogram> m_latencies;
+    std::size_t m_requests = 0;
+    bool m_stopping = false;
+    bool m_stopped = false;
+};
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/http_head.cpp
@@ -0,0 +1,115 @@
+#include "LibForward/http_head.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace quetzalcleat::forward {
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](unsigned char first, unsigned char second) {
+                          return std::tolower(first) == std::tolower(second);
+                      });
+}
+
+bool containsToken(std::string_view value, std::string_view token)
+{
+    while (!value.empty()) {
+        const auto comma = value.find(',');
+        auto part = value.substr(0, comma);
+        while (!part.empty() && (part.front() == ' ' || part.front() == '\t'))
+            part.remove_prefix(1);
+        while (!part.empty() && (part.back() == ' ' || part.back() == '\t'))
+            part.remove_suffix(1);
+        if (equalsIgnoringCase(part, token))
+            return true;
+        if (comma == std::string_view::npos)
+            return false;
+        value.remove_prefix(comma + 1);
+    }
+    return false;
+}
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto *const end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, number);
+    if (error != std::errc() || rest != end || text.empty())
+        return std::nullopt;
+    return number;
+}
+
+std::string_view http_head::value(std::string_view name) const
+{
+    for (const auto &field : headers) {
+        if (equalsIgnoringCase(field.name, name))
+            return field.value;
+    }
+    return {};
+}
+
+bool http_head::has(std::string_view name) const
+{
+    return std::any_of(headers.begin(), headers.end(), [&](const header_field &field) {
+        return equalsIgnoringCase(field.name, name);
+    });
+}
+
+void http_head::remove(std::string_view name)
+{
+    std::erase_if(headers,
+                  [&](const header_field &field) { return equalsIgnoringCase(field.name, name); });
+}
+
+void http_head::set(std::string_view name, std::string value)
+{
+    remove(name);
+    headers.push_back({std::string(name), std::move(value)});
+}
+
+std::string_view http_head::path() const
+{
+    return std::string_view(target).substr(0, target.find('?'));
+}
+
+namespace {
+
+void appendHeaders(std::string &text, const std::vector<header_field> &headers)
+{
+    for (const auto &field : headers)
+        text.append(field.name).append(": ").append(field.value).append("\r\n");
+}
+
+} // namespace
+
+std::string http_head::requestText() const
+{
+    std::string text = method + ' ' + target + " HTTP/1.1\r\n";
+    appendHeaders(text, headers);
+    return text;
+}
+
+std::string http_head::answerText() const
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + ' '
+        + (reason.empty() ? "Answer" : reason) + "\r\n";
+    appendHeaders(text, headers);
+    return text;
+}
+
+bool isHopByHop(std::string_view name, std::string_view connection)
+{
+    constexpr std::array<std::string_view, 9> names{
+        "Connection",          "Keep-Alive", "Proxy-Connection",
+        "Proxy-Authorization", "TE",         "Trailer",
+        "Transfer-Encoding",   "Upgrade",    "Expect"};
+    return std::any_of(names.begin(), names.end(),
+                       [&](std::string_view known) { return equalsIgnoringCase(name, known); })
+        || containsToken(connection, name);
+}
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/http_head.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace quetzalcleat::forward {
+
+struct header_field
+{
+    std::string name;
+    std::string value;
+};
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right);
+
+/// Whether a comma-separated header value contains the token.
+bool containsToken(std::string_view value, std::string_view token);
+
+/// A non-negative decimal integer that fills the whole text.
+std::optional<std::uint64_t> parseNumber(std::string_view text);
+
+/// First line and headers of a request or an answer.
+struct http_head
+{
+    std::string method; ///< Requests only.
+    std::string target; ///< Requests only; as received.
+    int status = 0; ///< Answers only.
+    std::string reason; ///< Answers only.
+    std::vector<header_field> headers;
+
+    /// The first value, or an empty text.
+    std::string_view value(std::string_view name) const;
+    bool has(std::string_view name) const;
+    void remove(std::string_view name);
+    void set(std::string_view name, std::string value);
+    std::string_view path() const; ///< The target without its query.
+
+    /// The first line and all headers, without the empty line that ends them.
+    std::string requestText() const;
+    std::string answerText() const;
+};
+
+/// Whether a header concerns only one connection and is not forwarded (RFC 9110, 7.6.1).
+/// `connection` is the value of the Connection header, which may name more.
+bool isHopByHop(std::string_view name, std::string_view connection);
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/http_reader.cpp
@@ -0,0 +1,152 @@
+#include "LibForward/http_reader.h"
+
+#include <algorithm>
+
+#include <http_parser.h>
+
+namespace quetzalcleat::forward {
+
+struct http_reader::parser
+{
+    http_parser state{};
+    http_parser_settings settings{};
+
+    static http_reader &reader(http_parser *state)
+    {
+        return *static_cast<http_reader *>(state->data);
+    }
+
+    static int onUrl(http_parser *state, const char *text, std::size_t size)
+    {
+        reader(state).m_head.target.append(text, size);
+        return 0;
+    }
+
+    static int onStatus(http_parser *state, const char *text, std::size_t size)
+    {
+        reader(state).m_head.reason.append(text, size);
+        return 0;
+    }
+
+    static int onName(http_parser *state, const char *text, std::size_t size)
+    {
+        auto &self = reader(state);
+        // Fields after the last chunk are not forwarded.
+        if (self.m_headComplete)
+            return 0;
+        if (self.m_head.headers.empty() || self.m_valueSeen)
+            self.m_head.headers.emplace_back();
+        self.m_valueSeen = false;
+        self.m_head.headers.back().name.append(text, size);
+        return 0;
+    }
+
+    static int onValue(http_parser *state, const char *text, std::size_t size)
+    {
+        auto &self = reader(state);
+        if (self.m_headComplete || self.m_head.headers.empty())
+            return 0;
+        self.m_valueSeen = true;
+        self.m_head.headers.back().value.append(text, size);
+        return 0;
+    }
+
+    static int onHeadComplete(http_parser *state)
+    {
+        auto &self = reader(state);
+        self.m_headComplete = true;
+        self.m_head.status = static_cast<int>(state->status_code);
+        if (self.m_kind == message_kind::Request)
+            self.m_head.method = http_method_str(static_cast<http_method>(state->method));
+        self.m_keepsConnection = http_should_keep_alive(state) != 0;
+        return self.m_answersHead ? 1 : 0;
+    }
+
+    static int onBody(http_parser *state, const char *text, std::size_t size)
+    {
+        reader(state).m_body->append(text, size);
+        return 0;
+    }
+
+    static int onComplete(http_parser *state)
+    {
+        reader(state).m_complete = true;
+        http_parser_pause(state, 1);
+        return 0;
+    }
+};
+
+http_reader::http_reader(message_kind kind) : m_parser(std::make_unique<parser>()), m_kind(kind)
+{
+    http_parser_settings_init(&m_parser->settings);
+    m_parser->settings.on_url = parser::onUrl;
+    m_parser->settings.on_status = parser::onStatus;
+    m_parser->settings.on_header_field = parser::onName;
+    m_parser->settings.on_header_value = parser::onValue;
+    m_parser->settings.on_headers_complete = parser::onHeadComplete;
+    m_parser->settings.on_body = parser::onBody;
+    m_parser->settings.on_message_complete = parser::onComplete;
+    restart();
+}
+
+http_reader::~http_reader() = default;
+
+void http_reader::restart(bool answersHead)
+{
+    http_parser_init(&m_parser->state,
+                     m_kind == message_kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    m_parser->state.data = this;
+    m_head = {};
+    m_bytes = 0;
+    m_headerBytes = 0;
+    m_valueSeen = false;
+    m_answersHead = answersHead;
+    m_headComplete = false;
+    m_complete = false;
+    m_keepsConnection = false;
+}
+
+core::result<std::size_t> http_reader::read(std::string_view bytes, std::string &body)
+{
+    if (m_complete || bytes.empty())
+        return std::size_t{0};
+    m_body = &body;
+    const bool headBefore = m_headComplete;
+    auto used
+        = http_parser_execute(&m_parser->state, &m_parser->settings, bytes.data(), bytes.size());
+    const auto error = HTTP_PARSER_ERRNO(&m_parser->state);
+    m_bytes += used;
+    if (!headBefore)
+        m_headerBytes += used - (m_headComplete ? std::min(used, body.size()) : 0);
+    if (!headBefore && m_headerBytes > m_headerLimit)
+        return forward_error::HeaderTooLarge;
+    if (error == HPE_HEADER_OVERFLOW)
+        return forward_error::HeaderTooLarge;
+    if (error != HPE_OK && error != HPE_PAUSED)
+        return forward_error::BadMessage;
+    if (m_parser->state.upgrade != 0)
+        return forward_error::BadMessage;
+    return used;
+}
+
+bool http_reader::finish()
+{
+    if (m_complete)
+        return true;
+    if (!m_headComplete || !endsWithConnection())
+        return false;
+    m_complete = true;
+    return true;
+}
+
+bool http_reader::endsWithConnection() const
+{
+    // RFC 9112, 6.3.
+    const int status = m_head.status;
+    const bool hasNoBody = m_answersHead || status / 100 == 1 || status == 204 || status == 304;
+    return m_kind == message_kind::Answer && m_headComplete && !hasNoBody
+        && !m_head.has("Content-Length")
+        && !containsToken(m_head.value("Transfer-Encoding"), "chunked");
+}
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/http_reader.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "LibCore/result.h"
+#include "LibForward/forward_error.h"
+#include "LibForward/http_head.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace quetzalcleat::forward {
+
+/// Reads one HTTP/1.1 message after another from the bytes of a connection.
+class http_reader
+{
+public:
+    enum class message_kind { Request, Answer };
+
+    explicit http_reader(message_kind kind);
+    ~http_reader();
+
+    http_reader(const http_reader &) = delete;
+    http_reader &operator=(const http_reader &) = delete;
+
+    /// Starts the next message. Answers to HEAD requests have no body.
+    void restart(bool answersHead = false);
+
+    /// Reads up to the end of the current message and returns the number of bytes used. Body bytes
+    /// are appended to `body`. Errors: BadMessage, HeaderTooLarge.
+    core::result<std::size_t> read(std::string_view bytes, std::string &body);
+
+    /// The peer has closed its side. True if that completes the message.
+    bool finish();
+
+    /// Headers beyond this size are refused.
+    void limitHeader(std::size_t bytes) { m_headerLimit = bytes; }
+
+    bool hasStarted() const { return m_bytes > 0; }
+    bool headComplete() const { return m_headComplete; }
+    bool complete() const { return m_complete; }
+    bool keepsConnection() const { return m_keepsConnection; }
+    /// Whether the body has neither a length nor chunks.
+    bool endsWithConnection() const;
+    http_head &head() { return m_head; }
+
+private:
+    struct parser;
+
+    std::unique_ptr<parser> m_parser;
+    message_kind m_kind;
+    http_head m_head;
+    std::string *m_body = nullptr;
+    std::size_t m_bytes = 0;
+    std::size_t m_headerBytes = 0;
+    std::size_t m_headerLimit = std::size_t{64} * 1024;
+    bool m_valueSeen = false;
+    bool m_answersHead = false;
+    bool m_headComplete = false;
+    bool m_complete = false;
+    bool m_keepsConnection = false;
+};
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/list_reader.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include "LibForward/endpoint_table.h"
+#include "LibForward/event_log.h"
+#include "LibForward/upstream.h"
+
+#include <chrono>
+#include <concepts>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <asio/steady_timer.hpp>
+
+namespace quetzalcleat::forward {
+
+/// One page of the platform's list of endpoints.
+struct list_page
+{
+    std::vector<listed_endpoint> endpoints;
+    std::string next; ///< Token of the following page; empty on the last one.
+    std::size_t skipped = 0; ///< Entries that could not be read.
+};
+
+/// How the list is asked for and read.
+template <typename Dialect>
+concept list_dialect = requires(const std::string &text)
+{
+    {
+        Dialect::listTarget(text)
+        } -> std::same_as<std::string>;
+    {
+        Dialect::readListPage(text)
+        } -> std::same_as<core::result<list_page>>;
+};
+
+struct list_reader_options
+{
+    core::socket_address address;
+    std::chrono::milliseconds interval{1000};
+    /// For one page. The list answers in a few ms.
+    std::chrono::milliseconds timeout{1500};
+};
+
+/// Reads the platform's list of endpoints again and again, page by page.
+template <list_dialect Dialect>
+class list_reader : public std::enable_shared_from_this<list_reader<Dialect>>
+{
+public:
+    using handler = std::function<void(const std::vector<listed_endpoint> &)>;
+
+    list_reader(std::shared_ptr<connection_pool> pool, event_log &log, list_reader_options options,
+                handler changed)
+        : m_pool(std::move(pool)), m_log(log), m_options(std::move(options)),
+          m_changed(std::move(changed)), m_timer(m_pool->context()), m_timeout(m_pool->context())
+    {
+    }
+
+    void start() { readPage({}); }
+
+    void stop()
+    {
+        m_stopped = true;
+        m_timer.cancel();
+        m_timeout.cancel();
+        if (m_attempt)
+            m_attempt->cancel();
+        m_changed = {};
+    }
+
+    bool hasRead() const { return m_hasRead; }
+
+private:
+    void readPage(const std::string &token)
+    {
+        if (token.empty())
+            m_collected.clear();
+        m_body.clear();
+        m_status = 0;
+        attempt::request request;
+        request.address = m_options.address;
+        request.key = m_options.address.text();
+        http_head head;
+        head.method = "GET";
+        head.target = Dialect::listTarget(token);
+        head.headers.push_back({"Host", m_options.address.text()});
+        request.text = head.requestText() + "\r\n";
+        const std::weak_ptr<list_reader> weak = this->weak_from_this();
+        attempt::handlers handlers;
+        handlers.head = [weak](http_head &answer) {
+            if (const auto self = weak.lock())
+                self->m_status = answer.status;
+        };
+        handlers.body = [weak](std::string &bytes) {
+            if (const auto self = weak.lock())
+                self->m_body.append(bytes);
+        };
+        handlers.ended = [weak](const attempt::ending &ending) {
+            if (const auto self = weak.lock())
+                self->handleEnd(ending.error);
+        };
+        m_timeout.expires_after(m_options.timeout);
+        m_timeout.async_wait([weak](std::error_code error) {
+            const auto self = weak.lock();
+            if (error || !self || self->m_stopped || !self->m_attempt)
+                return;
+            self->m_attempt->cancel();
+            self->failed("no answer in time");
+        });
+        m_attempt = attempt::start(m_pool, std::move(request), std::move(handlers));
+    }
+
+    void handleEnd(std::error_code error)
+    {
+        m_timeout.cancel();
+        m_attempt.reset();
+        if (m_stopped)
+            return;
+        if (error || m_status != 200) {
+            failed(error ? error.message() : "status " + std::to_string(m_status));
+            return;
+        }
+        auto page = Dialect::readListPage(m_body);
+        if (!page) {
+            failed(page.error().message());
+            return;
+        }
+        if (page.value().skipped != m_skipped) {
+            m_skipped = page.value().skipped;
+            m_log.write("list_entries_skipped", {{"count", std::to_string(m_skipped)}});
+        }
+        auto &endpoints = page.value().endpoints;
+        m_collected.insert(m_collected.end(), std::make_move_iterator(endpoints.begin()),
+                           std::make_move_iterator(endpoints.end()));
+        if (!page.value().next.empty()) {
+            readPage(page.value().next);
+            return;
+        }
+        if (!std::exchange(m_hasRead, true) || std::exchange(m_failing, false))
+            m_log.write("list_read", {{"endpoints", std::to_string(m_collected.size())}});
+        m_changed(m_collected);
+        readLater();
+    }
+
+    void failed(const std::string &cause)
+    {
+        m_attempt.reset();
+        if (!std::exchange(m_failing, true))
+            m_log.write("list_lost", {{"cause", cause}});
+        readLater();
+    }
+
+    void readLater()
+    {
+        m_timer.expires_after(m_options.interval);
+        m_timer.async_wait([weak = this->weak_from_this()](std::error_code error) {
+            const auto self = weak.lock();
+            if (!error && self && !self->m_stopped)
+                self->readPage({});
+        });
+    }
+
+    std::shared_ptr<connection_pool> m_pool;
+    event_log &m_log;
+    list_reader_options m_options;
+    handler m_changed;
+    asio::steady_timer m_timer;
+    asio::steady_timer m_timeout;
+    std::shared_ptr<attempt> m_attempt;
+    std::vector<listed_endpoint> m_collected;
+    std::string m_body;
+    std::size_t m_skipped = 0;
+    int m_status = 0;
+    bool m_hasRead = false;
+    bool m_failing = false;
+    bool m_stopped = false;
+};
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/placement.cpp
@@ -0,0 +1,117 @@
+#include "LibForward/placement.h"
+
+#include "LibCore/hash.h"
+
+#include <algorithm>
+
+namespace quetzalcleat::forward {
+
+namespace {
+
+/// Cost of leaving the engine that rendezvous hashing gives, so that equal prefixes keep meeting.
+constexpr std::chrono::microseconds strayCost{30'000};
+/// Cost of an endpoint that is ejected: only used when all are.
+constexpr std::chrono::microseconds ejectedCost{std::chrono::seconds(60)};
+/// Time that a full endpoint is expected to take until a place is free.
+constexpr std::chrono::microseconds fullCost{std::chrono::seconds(2)};
+/// Work of a request at a plain service, for the wait behind others. Source: the users' sheets.
+constexpr std::chrono::microseconds plainWork{40'000};
+
+std::chrono::microseconds distanceTo(const endpoint &target, const placement_options &options)
+{
+    if (target.listed.dataCentre == options.dataCentre)
+        return std::chrono::microseconds(0);
+    const auto region = options.regions.find(target.listed.dataCentre);
+    const bool isNear = region != options.regions.end() && region->second == options.region;
+    return isNear ? options.dataCentreDistance : options.regionDistance;
+}
+
+std::uint64_t rendezvousWeight(std::uint64_t affinity, const std::string &incarnation)
+{
+    return core::hash64(std::to_string(affinity) + incarnation);
+}
+
+std::chrono::microseconds engineWait(const endpoint &target, std::uint64_t unread,
+                                     const placement_options &options)
+{
+    const auto perTokens = [&](double tokens) {
+        return std::chrono::microseconds(
+            static_cast<std::int64_t>(tokens * 1000.0 / options.speed.promptTokensPerMillisecond));
+    };
+    const auto waiting = static_cast<double>(target.waitingTokens + target.waitingTokensElsewhere);
+    const auto batch = target.running + target.runningElsewhere;
+    const auto step = options.speed.step + options.speed.stepPerRequest * batch;
+    const auto raw = perTokens(waiting) + perTokens(static_cast<double>(unread)) + step * 2;
+    return std::chrono::microseconds(
+        static_cast<std::int64_t>(static_cast<double>(raw.count()) * target.slowness));
+}
+
+} // namespace
+
+std::uint64_t unreadTokens(const endpoint &target, const generation_size &size,
+                           const placement_options &options, core::instant now)
+{
+    std::uint64_t cached = 0;
+    for (const auto &part : size.parts) {
+        const auto known = target.parts.find(part.id);
+        if (known == target.parts.end() || now - known->second > options.cacheMemory)
+            break;
+        cached += part.tokens;
+    }
+    return size.promptTokens > cached ? size.promptTokens - cached : 0;
+}
+
+placement_choice place(const endpoint_table &endpoints, const placement_request &request,
+                       const placement_options &options, core::instant now)
+{
+    struct candidate
+    {
+        endpoint_table::endpoint_pointer target;
+        std::uint64_t weight = 0;
+    };
+    std::vector<candidate> candidates;
+    for (const auto &entry : endpoints.of(request.target->name)) {
+        const bool tried = std::find(request.excluded.begin(), request.excluded.end(), entry)
+            != request.excluded.end();
+        if (entry->listed.isLeaving || entry->isGone || tried)
+            continue;
+        candidates.push_back({entry,
+                              request.affinity == 0
+                                  ? 0
+                                  : rendezvousWeight(request.affinity, entry->listed.incarnation)});
+    }
+    std::uint64_t best = 0;
+    for (const auto &entry : candidates) {
+        if (entry.target->ejectedUntil <= now)
+            best = std::max(best, entry.weight);
+    }
+    placement_choice choice;
+    auto bestCost = std::chrono::microseconds::max();
+    for (const auto &entry : candidates) {
+        const auto &target = *entry.target;
+        const auto taken = target.running + target.runningElsewhere;
+        const bool isFull = target.listed.slots != 0 && taken >= target.listed.slots;
+        std::uint64_t unread = 0;
+        auto wait = distanceTo(target, options);
+        if (request.size != nullptr) {
+            unread = unreadTokens(target, *request.size, options, now);
+            wait += engineWait(target, unread, options);
+        } else {
+            wait += plainWork * taken / std::max(target.listed.slots, std::uint32_t{1});
+        }
+        auto cost = wait;
+        if (request.affinity != 0 && entry.weight != best)
+            cost += strayCost;
+        if (isFull)
+            cost += fullCost * (taken + 1 - target.listed.slots);
+        if (target.ejectedUntil > now || target.isProbing)
+            cost += ejectedCost;
+        if (cost < bestCost) {
+            bestCost = cost;
+            choice = {entry.target, wait, unread, isFull};
+        }
+    }
+    return choice;
+}
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/placement.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "LibCore/time.h"
+#include "LibForward/configuration.h"
+#include "LibForward/endpoint_table.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace quetzalcleat::forward {
+
+/// Speed of the engines, for predictions.
+struct engine_speed
+{
+    /// Prompt tokens read in a millisecond. Source: the users' sheets.
+    double promptTokensPerMillisecond = 62.4;
+    /// Step of an empty batch. Source: the users' sheets.
+    std::chrono::microseconds step{6550};
+    /// What each further request in the batch adds to a step. Source: the users' site files.
+    std::chrono::microseconds stepPerRequest{165};
+};
+
+struct placement_options
+{
+    std::string dataCentre;
+    std::string region;
+    std::map<std::string, std::string> regions; ///< Region of each data centre.
+    /// Round trip to an endpoint in another data centre of the region, and in another region.
+    std::chrono::microseconds dataCentreDistance{1800};
+    std::chrono::microseconds regionDistance{40000};
+    engine_speed speed;
+    /// Parts sent to an engine longer ago than this are no longer expected in its cache.
+    std::chrono::milliseconds cacheMemory{60'000};
+};
+
+struct placement_request
+{
+    const service *target = nullptr;
+    const generation_size *size = nullptr; ///< Null for plain services.
+    int rank = 0;
+    std::uint64_t affinity = 0; ///< Hash of the shared prefix; 0 for none.
+    std::vector<endpoint_table::endpoint_pointer> excluded; ///< Tried before.
+};
+
+struct placement_choice
+{
+    endpoint_table::endpoint_pointer chosen; ///< Null if no endpoint can be used.
+    std::chrono::microseconds expectedWait{0}; ///< Predicted time to the first token.
+    std::uint64_t unreadTokens = 0; ///< Prompt tokens that are not expected in its cache.
+    bool isFull = false; ///< All of its places are taken as far as is known.
+};
+
+/// Chooses the endpoint with the lowest predicted time to the first token: prompts that wait there,
+/// the part of the own prompt that is not cached, the distance, and the batch. Equal prefixes meet
+/// at the same engine by rendezvous hashing (Thaler and Ravishankar, 1998) while its load allows.
+///
+/// Pure: no network, no clock. Load pattern: bursts of long prompts with shared prefixes among
+/// short questions, over engines whose batch slows down with every long prefill.
+placement_choice place(const endpoint_table &endpoints, const placement_request &request,
+                       const placement_options &options, core::instant now);
+
+/// Prompt tokens of the request that the endpoint is not expected to hold.
+std::uint64_t unreadTokens(const endpoint &target, const generation_size &size,
+                           const placement_options &options, core::instant now);
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/route_table.cpp
@@ -0,0 +1,85 @@
+#include "LibForward/route_table.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace quetzalcleat::forward {
+
+namespace {
+
+std::string placeOf(std::string_view host, std::string_view prefix)
+{
+    std::string place;
+    place.reserve(host.size() + 1 + prefix.size());
+    place.append(host).append(1, ' ').append(prefix);
+    return place;
+}
+
+} // namespace
+
+core::result<std::shared_ptr<const route_table>> route_table::create(configuration content)
+{
+    std::shared_ptr<route_table> table(new route_table(std::move(content)));
+    if (const auto indexed = table->index(); !indexed)
+        return indexed.error();
+    return std::shared_ptr<const route_table>(std::move(table));
+}
+
+core::result<void> route_table::index()
+{
+    for (const auto &entry : m_content.services)
+        m_services[entry.name] = &entry;
+    for (const auto &entry : m_content.routes) {
+        if (entry.timeout.count() <= 0)
+            return forward_error::NoTimeout;
+        if (entry.pathPrefix.empty() || entry.pathPrefix.front() != '/'
+            || entry.pathPrefix.back() != '/')
+            return forward_error::BadField;
+        std::uint64_t weight = 0;
+        for (const auto &target : entry.services) {
+            if (!m_services.contains(target.service))
+                return forward_error::UnknownService;
+            weight += target.weight;
+        }
+        if (weight == 0)
+            return forward_error::NoWeight;
+        if (!m_routes.emplace(placeOf(entry.host, entry.pathPrefix), &entry).second)
+            return forward_error::DuplicatePlace;
+    }
+    for (const auto &account : m_content.accounts) {
+        for (const auto &key : account.keys) {
+            const auto [place, added] = m_accounts.emplace(key, &account);
+            if (!added && place->second != &account)
+                return forward_error::SharedKey;
+        }
+    }
+    return {};
+}
+
+const route *route_table::find(std::string_view host, std::string_view path) const
+{
+    auto end = path.rfind('/');
+    while (end != std::string_view::npos) {
+        const auto found = m_routes.find(placeOf(host, path.substr(0, end + 1)));
+        if (found != m_routes.end())
+            return found->second;
+        if (end == 0)
+            break;
+        end = path.rfind('/', end - 1);
+    }
+    return nullptr;
+}
+
+const client_account *route_table::findAccount(std::string_view key) const
+{
+    const auto found = m_accounts.find(std::string(key));
+    return found == m_accounts.end() ? nullptr : found->second;
+}
+
+const service *route_table::findService(std::string_view name) const
+{
+    const auto found = m_services.find(std::string(name));
+    return found == m_services.end() ? nullptr : found->second;
+}
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibForward/upstream.cpp
@@ -0,0 +1,320 @@
+#include "LibForward/upstream.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <asio/buffer.hpp>
+#include <asio/error.hpp>
+#include <asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace quetzalcleat::forward {
+
+namespace {
+
+constexpr std::size_t readBytes = std::size_t{16} * 1024;
+/// Keep-alive probes find a peer that went silent while an answer is due, in about 3 s.
+constexpr int probeIdleSeconds = 1;
+constexpr int probeIntervalSeconds = 1;
+constexpr int probeCount = 2;
+
+void setOption(asio::ip::tcp::socket &socket, int level, int name, int value)
+{
+    // A kernel that lacks the option only makes a silent peer noticed later.
+    (void)::setsockopt(socket.native_handle(), level, name, &value, sizeof(value));
+}
+
+void prepare(asio::ip::tcp::socket &socket, const upstream_options &options)
+{
+    std::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, probeCount);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+              static_cast<int>(options.silenceTimeout.count()));
+}
+
+/// Idle time that the peer announces, with a margin for its clock and the way.
+std::chrono::milliseconds announcedIdleTime(const http_head &head, std::chrono::milliseconds most)
+{
+    constexpr std::chrono::milliseconds margin{700};
+    const auto value = head.value("Keep-Alive");
+    const auto place = value.find("timeout=");
+    if (place == std::string_view::npos)
+        return most;
+    const auto text = value.substr(place + 8);
+    const auto seconds = parseNumber(text.substr(0, text.find_first_not_of("0123456789")));
+    if (!seconds)
+        return most;
+    return std::min(most, std::chrono::milliseconds(std::chrono::seconds(*seconds)) - margin);
+}
+
+} // namespace
+
+connection_pool::connection_pointer connection_pool::take(const std::string &key)
+{
+    const auto found = m_idle.find(key);
+    if (found == m_idle.end())
+        return nullptr;
+    const auto now = std::chrono::steady_clock::now();
+    while (!found->second.empty()) {
+        auto connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (!connection->socket.is_open() || now - connection->idleSince > connection->idleTime)
+            continue;
+        connection->isIdle = false;
+        std::error_code ignored;
+        connection->socket.cancel(ignored);
+        return connection;
+    }
+    return nullptr;
+}
+
+void connection_pool::giveBack(const connection_pointer &connection,
+                               std::chrono::milliseconds idleTime)
+{
+    auto &idle = m_idle[connection->key];
+    if (idle.size() >= m_options.idlePerEndpoint || idleTime.count() <= 0) {
+        std::error_code ignored;
+        connection->socket.close(ignored);
+        return;
+    }
+    connection->idleSince = std::chrono::steady_clock::now();
+    connection->idleTime = idleTime;
+    connection->isIdle = true;
+    connection->wasUsed = true;
+    idle.push_back(connection);
+    watch(connection);
+}
+
+void connection_pool::watch(const connection_pointer &connection)
+{
+    connection->socket.async_wait(asio::ip::tcp::socket::wait_read,
+                                  [connection](std::error_code error) {
+                                      if (!error && connection->isIdle) {
+                                          std::error_code ignored;
+                                          connection->socket.close(ignored);
+                                      }
+                                  });
+}
+
+void connection_pool::closeIdle(core::instant now)
+{
+    for (auto &[key, idle] : m_idle) {
+        std::erase_if(idle, [&](const connection_pointer &connection) {
+            if (connection->socket.is_open() && now - connection->idleSince <= connection->idleTime)
+                return false;
+            std::error_code ignored;
+            connection->socket.close(ignored);
+            return true;
+        });
+    }
+    std::erase_if(m_idle, [](const auto &entry) { return entry.second.empty(); });
+}
+
+void connection_pool::closeAll()
+{
+    for (auto &[key, idle] : m_idle) {
+        for (auto &connection : idle) {
+            std::error_code ignored;
+            connection->socket.close(ignored);
+        }
+    }
+    m_idle.clear();
+}
+
+attempt::attempt(std::shared_ptr<connection_pool> pool, request content, handlers handlers)
+    : m_pool(std::move(pool)), m_request(std::move(content)), m_handlers(std::move(handlers)),
+      m_timer(m_pool->context())
+{
+    m_reader.restart(m_request.answersHead);
+}
+
+std::shared_ptr<attempt> attempt::start(std::shared_ptr<connection_pool> pool, request content,
+                                        handlers handlers)
+{
+    std::shared_ptr<attempt> self(
+        new attempt(std::move(pool), std::move(content), std::move(handlers)));
+    if (!self->m_request.freshConnection)
+        self->m_connection = self->m_pool->take(self->m_request.key);
+    if (self->m_connection)
+        self->send();
+    else
+        self->connect();
+    return self;
+}
+
+void attempt::connect()
+{
+    m_connection = std::make_shared<upstream_connection>(m_pool->context());
+    m_connection->key = m_request.key;
+    std::error_code error;
+    const auto address = asio::ip::make_address(m_request.address.ip, error);
+    const asio::ip::tcp::endpoint place(address, m_request.address.port);
+    if (!error)
+        m_connection->socket.open(place.protocol(), error);
+    if (error) {
+        asio::post(m_pool->context(), [self = shared_from_this(), error] { self->finish(error); });
+        return;
+    }
+    prepare(m_connection->socket, m_pool->options());
+    m_timer.expires_after(m_pool->options().connectTimeout);
+    m_timer.async_wait([self = shared_from_this()](std::error_code cancelled) {
+        if (!cancelled && !self->m_sent)
+            self->finish(forward_error::ConnectTimeout);
+    });
+    m_connection->socket.async_connect(place, [self = shared_from_this()](std::error_code failed) {
+        if (self->m_done)
+            return;
+        self->m_timer.cancel();
+        if (failed)
+            self->finish(failed);
+        else
+            self->send();
+    });
+}
+
+void attempt::send()
+{
+    m_sent = true;
+    if (m_handlers.sent)
+        m_handlers.sent();
+    if (m_done)
+        return;
+    const auto connection = m_connection;
+    asio::async_write(connection->socket, asio::buffer(m_request.text),
+                      [self = shared_from_this(), connection](std::error_code error, std::size_t) {
+                          // An error shows in the reading, after an early answer has been read.
+                          if (!error)
+                              self->m_writeDone = true;
+                      });
+    read();
+}
+
+void attempt::resume()
+{
+    if (!m_paused)
+        return;
+    m_paused = false;
+    if (!m_done && m_sent && !m_reading)
+        read();
+}
+
+void attempt::read()
+{
+    m_reading = true;
+    m_buffer.resize(readBytes);
+    const auto connection = m_connection;
+    connection->socket.async_read_some(
+        asio::buffer(m_buffer),
+        [self = shared_from_this(), connection](std::error_code error, std::size_t bytes) {
+            self->m_reading = false;
+            if (self->m_done)
+                return;
+            if (error) {
+                self->handleClosed(error);
+                return;
+            }
+            const auto received = self->m_buffer.substr(0, bytes);
+            self->handleBytes(received);
+            if (!self->m_done && !self->m_paused)
+                self->read();
+        });
+}
+
+void attempt::handleBytes(std::string_view bytes)
+{
+    m_anyBytes = true;
+    while (!m_done) {
+        m_body.clear();
+        const auto used = m_reader.read(bytes, m_body);
+        if (!used) {
+            finish(used.error());
+            return;
+        }
+        bytes.remove_prefix(used.value());
+        if (m_reader.headComplete() && !m_headPassed) {
+            const int status = m_reader.head().status;
+            if (status / 100 != 1) {
+                const auto identifier = m_reader.head().value(m_request.identifierHeader);
+                m_foreign = !identifier.empty() && identifier != m_request.identifier;
+                m_headPassed = true;
+                if (!m_foreign)
+                    m_handlers.head(m_reader.head());
+            }
+        }
+        if (m_done)
+            return;
+        if (m_headPassed && !m_foreign && !m_body.empty())
+            m_handlers.body(m_body);
+        if (m_done)
+            return;
+        if (!m_reader.complete())
+            return;
+        if (m_headPassed && !m_foreign) {
+            // More bytes belong to no request.
+            m_sawForeign = m_sawForeign || !bytes.empty();
+            finish({});
+            return;
+        }
+        m_sawForeign = m_sawForeign || m_foreign;
+        m_headPassed = false;
+        m_foreign = false;
+        m_reader.restart(m_request.answersHead);
+        if (bytes.empty())
+            return;
+    }
+}
+
+void attempt::handleClosed(std::error_code error)
+{
+    const bool closed = error == asio::error::eof;
+    if (closed && m_headPassed && !m_foreign && m_reader.finish()) {
+        finish({});
+        return;
+    }
+    finish(closed ? make_error_code(forward_error::ConnectionClosed) : error);
+}
+
+void attempt::finish(std::error_code error)
+{
+    if (m_done)
+        return;
+    m_done = true;
+    m_timer.cancel();
+    const bool reusable = !error && m_writeDone && !m_sawForeign && m_reader.keepsConnection()
+        && !m_reader.endsWithConnection();
+    ending result{error, m_sent,
+                  error && m_sent && !m_anyBytes && m_connection && m_connection->wasUsed};
+    if (m_connection) {
+        if (reusable) {
+            m_pool->giveBack(m_connection,
+                             announcedIdleTime(m_reader.head(), m_pool->options().idleTime));
+        } else {
+            std::error_code ignored;
+            m_connection->socket.close(ignored);
+        }
+    }
+    auto handlers = std::move(m_handlers);
+    m_handlers = {};
+    handlers.ended(result);
+}
+
+void attempt::cancel()
+{
+    if (m_done)
+        return;
+    m_done = true;
+    m_timer.cancel();
+    m_handlers = {};
+    if (m_connection) {
+        std::error_code ignored;
+        m_connection->socket.close(ignored);
+    }
+}
+
+} // namespace quetzalcleat::forward
--- /dev/null
+++ b/Libraries/LibPeer/configuration_lease.cpp
@@ -0,0 +1,132 @@
+#include "LibPeer/configuration_lease.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzalcleat::peer {
+
+namespace {
+
+/// Requests whose answers may still come.
+constexpr std::size_t maximumAsked = 64;
+
+} // namespace
+
+configuration_lease::configuration_lease(std::shared_ptr<peer_network> network,
+                                         std::vector<std::string> seeds,
+                                         configuration_lease_options options, handlers handlers)
+    : m_network(std::move(network)), m_seeds(std::move(seeds)), m_options(options),
+      m_handlers(std::move(handlers)), m_timer(m_network->context())
+{
+}
+
+std::shared_ptr<configuration_lease>
+configuration_lease::create(std::shared_ptr<peer_network> network, std::vector<std::string> seeds,
+                            configuration_lease_options options, handlers handlers)
+{
+    std::shared_ptr<configuration_lease> self(new configuration_lease(
+        std::move(network), std::move(seeds), options, std::move(handlers)));
+    const std::weak_ptr<configuration_lease> weak = self;
+    self->m_network->addReceiver([weak](const std::string &host, const message &content) {
+        const auto *answer = std::get_if<lease_answer>(&content);
+        const auto lease = weak.lock();
+        if (answer != nullptr && lease)
+            lease->receive(host, *answer);
+    });
+    return self;
+}
+
+void configuration_lease::start()
+{
+    m_startedAt = core::suspendAwareNow();
+    ask();
+    startTimer();
+}
+
+void configuration_lease::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+    m_handlers = {};
+}
+
+std::chrono::milliseconds configuration_lease::age() const
+{
+    if (!m_confirmedAt)
+        return std::chrono::milliseconds::max();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(core::suspendAwareNow()
+                                                                 - *m_confirmedAt);
+}
+
+void configuration_lease::startTimer()
+{
+    m_timer.expires_after(m_options.interval);
+    m_timer.async_wait([self = shared_from_this()](std::error_code error) {
+        if (error || self->m_stopped)
+            return;
+        self->ask();
+        self->startTimer();
+    });
+}
+
+void configuration_lease::ask()
+{
+    const auto now = core::suspendAwareNow();
+    const bool searching = age() > m_options.searchAfter;
+    if (m_wasConfirmed && searching) {
+        m_wasConfirmed = false;
+        if (m_handlers.confirmed)
+            m_handlers.confirmed(false);
+    }
+    lease_request request;
+    request.sequence = ++m_sequence;
+    request.revision = m_revision;
+    if (m_handlers.ownLoads)
+        request.loads = m_handlers.ownLoads();
+    m_asked[request.sequence] = now;
+    if (m_asked.size() > maximumAsked)
+        m_asked.erase(m_asked.begin());
+    if (!searching && !m_leader.empty()) {
+        (void)m_network->send(m_leader, request);
+        return;
+    }
+    // Send errors are met by the next request; the peer network reconnects by itself.
+    std::set<std::string> hosts(m_seeds.begin(), m_seeds.end());
+    hosts.insert(m_controlHosts.begin(), m_controlHosts.end());
+    if (!m_leader.empty())
+        hosts.insert(m_leader);
+    for (const auto &host : hosts)
+        (void)m_network->send(host, request);
+}
+
+void configuration_lease::receive(const std::string &host, const lease_answer &answer)
+{
+    if (m_stopped)
+        return;
+    if (answer.hasDocument && answer.configuration.revision > m_revision) {
+        m_revision = answer.configuration.revision;
+        if (m_handlers.changed)
+            m_handlers.changed(answer.configuration);
+    }
+    const bool searching = age() > m_options.searchAfter;
+    if (!answer.confirmed) {
+        if (searching && !answer.leader.empty())
+            m_leader = answer.leader;
+        return;
+    }
+    m_leader = host;
+    if (!answer.controlHosts.empty())
+        m_controlHosts = {answer.controlHosts.begin(), answer.controlHosts.end()};
+    const auto asked = m_asked.find(answer.sequence);
+    if (asked == m_asked.end() || answer.revision > m_revision)
+        return;
+    if (!m_confirmedAt || asked->second > *m_confirmedAt)
+        m_confirmedAt = asked->second;
+    m_asked.erase(m_asked.begin(), std::next(asked));
+    if (m_handlers.loads)
+        m_handlers.loads(answer.loads, answer.hosts);
+    if (!std::exchange(m_wasConfirmed, true) && m_handlers.confirmed)
+        m_handlers.confirmed(true);
+}
+
+} // namespace quetzalcleat::peer
--- /dev/null
+++ b/Libraries/LibPeer/configuration_lease.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "LibCore/time.h"
+#include "LibPeer/control_plane.h"
+#include "LibPeer/peer_network.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <asio/steady_timer.hpp>
+
+namespace quetzalcleat::peer {
+
+struct configuration_lease_options
+{
+    /// Between two requests to the leader.
+    std::chrono::milliseconds interval{250};
+    /// Without an answer for this long, all known control hosts are asked.
+    std::chrono::milliseconds searchAfter{600};
+};
+
+/// Keeps the configuration of a host without the replicated log up to date and knows since when it
+/// is certainly the newest one.
+class configuration_lease : public std::enable_shared_from_this<configuration_lease>
+{
+public:
+    struct handlers
+    {
+        configuration_handler changed; ///< A newer configuration.
+        std::function<std::vector<endpoint_load>()> ownLoads;
+        /// The sums of all other hosts, and the number of hosts.
+        std::function<void(const std::vector<endpoint_load> &, std::uint32_t)> loads;
+        std::function<void(bool)> confirmed; ///< An answer of the leader came, or none for long.
+    };
+
+    static std::shared_ptr<configuration_lease> create(std::shared_ptr<peer_network> network,
+                                                       std::vector<std::string> seeds,
+                                                       configuration_lease_options options,
+                                                       handlers handlers);
+
+    void start();
+    void stop();
+
+    /// Replaces the hosts that are asked when no leader answers.
+    void setSeeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
+
+    /// Age of the last confirmation that the configuration in force is the newest; counted from the
+    /// request, and while the machine is suspended too. The maximum if there was none.
+    std::chrono::milliseconds age() const;
+
+    std::uint64_t revision() const { return m_revision; }
+    const std::string &leader() const { return m_leader; }
+
+private:
+    configuration_lease(std::shared_ptr<peer_network> network, std::vector<std::string> seeds,
+                        configuration_lease_options options, handlers handlers);
+
+    void startTimer();
+    void ask();
+    void receive(const std::string &host, const lease_answer &answer);
+
+    std::shared_ptr<peer_network> m_network;
+    std::vector<std::string> m_seeds;
+    configuration_lease_options m_options;
+    handlers m_handlers;
+    asio::steady_timer m_timer;
+    std::set<std::string> m_controlHosts; ///< As last told by a leader.
+    std::string m_leader;
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_sequence = 0;
+    std::map<std::uint64_t, core::instant> m_asked; ///< When each request was sent.
+    std::optional<core::instant> m_confirmedAt;
+    core::instant m_startedAt;
+    bool m_wasConfirmed = false;
+    bool m_stopped = false;
+};
+
+} // namespace quetzalcleat::peer
--- /dev/null
+++ b/Libraries/LibPeer/configuration_writer.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "LibPeer/control_service.h"
+#include "LibPeer/peer_network.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <asio/steady_timer.hpp>
+
+namespace quetzalcleat::peer {
+
+enum class write_outcome {
+    Accepted, ///< In the log on a majority.
+    NotNewer, ///< The version is not above the one in force; nothing was changed.
+    NotLeader, ///< Another host leads; see control_service::leaderHost().
+    Undecided, ///< It may or may not have been accepted.
+};
+
+/// Brings documents with a version into the replicated log so that the highest version wins.
+///
+/// Each write is an edit on the newest revision: two writes at the same time meet as a conflict of
+/// base revisions, after which the later one is compared again. Belongs to the event loop of a
+/// control host.
+class configuration_writer : public std::enable_shared_from_this<configuration_writer>
+{
+public:
+    using handler = std::function<void(write_outcome)>;
+    /// Version of an accepted document.
+    using version_reader = std::function<std::uint64_t(const std::string &)>;
+
+    static std::shared_ptr<configuration_writer> create(std::shared_ptr<peer_network> network,
+                                                        std::shared_ptr<control_service> service,
+                                                        std::size_t minimumVoters,
+                                                        version_reader versionOf);
+
+    void write(std::string document, std::uint64_t version, handler done);
+    void stop();
+
+private:
+    struct pending_write
+    {
+        std::string document;
+        std::uint64_t version = 0;
+        handler done;
+        int tries = 0;
+    };
+
+    configuration_writer(std::shared_ptr<peer_network> network,
+                         std::shared_ptr<control_service> service, std::size_t minimumVoters,
+                         version_reader versionOf);
+
+    void next();
+    void handleResult(const propose_result &result);
+    void finish(write_outcome outcome);
+
+    std::shared_ptr<peer_network> m_network;
+    std::shared_ptr<control_service> m_service;
+    std::size_t m_minimumVoters;
+    version_reader m_versionOf;
+    asio::steady_timer m_timer;
+    std::deque<pending_write> m_writes; ///< The first one is in progress.
+    std::uint64_t m_requestId = 0;
+    bool m_waiting = false;
+    std::uint64_t m_knownRevision = 0; ///< Of which m_knownVersion is the version.
+    std::uint64_t m_knownVersion = 0;
+    bool m_stopped = false;
+};
+
+} // namespace quetzalcleat::peer
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -33,6 +33,18 @@
 /// Interval of requests to be taken in, and of attempts to have the seed document accepted.
 constexpr std::chrono::milliseconds slowInterval{500};
 
+/// A member heard from within this time answers; raft's heartbeat interval is 150 ms.
+constexpr std::chrono::milliseconds answeringTime{1500};
+
+/// A voter that is silent for this long may be removed. Above the grace time of a planned stop and
+/// the longest disturbances on the users' sheets (about 7 s).
+constexpr std::chrono::milliseconds lostTime{12'000};
+
+/// A host that has not asked for a lease for this long is forgotten.
+constexpr std::chrono::milliseconds leasedHostTime{2000};
+
+constexpr std::size_t maximumLeasedHosts = 4096;
+
 constexpr auto seedEditId = "seed";
 
 const core::logger &log()
@@ -43,7 +55,7 @@
 
 core::instant currentTime()
 {
-    return std::chrono::steady_clock::now();
+    return core::suspendAwareNow();
 }
 
 /// The id of a first member of a new cluster, which its peers must know before they meet. Members
@@ -121,6 +133,10 @@
     void start();
     void stop();
     bool isLeader() const { return m_core && status().role == consensus::raft_role::Leader; }
+    std::optional<state::configuration> confirmedConfiguration() const;
+    std::string leaderHost() const { return view().leader; }
+    void leaveLeadership();
+    std::vector<std::string> voterHosts() const;
     bool isVoter() const { return m_core && status().members.isVoter(m_store.identity().self); }
 
 private:
@@ -149,6 +165,10 @@
     bool mayPropose(core::instant now);
 
     void handleShareRequest(const std::string &host, const share_request &request);
+    void handleLeaseRequest(const std::string &host, const lease_request &request);
+    lease_answer leaseAnswer(std::uint64_t revision) const;
+    void pushConfiguration();
+    void removeLostVoter();
     void handleJoin(const std::string &host, const join &request);
     void proposeChange(consensus::membership_change change);
     void askToJoin();
@@ -174,9 +194,20 @@
     proposal_table m_proposals;
     std::optional<state::state_clock> m_clock; ///< Set while leading.
     consensus::term_number m_clockTerm = 0;
+    struct leased_host
+    {
+        core::instant lastSeen;
+        std::uint64_t revision = 0;
+        std::vector<endpoint_load> loads;
+    };
+
+    std::map<std::string, leased_host> m_leased; ///< Hosts that asked for a lease lately.
+    std::map<consensus::member_id, core::instant> m_lastHeard; ///< From other members.
     std::optional<share_ledger> m_shares; ///< Of the term in which this host leads.
     consensus::term_number m_sharesTerm = 0;
     core::instant m_lastSlowTasks;
+    std::optional<core::instant> m_leadsSince;
+    consensus::term_number m_leadsTerm = 0;
     bool m_stopped = false;
 };
 
@@ -249,6 +280,7 @@
         return;
     m_lastSlowTasks = now;
     askToJoin();
+    removeLostVoter();
     proposeSeed();
     saveSnapshotIfDue();
 }
@@ -262,6 +294,7 @@
         if (!decoded)
             return;
         m_hosts[decoded.value().from] = host;
+        m_lastHeard[decoded.value().from] = currentTime();
         m_core->receive(decoded.value(), currentTime());
     } else if (const auto *request = std::get_if<propose>(&content)) {
         handlePropose(host, *request);
@@ -269,6 +302,9 @@
         handleForwardedResult(*result);
     } else if (const auto *joining = std::get_if<join>(&content)) {
         handleJoin(host, *joining);
+    } else if (const auto *asked = std::get_if<lease_request>(&content)) {
+        handleLeaseRequest(host, *asked);
+        return;
     } else if (const auto *asking = std::get_if<share_request>(&content)) {
         handleShareRequest(host, *asking);
     } else {
@@ -351,8 +387,8 @@
 {
     for (const auto &entry : entries)
         apply(entry);
-    if (!entries.empty())
-        m_feed->publish(m_state.currentConfiguration());
+    if (!entries.empty() && m_feed->publish(m_state.currentConfiguration()))
+        pushConfiguration();
 }
 
 void control_service::implementation::apply(const consensus::log_entry &entry)
@@ -524,7 +560,8 @@
     if (current.role != consensus::raft_role::Leader || request.memberId == 0)
         return;
     const auto *peer = m_network->findPeer(host);
-    if (peer == nullptr || !peer->control)
+    // Hosts that are named by their address need not be in the settings.
+    if (peer == nullptr || (!peer->control && m_network->options().commonPort == 0))
         return;
     const auto *joining = current.members.find(request.memberId);
     if (joining == nullptr) {
@@ -559,14 +596,146 @@
 
 void control_service::implementation::askToJoin()
 {
-    if (status().members.isVoter(m_store.identity().self) || status().halted)
+    const auto current = status();
+    if (current.halted)
+        return;
+    // A member that was removed while it was away still believes to be one.
+    const bool knowsLeader = current.leader != 0;
+    if (current.members.isVoter(m_store.identity().self) && (knowsLeader || !m_options.rejoins))
         return;
+    for (const auto &member : current.members.members) {
+        if (member.name != m_network->host())
+            (void)m_network->send(member.name, join{m_store.identity().self});
+    }
     for (const auto &peer : m_network->options().peers) {
         if (peer.control)
             (void)m_network->send(peer.name, join{m_store.identity().self});
     }
 }
 
+/// A voter that has been silent for long is removed if enough others answer without it, so that
+/// hosts that never come back do not add up to a majority.
+void control_service::implementation::removeLostVoter()
+{
+    const auto current = status();
+    if (current.role != consensus::raft_role::Leader || m_options.minimumVoters == 0)
+        return;
+    const auto now = currentTime();
+    if (!m_leadsSince || m_leadsTerm != current.term) {
+        m_leadsSince = now;
+        m_leadsTerm = current.term;
+    }
+    std::size_t answering = 0;
+    std::optional<consensus::member_id> lost;
+    for (const auto &member : current.members.members) {
+        if (member.role != consensus::member_role::Voter)
+            continue;
+        const auto heard = m_lastHeard.find(member.id);
+        const auto last
+            = std::max(heard == m_lastHeard.end() ? *m_leadsSince : heard->second, *m_leadsSince);
+        if (member.id == m_store.identity().self || now - last < answeringTime)
+            ++answering;
+        else if (now - last > lostTime)
+            lost = member.id;
+    }
+    if (lost && answering >= m_options.minimumVoters)
+        proposeChange({consensus::membership_change_kind::RemoveMember, *lost, {}, 0});
+}
+
+void control_service::implementation::handleLeaseRequest(const std::string &host,
+                                                         const lease_request &request)
+{
+    const auto now = currentTime();
+    std::erase_if(m_leased,
+                  [&](const auto &entry) { return now - entry.second.lastSeen > leasedHostTime; });
+    if (m_leased.size() >= maximumLeasedHosts && !m_leased.contains(host))
+        return;
+    m_leased[host] = {now, request.revision, request.loads};
+    auto answer = leaseAnswer(request.revision);
+    answer.sequence = request.sequence;
+    std::map<std::string, endpoint_load> sums;
+    for (const auto &[other, known] : m_leased) {
+        if (other == host)
+            continue;
+        for (const auto &load : known.loads) {
+            auto &sum = sums[load.incarnation];
+            sum.running += load.running;
+            sum.waitingTokens += load.waitingTokens;
+        }
+    }
+    for (auto &[incarnation, sum] : sums) {
+        sum.incarnation = incarnation;
+        answer.loads.push_back(std::move(sum));
+    }
+    (void)m_network->send(host, answer);
+}
+
+lease_answer control_service::implementation::leaseAnswer(std::uint64_t revision) const
+{
+    lease_answer answer;
+    const auto &newest = m_state.currentConfiguration();
+    answer.confirmed = confirmedConfiguration().has_value();
+    answer.revision = newest.revision;
+    answer.hasDocument = newest.revision > revision;
+    if (answer.hasDocument)
+        answer.configuration = newest;
+    answer.leader = leaderHost();
+    answer.hosts = static_cast<std::uint32_t>(m_leased.size());
+    for (const auto &member : status().members.members)
+        answer.controlHosts.push_back(member.name);
+    return answer;
+}
+
+void control_service::implementation::pushConfiguration()
+{
+    if (!isLeader())
+        return;
+    for (auto &[host, known] : m_leased) {
+        if (known.revision >= m_state.currentConfiguration().revision)
+            continue;
+        if (m_network->send(host, leaseAnswer(known.revision)))
+            known.revision = m_state.currentConfiguration().revision;
+    }
+}
+
+std::optional<state::configuration> control_service::implementation::confirmedConfiguration() const
+{
+    const auto index = m_core->readIndex(currentTime());
+    if (m_stopped || !index || m_applied.index < index.value())
+        return std::nullopt;
+    return m_state.currentConfiguration();
+}
+
+void control_service::implementation::leaveLeadership()
+{
+    const auto current = status();
+    if (current.role != consensus::raft_role::Leader)
+        return;
+    consensus::member_id best = 0;
+    consensus::log_index most = 0;
+    for (const auto &[id, match] : current.matches) {
+        if (current.members.isVoter(id) && match >= most) {
+            best = id;
+            most = match;
+        }
+    }
+    if (best == 0)
+        return;
+    if (const auto handed = m_core->transferLeadership(best, currentTime()); !handed)
+        log().information("leadership is not handed on: " + handed.error().message());
+    processReadies();
+}
+
+std::vector<std::string> control_service::implementation::voterHosts() const
+{
+    std::vector<std::string> hosts;
+    for (const auto &member : status().members.members) {
+        if (member.role == consensus::member_role::Voter)
+            hosts.push_back(member.name);
+    }
+    return hosts;
+}
+
 void control_service::implementation::proposeSeed()
 {
     if (m_options.seedDocument.empty() || m_state.currentConfiguration().revision != 0
@@ -624,6 +793,26 @@
     m_implementation->stop();
 }
 
+std::optional<state::configuration> control_service::confirmedConfiguration() const
+{
+    return m_implementation->confirmedConfiguration();
+}
+
+std::string control_service::leaderHost() const
+{
+    return m_implementation->leaderHost();
+}
+
+std::vector<std::string> control_service::voterHosts() const
+{
+    return m_implementation->voterHosts();
+}
+
+void control_service::leaveLeadership()
+{
+    m_implementation->leaveLeadership();
+}
+
 bool control_service::isLeader() const
 {
     return m_implementation->isLeader();
--- a/Libraries/LibPeer/control_service.h
+++ b/Libraries/LibPeer/control_service.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "LibCore/result.h"
+#include "LibState/edits.h"
 
 #include <cstdint>
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace quetzalcleat::peer {
 
@@ -23,6 +26,10 @@
     std::string seedDocument;
     /// A snapshot is taken after this many applied entries.
     std::uint64_t snapshotEntries = 10'000;
+    /// Where set, a voter that stays silent is removed as long as this many others answer.
+    std::size_t minimumVoters = 0;
+    /// A voter that knows no leader asks to be taken in, in case it was removed.
+    bool rejoins = false;
 };
 
 /// The replicated log and state on a control host: runs raft over the peer network, syncs on a
@@ -44,6 +51,18 @@
     /// Stops raft and waits for the disk write in progress.
     void stop();
 
+    /// The newest accepted configuration, if this host leads and can be sure of it.
+    std::optional<state::configuration> confirmedConfiguration() const;
+
+    /// Host name of the leader that this host follows; empty if unknown.
+    std::string leaderHost() const;
+
+    /// Hosts whose members may vote.
+    std::vector<std::string> voterHosts() const;
+
+    /// Hands leadership to the voter that has most of the log, if this host leads.
+    void leaveLeadership();
+
     bool isLeader() const;
     bool isVoter() const;
 
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -221,9 +221,53 @@
     bool operator==(const share_grant &) const = default;
 };
 
+/// Work of one host at one endpoint.
+struct endpoint_load
+{
+    std::string incarnation; ///< Of the endpoint.
+    std::uint32_t running = 0; ///< Requests in progress.
+    std::uint64_t waitingTokens = 0; ///< Prompt tokens of requests without a first byte.
+
+    bool operator==(const endpoint_load &) const = default;
+};
+
+/// Asks a control host to confirm that the configuration in force at the sender is the newest.
+struct lease_request
+{
+    std::uint64_t sequence = 0;
+    std::uint64_t revision = 0; ///< In force at the sender.
+    std::vector<endpoint_load> loads; ///< Of the sender.
+
+    bool operator==(const lease_request &) const = default;
+};
+
+/// Answer to lease_request; also sent unasked, with sequence 0, when a configuration is accepted.
+struct lease_answer
+{
+    std::uint64_t sequence = 0;
+    /// The sender leads with a valid lease and `revision` is the newest accepted one.
+    bool confirmed = false;
+    std::uint64_t revision = 0;
+    bool hasDocument = false;
+    state::configuration configuration; ///< Set if hasDocument.
+    std::string leader; ///< Host name; empty if unknown.
+    std::vector<std::string> controlHosts;
+    std::uint32_t hosts = 0; ///< Hosts that asked lately, the receiver included.
+    std::vector<endpoint_load> loads; ///< Sums over all other hosts.
+
+    bool operator==(const lease_answer &other) const
+    {
+        return sequence == other.sequence && confirmed == other.confirmed
+            && revision == other.revision && hasDocument == other.hasDocument
+            && configuration.revision == other.configuration.revision
+            && configuration.document == other.configuration.document && leader == other.leader
+            && controlHosts == other.controlHosts && hosts == other.hosts && loads == other.loads;
+    }
+};
+
 using message
     = std::variant<hello, challenge, challenge_response, heartbeat, fragment, raft_payload, propose,
                    propose_result, subscribe, configuration_update, gossip, status_request,
-                   status_report, join, share_request, share_grant>;
+                   status_report, join, share_request, share_grant, lease_request, lease_answer>;
 
 } // namespace quetzalcleat::peer
--- a/Libraries/LibPeer/peer_network.cpp
+++ b/Libraries/LibPeer/peer_network.cpp
@@ -127,7 +127,28 @@
 {
     const auto found = std::find_if(m_options.peers.begin(), m_options.peers.end(),
                                     [&](const auto &peer) { return peer.name == host; });
-    return found == m_options.peers.end() ? nullptr : &*found;
+    if (found != m_options.peers.end())
+        return &*found;
+    if (m_options.commonPort == 0)
+        return nullptr;
+    const auto known = m_addressed.find(host);
+    if (known != m_addressed.end())
+        return &known->second;
+    std::error_code invalid;
+    asio::ip::make_address(host, invalid);
+    if (invalid || m_addressed.size() >= maximumLinks)
+        return nullptr;
+    return &m_addressed
+                .emplace(host, core::peer_settings{host, {}, {host, m_options.commonPort}, false})
+                .first->second;
+}
+
+void peer_network::addPeer(core::peer_settings peer)
+{
+    const bool known = std::any_of(m_options.peers.begin(), m_options.peers.end(),
+                                   [&](const auto &entry) { return entry.name == peer.name; });
+    if (!known && peer.name != m_options.identity.host)
+        m_options.peers.push_back(std::move(peer));
 }
 
 core::result<void> peer_network::send(const std::string &host, const message &content)
--- a/Libraries/LibPeer/peer_network.h
+++ b/Libraries/LibPeer/peer_network.h
@@ -27,6 +27,9 @@
     bool control = false; ///< Whether this process holds the replicated log.
     core::socket_address address;
     std::vector<core::peer_settings> peers; ///< Without this process.
+    /// Set where hosts are named by their IP address and all listen on this port. Then every host
+    /// with such a name can be reached without being in `peers`.
+    std::uint16_t commonPort = 0;
     connection_options connection;
     std::chrono::milliseconds reconnectMinimum{50};
     /// Short against the 3 s in which a configuration has to be in force after a cut has ended.
@@ -74,6 +77,8 @@
 
     /// Settings of a peer, or a null pointer.
     const core::peer_settings *findPeer(const std::string &host) const;
+    /// Adds a peer that was learnt after the start.
+    void addPeer(core::peer_settings peer);
     std::uint16_t port() const; ///< Port that the network listens on.
 
 private:
@@ -109,6 +114,7 @@
     asio::steady_timer m_sweepTimer;
     std::vector<receiver> m_receivers;
     std::map<std::string, link> m_links;
+    mutable std::map<std::string, core::peer_settings> m_addressed; ///< Found by their name.
     std::vector<connection::pointer> m_unauthenticated;
     std::minstd_rand m_random;
     bool m_stopped = false;
