LibForward: Keep engines for quick requests, follow prefixes, reuse connections

Change: a quarter of the engines of each region is kept for the streams with the tightest objective; the engine that rendezvous hashing gives is expected to hold the shared prefix; the reader remembers how a message ends.

--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -236,7 +236,8 @@
     placement_request request;
     request.target = m_service;
     request.size = m_service->engine && m_hasSize ? &m_size : nullptr;
-    request.rank = m_rank;
+    if (request.size != nullptr && isStream())
+        request.lane = m_routes->isQuick(*m_route) ? engine_lane::Quick : engine_lane::Long;
     request.affinity = m_service->engine ? m_affinity : 0;
     request.excluded = m_tried;
     const auto choice = place(m_owner->endpoints(), request, m_owner->options().placement, now);
@@ -625,6 +626,7 @@
          {"elapsed_ms", number(elapsed().count())},
          {"events", number(static_cast<std::int64_t>(m_events.events()))},
          {"expected_wait_ms", number(m_expectedWait.count() / 1000)},
+         {"parts", std::string(m_request.value(m_owner->options().names.promptParts))},
          {"unread_tokens", number(static_cast<std::int64_t>(m_unread))},
          {"version", number(m_routes ? static_cast<std::int64_t>(m_routes->content().version) : 0)},
          {"lease_age_ms", number(std::min<std::int64_t>(m_owner->leaseAge().count(), 999'999))}});
--- a/Libraries/LibForward/http_reader.cpp
+++ b/Libraries/LibForward/http_reader.cpp
@@ -59,6 +59,13 @@
         if (self.m_kind == message_kind::Request)
             self.m_head.method = http_method_str(static_cast<http_method>(state->method));
         self.m_keepsConnection = http_should_keep_alive(state) != 0;
+        // RFC 9112, 6.3.
+        const auto status = state->status_code;
+        const bool hasNoBody
+            = self.m_answersHead || status / 100 == 1 || status == 204 || status == 304;
+        self.m_endsWithConnection = self.m_kind == message_kind::Answer && !hasNoBody
+            && !self.m_head.has("Content-Length")
+            && !containsToken(self.m_head.value("Transfer-Encoding"), "chunked");
         return self.m_answersHead ? 1 : 0;
     }
 
@@ -104,6 +111,7 @@
     m_headComplete = false;
     m_complete = false;
     m_keepsConnection = false;
+    m_endsWithConnection = false;
 }
 
 core::result<std::size_t> http_reader::read(std::string_view bytes, std::string &body)
@@ -133,20 +141,10 @@
 {
     if (m_complete)
         return true;
-    if (!m_headComplete || !endsWithConnection())
+    if (!m_headComplete || !m_endsWithConnection)
         return false;
     m_complete = true;
     return true;
 }
 
-bool http_reader::endsWithConnection() const
-{
-    // RFC 9112, 6.3.
-    const int status = m_head.status;
-    const bool hasNoBody = m_answersHead || status / 100 == 1 || status == 204 || status == 304;
-    return m_kind == message_kind::Answer && m_headComplete && !hasNoBody
-        && !m_head.has("Content-Length")
-        && !containsToken(m_head.value("Transfer-Encoding"), "chunked");
-}
-
 } // namespace quetzalcleat::forward
--- a/Libraries/LibForward/http_reader.h
+++ b/Libraries/LibForward/http_reader.h
@@ -41,7 +41,7 @@
     bool complete() const { return m_complete; }
     bool keepsConnection() const { return m_keepsConnection; }
     /// Whether the body has neither a length nor chunks.
-    bool endsWithConnection() const;
+    bool endsWithConnection() const { return m_endsWithConnection; }
     http_head &head() { return m_head; }
 
 private:
@@ -59,6 +59,7 @@
     bool m_headComplete = false;
     bool m_complete = false;
     bool m_keepsConnection = false;
+    bool m_endsWithConnection = false;
 };
 
 } // namespace quetzalcleat::forward
--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -3,6 +3,8 @@
 #include "LibCore/hash.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace quetzalcleat::forward {
 
@@ -10,6 +12,10 @@
 
 /// Cost of leaving the engine that rendezvous hashing gives, so that equal prefixes keep meeting.
 constexpr std::chrono::microseconds strayCost{30'000};
+/// Cost of an engine of the other lane. A long prefill among quick requests delays all of them; a
+/// quick request among long prefills only delays itself.
+constexpr std::chrono::microseconds longInQuickCost{1'500'000};
+constexpr std::chrono::microseconds quickInLongCost{250'000};
 /// Cost of an endpoint that is ejected: only used when all are.
 constexpr std::chrono::microseconds ejectedCost{std::chrono::seconds(60)};
 /// Time that a full endpoint is expected to take until a place is free.
@@ -31,6 +37,41 @@
     return core::hash64(std::to_string(affinity) + incarnation);
 }
 
+/// The engines of the quick lane: in each region the ones with the lowest hashes, so that all hosts
+/// agree without a message and a change of one engine moves few others.
+std::vector<const endpoint *> quickLane(const std::vector<endpoint_table::endpoint_pointer> &all,
+                                        const placement_options &options)
+{
+    std::map<std::string, std::vector<std::pair<std::uint64_t, const endpoint *>>> regions;
+    for (const auto &entry : all) {
+        if (entry->listed.isLeaving || entry->isGone)
+            continue;
+        const auto region = options.regions.find(entry->listed.dataCentre);
+        regions[region == options.regions.end() ? entry->listed.dataCentre : region->second]
+            .emplace_back(core::hash64(entry->listed.incarnation), entry.get());
+    }
+    std::vector<const endpoint *> lane;
+    for (auto &[region, engines] : regions) {
+        std::sort(engines.begin(), engines.end());
+        const auto count = static_cast<std::size_t>(
+            std::lround(static_cast<double>(engines.size()) * options.quickShare));
+        // A region with one engine has no lane.
+        const auto kept = engines.size() < 2 ? 0 : std::max<std::size_t>(count, 1);
+        for (std::size_t index = 0; index < kept; ++index)
+            lane.push_back(engines[index].second);
+    }
+    return lane;
+}
+
+std::chrono::microseconds laneCost(engine_lane wanted, bool isQuick)
+{
+    if (wanted == engine_lane::Long && isQuick)
+        return longInQuickCost;
+    if (wanted == engine_lane::Quick && !isQuick)
+        return quickInLongCost;
+    return std::chrono::microseconds(0);
+}
+
 std::chrono::microseconds engineWait(const endpoint &target, std::uint64_t unread,
                                      const placement_options &options)
 {
@@ -68,21 +109,27 @@
     {
         endpoint_table::endpoint_pointer target;
         std::uint64_t weight = 0;
+        bool isQuick = false;
     };
+    std::vector<const endpoint *> quick;
+    if (request.lane != engine_lane::Any)
+        quick = quickLane(endpoints.of(request.target->name), options);
     std::vector<candidate> candidates;
     for (const auto &entry : endpoints.of(request.target->name)) {
         const bool tried = std::find(request.excluded.begin(), request.excluded.end(), entry)
             != request.excluded.end();
         if (entry->listed.isLeaving || entry->isGone || tried)
             continue;
-        candidates.push_back({entry,
-                              request.affinity == 0
-                                  ? 0
-                                  : rendezvousWeight(request.affinity, entry->listed.incarnation)});
+        const bool isQuick = std::find(quick.begin(), quick.end(), entry.get()) != quick.end();
+        const auto weight = request.affinity == 0
+            ? 0
+            : rendezvousWeight(request.affinity, entry->listed.incarnation);
+        candidates.push_back({entry, weight, isQuick});
     }
     std::uint64_t best = 0;
     for (const auto &entry : candidates) {
-        if (entry.target->ejectedUntil <= now)
+        const bool matches = laneCost(request.lane, entry.isQuick).count() == 0;
+        if (entry.target->ejectedUntil <= now && matches)
             best = std::max(best, entry.weight);
     }
     placement_choice choice;
@@ -95,7 +142,11 @@
         auto wait = distanceTo(target, options);
         if (request.size != nullptr) {
             unread = unreadTokens(target, *request.size, options, now);
+            // All hosts send the prefix to this engine, so one of them has had it read.
+            if (request.affinity != 0 && entry.weight == best && request.size->parts.size() > 1)
+                unread = std::min<std::uint64_t>(unread, request.size->parts.back().tokens);
             wait += engineWait(target, unread, options);
+            wait += laneCost(request.lane, entry.isQuick);
         } else {
             wait += plainWork * taken / std::max(target.listed.slots, std::uint32_t{1});
         }
--- a/Libraries/LibForward/placement.h
+++ b/Libraries/LibForward/placement.h
@@ -30,15 +30,21 @@
     std::chrono::microseconds dataCentreDistance{1800};
     std::chrono::microseconds regionDistance{40000};
     engine_speed speed;
+    /// Part of the engines of each region that is kept for requests with tight objectives.
+    double quickShare = 0.25;
     /// Parts sent to an engine longer ago than this are no longer expected in its cache.
     std::chrono::milliseconds cacheMemory{60'000};
 };
 
+/// Which engines a request prefers. A long prefill slows down every request in the same batch, so
+/// requests with tight objectives have a part of the engines to themselves while it has room.
+enum class engine_lane { Any, Quick, Long };
+
 struct placement_request
 {
     const service *target = nullptr;
     const generation_size *size = nullptr; ///< Null for plain services.
-    int rank = 0;
+    engine_lane lane = engine_lane::Any;
     std::uint64_t affinity = 0; ///< Hash of the shared prefix; 0 for none.
     std::vector<endpoint_table::endpoint_pointer> excluded; ///< Tried before.
 };
--- a/Libraries/LibForward/route_table.cpp
+++ b/Libraries/LibForward/route_table.cpp
@@ -43,6 +43,14 @@
         }
         if (weight == 0)
             return forward_error::NoWeight;
+        for (const auto &target : entry.services) {
+            if (entry.kind != repeat_kind::Stream || entry.latencyObjective.count() == 0)
+                continue;
+            auto &range = m_objectives[target.service];
+            range.loosest = std::max(range.loosest, entry.latencyObjective);
+            if (range.tightest.count() == 0 || entry.latencyObjective < range.tightest)
+                range.tightest = entry.latencyObjective;
+        }
         if (!m_routes.emplace(placeOf(entry.host, entry.pathPrefix), &entry).second)
             return forward_error::DuplicatePlace;
     }
@@ -70,6 +78,17 @@
     return nullptr;
 }
 
+bool route_table::isQuick(const route &entry) const
+{
+    for (const auto &target : entry.services) {
+        const auto range = m_objectives.find(target.service);
+        if (range != m_objectives.end() && range->second.tightest < range->second.loosest
+            && entry.latencyObjective == range->second.tightest)
+            return true;
+    }
+    return false;
+}
+
 const client_account *route_table::findAccount(std::string_view key) const
 {
     const auto found = m_accounts.find(std::string(key));
--- a/Libraries/LibForward/route_table.h
+++ b/Libraries/LibForward/route_table.h
@@ -26,6 +26,9 @@
 
     const service *findService(std::string_view name) const;
 
+    /// Whether the route has the tightest latency objective among the streams of its engines.
+    bool isQuick(const route &entry) const;
+
     const configuration &content() const { return m_content; }
 
 private:
@@ -37,6 +40,13 @@
     std::unordered_map<std::string, const route *> m_routes;
     std::unordered_map<std::string, const client_account *> m_accounts;
     std::unordered_map<std::string, const service *> m_services;
+    /// Tightest and loosest latency objective of the streams of each engine service.
+    struct objective_range
+    {
+        std::chrono::milliseconds tightest{0};
+        std::chrono::milliseconds loosest{0};
+    };
+    std::unordered_map<std::string, objective_range> m_objectives;
 };
 
 } // namespace quetzalcleat::forward
--- a/Libraries/LibForward/upstream.cpp
+++ b/Libraries/LibForward/upstream.cpp
@@ -240,6 +240,8 @@
         if (m_reader.headComplete() && !m_headPassed) {
             const int status = m_reader.head().status;
             if (status / 100 != 1) {
+                // Before the handler, which may take the headers away.
+                m_idleTime = announcedIdleTime(m_reader.head(), m_pool->options().idleTime);
                 const auto identifier = m_reader.head().value(m_request.identifierHeader);
                 m_foreign = !identifier.empty() && identifier != m_request.identifier;
                 m_headPassed = true;
@@ -292,8 +294,7 @@
                   error && m_sent && !m_anyBytes && m_connection && m_connection->wasUsed};
     if (m_connection) {
         if (reusable) {
-            m_pool->giveBack(m_connection,
-                             announcedIdleTime(m_reader.head(), m_pool->options().idleTime));
+            m_pool->giveBack(m_connection, m_idleTime);
         } else {
             std::error_code ignored;
             m_connection->socket.close(ignored);
--- a/Libraries/LibForward/upstream.h
+++ b/Libraries/LibForward/upstream.h
@@ -132,6 +132,7 @@
     http_reader m_reader{http_reader::message_kind::Answer};
     std::string m_buffer;
     std::string m_body;
+    std::chrono::milliseconds m_idleTime{0}; ///< For the connection, as the endpoint announced.
     bool m_headPassed = false;
     bool m_writeDone = false;
     bool m_anyBytes = false;
