LibForward: Stay with the engine of a prefix under load

Cause: in bursts of long prompts the hosts left the engine of a prefix as soon as another one seemed less busy.

Change: leaving costs three times the reading of the prefix, leaving the second engine six times.

--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -10,8 +10,12 @@
 
 namespace {
 
-/// Cost of leaving the engine that rendezvous hashing gives, so that equal prefixes keep meeting.
-constexpr std::chrono::microseconds strayCost{30'000};
+/// Leaving the engine of a prefix costs this many times the reading of the prefix: it is read
+/// again, and it takes the place of another one in the cache.
+constexpr double strayFactor = 3;
+/// Leaving the second engine too costs as much again, so that a prefix in demand has two engines
+/// before it has many.
+constexpr double farStrayFactor = 2 * strayFactor;
 /// Cost of an engine of the other lane. A long prefill among quick requests delays all of them; a
 /// quick request among long prefills only delays itself.
 constexpr std::chrono::microseconds longInQuickCost{1'500'000};
@@ -127,11 +131,20 @@
         candidates.push_back({entry, weight, isQuick});
     }
     std::uint64_t best = 0;
+    std::uint64_t second = 0;
     for (const auto &entry : candidates) {
         const bool matches = laneCost(request.lane, entry.isQuick).count() == 0;
-        if (entry.target->ejectedUntil <= now && matches)
-            best = std::max(best, entry.weight);
+        if (entry.target->ejectedUntil > now || !matches)
+            continue;
+        second = std::max(second, std::min(best, entry.weight));
+        best = std::max(best, entry.weight);
     }
+    const auto strayTime = request.size == nullptr || request.size->parts.empty()
+        ? 0.0
+        : static_cast<double>(
+              request.size->promptTokens
+              - std::min(request.size->promptTokens, request.size->parts.back().tokens))
+            * 1000.0 / options.speed.promptTokensPerMillisecond;
     placement_choice choice;
     auto bestCost = std::chrono::microseconds::max();
     for (const auto &entry : candidates) {
@@ -152,7 +165,8 @@
         }
         auto cost = wait;
         if (request.affinity != 0 && entry.weight != best)
-            cost += strayCost;
+            cost += std::chrono::microseconds(static_cast<std::int64_t>(
+                strayTime * (entry.weight == second ? strayFactor : farStrayFactor)));
         if (isFull)
             cost += fullCost * (taken + 1 - target.listed.slots);
         if (target.ejectedUntil > now || target.isProbing)
