LibFleet: Read the list once for all hosts, wait shortly for a configuration

A host without any list now reads it itself.

Change: the leader reads the list and tells changes with the leases; requests wait up to 0.3 of the caller's time, 2 s at most, for a configuration; elections after 0.6 s.

--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -7,6 +7,7 @@
 #include "LibPeer/configuration_publisher.h"
 #include "LibPeer/configuration_writer.h"
 #include "LibPeer/control_service.h"
+#include "LibPeer/endpoint_catalogue.h"
 #include "LibPeer/peer_network.h"
 
 #include <chrono>
@@ -45,6 +46,7 @@
                 if (const auto self = weak.lock())
                     self->handle(head, std::move(body), std::move(respond));
             });
+        startList(weak);
         startTimer();
         return m_server->start(*m_settings.controlAddress);
     }
@@ -57,6 +59,9 @@
         m_stopped = true;
         m_timer.cancel();
         m_server->stop();
+        if (m_list)
+            m_list->stop();
+        m_pool->closeAll();
         m_writer->stop();
         m_service->stop();
     }
@@ -71,7 +76,8 @@
                  core::counter_registry &counters, forward::event_log &log,
                  const node_settings &settings)
         : m_context(context), m_network(std::move(network)), m_counters(counters), m_log(log),
-          m_settings(settings), m_timer(context)
+          m_settings(settings), m_timer(context),
+          m_pool(std::make_shared<forward::connection_pool>(context, forward::upstream_options()))
     {
     }
 
@@ -90,6 +96,10 @@
         options.snapshotEntries = snapshotEntries;
         options.minimumVoters = 2 * m_settings.disksThatMayBeLost + 1;
         options.rejoins = true;
+        // With 20 ms between regions, several heartbeats may be lost. Shorter than in other
+        // deployments, since all hosts may restart at the same moment and callers wait meanwhile.
+        options.electionTimeout = std::chrono::milliseconds(600);
+        options.heartbeatInterval = std::chrono::milliseconds(120);
         const auto voters = options.minimumVoters;
         auto service
             = peer::control_service::create(m_network, m_feed, m_publisher, std::move(options));
@@ -108,6 +118,37 @@
         return {};
     }
 
+    /// The leader reads the platform's list for all hosts.
+    void startList(const std::weak_ptr<control_node> &weak)
+    {
+        constexpr std::chrono::milliseconds interval{500};
+        m_catalogue = std::make_shared<peer::endpoint_catalogue>(m_network->incarnation());
+        m_service->setCatalogue(m_catalogue);
+        if (m_settings.listAddress.port == 0)
+            return;
+        forward::list_reader_options list;
+        list.address = m_settings.listAddress;
+        list.interval = interval;
+        m_list = std::make_shared<forward::list_reader<Dialect>>(
+            m_pool, m_log, list, [weak](const std::vector<forward::listed_endpoint> &endpoints) {
+                const auto self = weak.lock();
+                if (!self)
+                    return;
+                std::vector<peer::endpoint_entry> entries;
+                entries.reserve(endpoints.size());
+                for (const auto &entry : endpoints)
+                    entries.push_back({entry.incarnation, entry.service, entry.address.ip,
+                                       entry.address.port, entry.dataCentre, entry.slots,
+                                       entry.isLeaving});
+                self->m_catalogue->update(entries, std::chrono::steady_clock::now());
+            });
+        m_list->setGate([weak] {
+            const auto self = weak.lock();
+            return self && self->m_service->confirmedConfiguration().has_value();
+        });
+        m_list->start();
+    }
+
     void startTimer()
     {
         constexpr std::chrono::milliseconds interval{200};
@@ -240,6 +281,9 @@
     std::shared_ptr<peer::control_service> m_service;
     std::shared_ptr<peer::configuration_writer> m_writer;
     std::shared_ptr<forward::plain_server> m_server;
+    std::shared_ptr<forward::connection_pool> m_pool;
+    std::shared_ptr<forward::list_reader<Dialect>> m_list;
+    std::shared_ptr<peer::endpoint_catalogue> m_catalogue;
     std::string m_lastLeader;
     bool m_stopped = false;
 };
--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -46,8 +46,12 @@
             m_forwarder->pool(), m_log, list,
             [weak](const std::vector<forward::listed_endpoint> &endpoints) {
                 if (const auto self = weak.lock())
-                    self->m_forwarder->setEndpoints(endpoints);
+                    self->takeList(endpoints);
             });
+        m_list->setGate([weak] {
+            const auto self = weak.lock();
+            return self && self->readsListItself();
+        });
         m_ready = std::make_shared<forward::plain_server>(
             m_context,
             [weak](const forward::http_head &head, const std::string &,
@@ -83,7 +87,7 @@
 
     bool isReady() const
     {
-        return !m_forwarder->isStopping() && m_forwarder->routes() && m_list->hasRead()
+        return !m_forwarder->isStopping() && m_forwarder->routes() && m_hasList
             && m_forwarder->hasFreshLease();
     }
 
@@ -128,6 +132,10 @@
                   if (const auto self = weak.lock())
                       self->applyLoads(loads, hosts);
               };
+        handlers.endpoints = [weak](const std::map<std::string, peer::endpoint_entry> &entries) {
+            if (const auto self = weak.lock())
+                self->takeEntries(entries);
+        };
         handlers.confirmed = [weak](bool isConfirmed) {
             const auto self = weak.lock();
             if (!self)
@@ -140,6 +148,46 @@
                                                     std::move(handlers));
     }
 
+    void takeList(const std::vector<forward::listed_endpoint> &endpoints)
+    {
+        m_hasList = true;
+        m_forwarder->setEndpoints(endpoints);
+    }
+
+    void takeEntries(const std::map<std::string, peer::endpoint_entry> &entries)
+    {
+        std::vector<forward::listed_endpoint> endpoints;
+        endpoints.reserve(entries.size());
+        for (const auto &[incarnation, entry] : entries)
+            endpoints.push_back({incarnation,
+                                 entry.service,
+                                 {entry.ip, entry.port},
+                                 entry.dataCentre,
+                                 entry.slots,
+                                 entry.isLeaving});
+        takeList(endpoints);
+    }
+
+    /// Only while no control host tells the list; the calls of all hosts then stay within half of
+    /// what the platform takes.
+    bool readsListItself()
+    {
+        constexpr std::chrono::milliseconds patience{2500};
+        constexpr std::chrono::milliseconds shortest{1000};
+        constexpr double share = 0.5;
+        if (m_settings.listRate > 0)
+            m_list->setInterval(
+                std::max(shortest,
+                         std::chrono::milliseconds(static_cast<std::int64_t>(
+                             1000.0 * std::max(m_hosts, 1U) / (share * m_settings.listRate)))));
+        // A host that starts does not wait: after a loss of all hosts there may be no leader yet.
+        const bool reads = !m_hasList || m_lease->listAge() > patience;
+        if (std::exchange(m_readsList, reads) != reads)
+            m_log.write(reads ? "list_relay_lost" : "list_relay_regained",
+                        {{"hosts", std::to_string(m_hosts)}});
+        return reads;
+    }
+
     void applyConfiguration(const state::configuration &newest)
     {
         auto content = Dialect::readConfiguration(newest.document);
@@ -203,7 +251,7 @@
                 {{"ready", ready ? "yes" : "no"},
                  {"stopping", m_forwarder->isStopping() ? "yes" : "no"},
                  {"configuration", m_forwarder->routes() ? "yes" : "no"},
-                 {"list", m_list->hasRead() ? "yes" : "no"},
+                 {"list", m_hasList ? "yes" : "no"},
                  {"lease_age_ms",
                   std::to_string(std::min<std::int64_t>(m_lease->age().count(), 999'999))}});
         }
@@ -220,6 +268,8 @@
     std::shared_ptr<forward::list_reader<Dialect>> m_list;
     std::shared_ptr<forward::plain_server> m_ready;
     std::uint32_t m_hosts = 0;
+    bool m_hasList = false;
+    bool m_readsList = false;
     bool m_wasReady = false;
 };
 
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -29,6 +29,14 @@
 /// Bounds of Retry-After; callers wait for at most a third of the time they have left.
 constexpr std::chrono::milliseconds shortestReturn{300};
 constexpr std::chrono::milliseconds longestReturn{1500};
+/// Longest wait for a configuration, as a part of the time that the caller waits. Callers return
+/// within a third of it, so a request that is refused after its wait can still come back.
+constexpr double waitShare = 0.3;
+/// About the time in which a new leader is found after a loss of all hosts.
+constexpr std::chrono::milliseconds longestWait{2000};
+constexpr std::chrono::milliseconds waitInterval{40};
+/// Requests of one host that wait at a time; each holds its body.
+constexpr std::size_t maximumWaiting = 400;
 
 std::string_view withoutPort(std::string_view host)
 {
@@ -65,14 +73,23 @@
 
 exchange::~exchange()
 {
+    if (m_waits)
+        m_owner->waitEnded();
     m_owner->requestEnded();
 }
 
 void exchange::start()
 {
     m_id = m_request.value(m_owner->options().names.requestId);
+    admit();
+}
+
+/// Also called again while the request waits.
+void exchange::admit()
+{
+    m_routes = m_owner->routes();
     if (!m_routes) {
-        answer(503, "Service Unavailable", "no_configuration", longestReturn);
+        refuseOrWait("no_configuration");
         return;
     }
     const auto host = withoutPort(m_request.value("Host"));
@@ -82,14 +99,15 @@
         if (m_owner->hasFreshLease())
             answer(404, "Not Found", "no_route");
         else
-            answer(503, "Service Unavailable", "configuration_not_confirmed", shortestReturn);
+            refuseOrWait("configuration_not_confirmed");
         return;
     }
     m_rank = m_route->rank;
     if (!authorise())
         return;
     readDeadline();
-    readSize();
+    if (!m_hasSize)
+        readSize();
     if (!chooseService()) {
         answer(503, "Service Unavailable", "no_service", shortestReturn);
         return;
@@ -104,12 +122,37 @@
     tryEndpoint();
 }
 
+/// A host that starts, or has just lost the control hosts, mostly can answer soon: a short wait
+/// spares the caller a refusal and a second call, of which it has few.
+void exchange::refuseOrWait(std::string_view cause)
+{
+    const auto left = parseNumber(m_request.value(m_owner->options().names.timeLeft));
+    auto longest = longestWait;
+    if (left)
+        longest = std::min(longest,
+                           std::chrono::milliseconds(
+                               static_cast<std::int64_t>(static_cast<double>(*left) * waitShare)));
+    const bool mayWait = m_waits || m_owner->waitingRequests() < maximumWaiting;
+    if (!mayWait || elapsed() >= longest) {
+        answer(503, "Service Unavailable", cause, retryAfter());
+        return;
+    }
+    if (!std::exchange(m_waits, true))
+        m_owner->waitStarted();
+    m_deadlineTimer.expires_after(waitInterval);
+    m_deadlineTimer.async_wait([weak = weak_from_this()](std::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_done)
+            self->admit();
+    });
+}
+
 bool exchange::authorise()
 {
     if (!m_routes->content().requiresKeys || m_route->isPublic)
         return true;
     if (!m_owner->hasFreshLease()) {
-        answer(503, "Service Unavailable", "configuration_not_confirmed", shortestReturn);
+        refuseOrWait("configuration_not_confirmed");
         return false;
     }
     constexpr std::string_view scheme = "Bearer ";
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -35,8 +35,8 @@
     void callerReady();
 
 private:
-    enum class limit_kind { Caller, Route };
-
+    void admit();
+    void refuseOrWait(std::string_view cause);
     bool authorise();
     void readDeadline();
     void readSize();
@@ -100,6 +100,7 @@
     event_splitter m_events;
     bool m_answerStarted = false; ///< The caller has got the head.
     bool m_relaying = false; ///< A body too long to keep is passed on as it comes.
+    bool m_waits = false; ///< For a configuration or an endpoint; counted at the owner.
     bool m_done = false;
 };
 
--- a/Libraries/LibForward/list_reader.h
+++ b/Libraries/LibForward/list_reader.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -58,7 +59,16 @@
     {
     }
 
-    void start() { readPage({}); }
+    /// Whether the list is to be read when its turn comes; always if not set.
+    void setGate(std::function<bool()> gate) { m_gate = std::move(gate); }
+
+    void start()
+    {
+        if (!m_gate || m_gate())
+            readPage({});
+        else
+            readLater();
+    }
 
     void stop()
     {
@@ -68,8 +78,11 @@
         if (m_attempt)
             m_attempt->cancel();
         m_changed = {};
+        m_gate = {};
     }
 
+    void setInterval(std::chrono::milliseconds interval) { m_options.interval = interval; }
+
     bool hasRead() const { return m_hasRead; }
 
 private:
@@ -158,7 +171,7 @@
         m_timer.async_wait([weak = this->weak_from_this()](std::error_code error) {
             const auto self = weak.lock();
             if (!error && self && !self->m_stopped)
-                self->readPage({});
+                self->start();
         });
     }
 
@@ -166,6 +179,7 @@
     event_log &m_log;
     list_reader_options m_options;
     handler m_changed;
+    std::function<bool()> m_gate;
     asio::steady_timer m_timer;
     asio::steady_timer m_timeout;
     std::shared_ptr<attempt> m_attempt;
--- a/Libraries/LibPeer/configuration_lease.cpp
+++ b/Libraries/LibPeer/configuration_lease.cpp
@@ -58,6 +58,14 @@
                                                                  - *m_confirmedAt);
 }
 
+std::chrono::milliseconds configuration_lease::listAge() const
+{
+    if (!m_listReadAt)
+        return std::chrono::milliseconds::max();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(core::suspendAwareNow()
+                                                                 - *m_listReadAt);
+}
+
 void configuration_lease::startTimer()
 {
     m_timer.expires_after(m_options.interval);
@@ -83,6 +91,8 @@
     request.revision = m_revision;
     if (m_handlers.ownLoads)
         request.loads = m_handlers.ownLoads();
+    request.listEpoch = m_endpoints.epoch();
+    request.listVersion = m_endpoints.version();
     m_asked[request.sequence] = now;
     if (m_asked.size() > maximumAsked)
         m_asked.erase(m_asked.begin());
@@ -123,6 +133,15 @@
     if (!m_confirmedAt || asked->second > *m_confirmedAt)
         m_confirmedAt = asked->second;
     m_asked.erase(m_asked.begin(), std::next(asked));
+    if (answer.endpoints.epoch != 0) {
+        const bool changed = m_endpoints.apply(answer.endpoints);
+        if (m_endpoints.epoch() == answer.endpoints.epoch
+            && m_endpoints.version() == answer.endpoints.version)
+            m_listReadAt = core::suspendAwareNow()
+                - std::chrono::milliseconds(answer.endpoints.ageMilliseconds);
+        if (changed && m_handlers.endpoints)
+            m_handlers.endpoints(m_endpoints.entries());
+    }
     if (m_handlers.loads)
         m_handlers.loads(answer.loads, answer.hosts);
     if (!std::exchange(m_wasConfirmed, true) && m_handlers.confirmed)
--- a/Libraries/LibPeer/configuration_lease.h
+++ b/Libraries/LibPeer/configuration_lease.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/time.h"
 #include "LibPeer/control_plane.h"
+#include "LibPeer/endpoint_catalogue.h"
 #include "LibPeer/peer_network.h"
 
 #include <chrono>
@@ -35,6 +36,8 @@
         std::function<std::vector<endpoint_load>()> ownLoads;
         /// The sums of all other hosts, and the number of hosts.
         std::function<void(const std::vector<endpoint_load> &, std::uint32_t)> loads;
+        /// The whole list of endpoints, after a change; see also listAge().
+        std::function<void(const std::map<std::string, endpoint_entry> &)> endpoints;
         std::function<void(bool)> confirmed; ///< An answer of the leader came, or none for long.
     };
 
@@ -53,6 +56,9 @@
     /// request, and while the machine is suspended too. The maximum if there was none.
     std::chrono::milliseconds age() const;
 
+    /// Age of the list of endpoints that a control host told; the maximum if there is none.
+    std::chrono::milliseconds listAge() const;
+
     std::uint64_t revision() const { return m_revision; }
     const std::string &leader() const { return m_leader; }
 
@@ -75,6 +81,8 @@
     std::uint64_t m_sequence = 0;
     std::map<std::uint64_t, core::instant> m_asked; ///< When each request was sent.
     std::optional<core::instant> m_confirmedAt;
+    endpoint_replica m_endpoints;
+    std::optional<core::instant> m_listReadAt; ///< By the control host, on this host's clock.
     core::instant m_startedAt;
     bool m_wasConfirmed = false;
     bool m_stopped = false;
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -6,6 +6,7 @@
 #include "LibCore/logger.h"
 #include "LibPeer/configuration_feed.h"
 #include "LibPeer/configuration_publisher.h"
+#include "LibPeer/endpoint_catalogue.h"
 #include "LibPeer/peer_error.h"
 #include "LibPeer/peer_network.h"
 #include "LibPeer/proposal_table.h"
@@ -136,6 +137,10 @@
     std::optional<state::configuration> confirmedConfiguration() const;
     std::string leaderHost() const { return view().leader; }
     void leaveLeadership();
+    void setCatalogue(std::shared_ptr<const endpoint_catalogue> catalogue)
+    {
+        m_catalogue = std::move(catalogue);
+    }
     std::vector<std::string> voterHosts() const;
     bool isVoter() const { return m_core && status().members.isVoter(m_store.identity().self); }
 
@@ -201,6 +206,7 @@
         std::vector<endpoint_load> loads;
     };
 
+    std::shared_ptr<const endpoint_catalogue> m_catalogue;
     std::map<std::string, leased_host> m_leased; ///< Hosts that asked for a lease lately.
     std::map<consensus::member_id, core::instant> m_lastHeard; ///< From other members.
     std::optional<share_ledger> m_shares; ///< Of the term in which this host leads.
@@ -224,6 +230,8 @@
     }
     consensus::raft_options options;
     options.self = m_store.identity().self;
+    options.electionTimeout = m_options.electionTimeout;
+    options.heartbeatInterval = m_options.heartbeatInterval;
     options.group = m_store.identity().group;
     const auto seed = core::hash64(core::secureRandomBytes(8));
     m_core.emplace(options, std::move(restored), seed, currentTime());
@@ -667,6 +675,9 @@
         sum.incarnation = incarnation;
         answer.loads.push_back(std::move(sum));
     }
+    if (m_catalogue && answer.confirmed)
+        m_catalogue->fill(answer.endpoints, request.listEpoch, request.listVersion,
+                          std::chrono::steady_clock::now());
     (void)m_network->send(host, answer);
 }
 
@@ -808,6 +819,11 @@
     return m_implementation->voterHosts();
 }
 
+void control_service::setCatalogue(std::shared_ptr<const endpoint_catalogue> catalogue)
+{
+    m_implementation->setCatalogue(std::move(catalogue));
+}
+
 void control_service::leaveLeadership()
 {
     m_implementation->leaveLeadership();
--- a/Libraries/LibPeer/control_service.h
+++ b/Libraries/LibPeer/control_service.h
@@ -3,6 +3,7 @@
 #include "LibCore/result.h"
 #include "LibState/edits.h"
 
+#include <chrono>
 #include <cstdint>
 #include <filesystem>
 #include <memory>
@@ -14,6 +15,7 @@
 
 class configuration_feed;
 class configuration_publisher;
+class endpoint_catalogue;
 class peer_network;
 
 struct control_service_options
@@ -26,6 +28,9 @@
     std::string seedDocument;
     /// A snapshot is taken after this many applied entries.
     std::uint64_t snapshotEntries = 10'000;
+    /// See consensus::raft_options.
+    std::chrono::milliseconds electionTimeout{1000};
+    std::chrono::milliseconds heartbeatInterval{150};
     /// Where set, a voter that stays silent is removed as long as this many others answer.
     std::size_t minimumVoters = 0;
     /// A voter that knows no leader asks to be taken in, in case it was removed.
@@ -60,6 +65,9 @@
     /// Hosts whose members may vote.
     std::vector<std::string> voterHosts() const;
 
+    /// The list of endpoints that hosts are told with their leases.
+    void setCatalogue(std::shared_ptr<const endpoint_catalogue> catalogue);
+
     /// Hands leadership to the voter that has most of the log, if this host leads.
     void leaveLeadership();
 
--- a/Libraries/LibPeer/message_fields.h
+++ b/Libraries/LibPeer/message_fields.h
@@ -57,10 +57,14 @@
 { return std::tuple(&share_grant::sequence, &share_grant::ledger, &share_grant::granted, &share_grant::share); }
 constexpr auto fieldsOf(std::type_identity<endpoint_load>)
 { return std::tuple(&endpoint_load::incarnation, &endpoint_load::running, &endpoint_load::waitingTokens); }
+constexpr auto fieldsOf(std::type_identity<endpoint_entry>)
+{ return std::tuple(&endpoint_entry::incarnation, &endpoint_entry::service, &endpoint_entry::ip, &endpoint_entry::port, &endpoint_entry::dataCentre, &endpoint_entry::slots, &endpoint_entry::isLeaving); }
+constexpr auto fieldsOf(std::type_identity<endpoint_changes>)
+{ return std::tuple(&endpoint_changes::epoch, &endpoint_changes::version, &endpoint_changes::ageMilliseconds, &endpoint_changes::isWhole, &endpoint_changes::entries, &endpoint_changes::removed); }
 constexpr auto fieldsOf(std::type_identity<lease_request>)
-{ return std::tuple(&lease_request::sequence, &lease_request::revision, &lease_request::loads); }
+{ return std::tuple(&lease_request::sequence, &lease_request::revision, &lease_request::loads, &lease_request::listEpoch, &lease_request::listVersion); }
 constexpr auto fieldsOf(std::type_identity<lease_answer>)
-{ return std::tuple(&lease_answer::sequence, &lease_answer::confirmed, &lease_answer::revision, &lease_answer::hasDocument, &lease_answer::configuration, &lease_answer::leader, &lease_answer::controlHosts, &lease_answer::hosts, &lease_answer::loads); }
+{ return std::tuple(&lease_answer::sequence, &lease_answer::confirmed, &lease_answer::revision, &lease_answer::hasDocument, &lease_answer::configuration, &lease_answer::leader, &lease_answer::controlHosts, &lease_answer::hosts, &lease_answer::loads, &lease_answer::endpoints); }
 constexpr auto fieldsOf(std::type_identity<join>)
 { return std::tuple(&join::memberId); }
 // clang-format on
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -231,12 +231,41 @@
     bool operator==(const endpoint_load &) const = default;
 };
 
+/// An entry of the platform's list of endpoints.
+struct endpoint_entry
+{
+    std::string incarnation; ///< Name of one start of the endpoint.
+    std::string service;
+    std::string ip;
+    std::uint16_t port = 0;
+    std::string dataCentre;
+    std::uint32_t slots = 0; ///< Requests that run at once.
+    bool isLeaving = false;
+
+    bool operator==(const endpoint_entry &) const = default;
+};
+
+/// What changed in the list of endpoints since a position.
+struct endpoint_changes
+{
+    std::uint64_t epoch = 0; ///< 0: the sender has not read the list.
+    std::uint64_t version = 0; ///< Position after these changes.
+    std::uint64_t ageMilliseconds = 0; ///< Since the list was last read.
+    bool isWhole = false; ///< The whole list instead of changes.
+    std::vector<endpoint_entry> entries;
+    std::vector<std::string> removed; ///< Incarnations.
+
+    bool operator==(const endpoint_changes &) const = default;
+};
+
 /// Asks a control host to confirm that the configuration in force at the sender is the newest.
 struct lease_request
 {
     std::uint64_t sequence = 0;
     std::uint64_t revision = 0; ///< In force at the sender.
     std::vector<endpoint_load> loads; ///< Of the sender.
+    std::uint64_t listEpoch = 0; ///< Position in the list of endpoints; see endpoint_changes.
+    std::uint64_t listVersion = 0;
 
     bool operator==(const lease_request &) const = default;
 };
@@ -254,6 +283,7 @@
     std::vector<std::string> controlHosts;
     std::uint32_t hosts = 0; ///< Hosts that asked lately, the receiver included.
     std::vector<endpoint_load> loads; ///< Sums over all other hosts.
+    endpoint_changes endpoints;
 
     bool operator==(const lease_answer &other) const
     {
@@ -261,7 +291,8 @@
             && revision == other.revision && hasDocument == other.hasDocument
             && configuration.revision == other.configuration.revision
             && configuration.document == other.configuration.document && leader == other.leader
-            && controlHosts == other.controlHosts && hosts == other.hosts && loads == other.loads;
+            && controlHosts == other.controlHosts && hosts == other.hosts && loads == other.loads
+            && endpoints == other.endpoints;
     }
 };
 
--- a/Tests/Forward/scripted_socket.cpp
+++ b/Tests/Forward/scripted_socket.cpp
@@ -145,7 +145,7 @@
 {
     auto address = loopback(0);
     socklen_t size = sizeof(address);
-    ::bind(m_descriptor, reinterpret_cast<const sockaddr *>(&address), size);
+    (void)::bind(m_descriptor, reinterpret_cast<const sockaddr *>(&address), size);
     ::listen(m_descriptor, 16);
     ::getsockname(m_descriptor, reinterpret_cast<sockaddr *>(&address), &size);
     m_port = ntohs(address.sin_port);
