Tests: Cover leases, versions and repair of control hosts found by address

Guards: the highest version wins in races and resends; no lease or read without a majority; a wiped host comes back as a new member; a host at a new address replaces a lost one; endpoints are told by differences.

--- /dev/null
+++ b/Tests/Peer/addressed_fleet.h
@@ -0,0 +1,188 @@
+#pragma once
+
+#include "LibCore/hash.h"
+#include "LibPeer/configuration_feed.h"
+#include "LibPeer/configuration_lease.h"
+#include "LibPeer/configuration_publisher.h"
+#include "LibPeer/configuration_writer.h"
+#include "LibPeer/control_service.h"
+#include "LibPeer/peer_network.h"
+#include "event_loop.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
+
+namespace quetzalcleat::peer::test {
+
+/// Hosts that are named by their loopback address, as in a fleet without a list of peers. Control
+/// hosts find each other through seeds. A document is its version as text.
+class addressed_fleet : public testing::Test
+{
+public:
+    struct control_host
+    {
+        core::counter_registry counters;
+        std::shared_ptr<peer_network> network;
+        std::shared_ptr<configuration_feed> feed;
+        std::shared_ptr<configuration_publisher> publisher;
+        std::shared_ptr<control_service> service;
+        std::shared_ptr<configuration_writer> writer;
+    };
+
+    struct entry_host
+    {
+        core::counter_registry counters;
+        std::shared_ptr<peer_network> network;
+        std::shared_ptr<configuration_lease> lease;
+        std::vector<std::uint64_t> versions; ///< In the order in which they came into force.
+    };
+
+    ~addressed_fleet() override
+    {
+        for (auto &[ip, host] : entries) {
+            host.lease->stop();
+            host.network->stop();
+        }
+        while (!controls.empty())
+            stopControl(controls.begin()->first);
+        runFor(context, std::chrono::milliseconds(50));
+        std::error_code ignored;
+        std::filesystem::remove_all(m_folder, ignored);
+    }
+
+    void startControl(const std::string &ip, bool firstStart)
+    {
+        auto &host = controls[ip];
+        host.network = startNetwork(ip, host.counters, true);
+        host.feed = std::make_shared<configuration_feed>();
+        host.publisher = configuration_publisher::create(host.network, host.feed);
+        control_service_options options;
+        options.dataFolder = m_folder / ip;
+        std::filesystem::create_directories(options.dataFolder);
+        options.initialiseCluster
+            = firstStart && std::find(seeds.begin(), seeds.end(), ip) != seeds.end();
+        options.minimumVoters = 3;
+        options.rejoins = true;
+        options.electionTimeout = std::chrono::milliseconds(600);
+        options.heartbeatInterval = std::chrono::milliseconds(120);
+        auto service = control_service::create(host.network, host.feed, host.publisher, options);
+        ASSERT_TRUE(service) << service.error().message();
+        host.service = std::move(service).value();
+        host.writer = configuration_writer::create(
+            host.network, host.service, 3, [](const std::string &document) {
+                return static_cast<std::uint64_t>(std::stoull(document));
+            });
+        host.service->start();
+        host.network->start();
+    }
+
+    void stopControl(const std::string &ip)
+    {
+        auto &host = controls.at(ip);
+        host.writer->stop();
+        host.service->stop();
+        host.publisher->stop();
+        host.network->stop();
+        runFor(context, std::chrono::milliseconds(20));
+        controls.erase(ip);
+    }
+
+    void wipe(const std::string &ip) { std::filesystem::remove_all(m_folder / ip); }
+
+    void startEntry(const std::string &ip)
+    {
+        auto &host = entries[ip];
+        host.network = startNetwork(ip, host.counters, false);
+        configuration_lease::handlers handlers;
+        handlers.changed = [&host](const state::configuration &newest) {
+            host.versions.push_back(std::stoull(newest.document));
+        };
+        host.lease = configuration_lease::create(host.network, seeds, {}, std::move(handlers));
+        host.lease->start();
+        host.network->start();
+    }
+
+    /// The host that leads and can be sure of it; empty if none.
+    std::string leader()
+    {
+        for (auto &[ip, host] : controls) {
+            if (host.service->confirmedConfiguration())
+                return ip;
+        }
+        return {};
+    }
+
+    std::string waitForLeader()
+    {
+        EXPECT_TRUE(until([this] { return !leader().empty(); }));
+        return leader();
+    }
+
+    /// Sends a version to whoever leads until it gets a clear answer, as operators do.
+    write_outcome write(std::uint64_t version)
+    {
+        for (;;) {
+            const auto at = waitForLeader();
+            if (at.empty())
+                return write_outcome::Undecided;
+            std::optional<write_outcome> outcome;
+            controls.at(at).writer->write(std::to_string(version), version,
+                                          [&](write_outcome result) { outcome = result; });
+            EXPECT_TRUE(until([&] { return outcome.has_value(); }));
+            if (outcome == write_outcome::Accepted || outcome == write_outcome::NotNewer)
+                return *outcome;
+            runFor(context, std::chrono::milliseconds(50));
+        }
+    }
+
+    std::uint64_t newestVersion()
+    {
+        const auto at = waitForLeader();
+        const auto newest = controls.at(at).service->confirmedConfiguration();
+        return newest && !newest->document.empty() ? std::stoull(newest->document) : 0;
+    }
+
+    bool until(const std::function<bool()> &condition) { return runUntil(context, condition); }
+
+    asio::io_context context;
+    std::vector<std::string> seeds{"127.0.1.1", "127.0.1.2", "127.0.1.3"};
+    std::map<std::string, control_host> controls;
+    std::map<std::string, entry_host> entries;
+
+private:
+    std::shared_ptr<peer_network> startNetwork(const std::string &ip,
+                                               core::counter_registry &counters, bool control)
+    {
+        if (m_port == 0) {
+            asio::ip::tcp::acceptor probe(context, {asio::ip::make_address("127.0.1.1"), 0});
+            m_port = probe.local_endpoint().port();
+        }
+        peer_network_options options;
+        options.identity = {"fleet", ip, ++m_incarnation, {"key number one, 16+ bytes"}};
+        options.control = control;
+        options.address = {ip, m_port};
+        options.commonPort = m_port;
+        for (const auto &seed : seeds) {
+            if (seed != ip)
+                options.peers.push_back({seed, {}, {seed, m_port}, true});
+        }
+        auto network = peer_network::create(context, counters, options);
+        EXPECT_TRUE(network) << network.error().message();
+        return std::move(network).value();
+    }
+
+    std::filesystem::path m_folder = std::filesystem::temp_directory_path()
+        / ("quetzalcleat-fleet-" + core::sha256Hex(core::secureRandomBytes(16)).substr(0, 16));
+    std::uint16_t m_port = 0;
+    std::uint64_t m_incarnation = 0;
+};
+
+} // namespace quetzalcleat::peer::test
--- /dev/null
+++ b/Tests/Peer/test_configuration_lease.cpp
@@ -0,0 +1,149 @@
+#include "addressed_fleet.h"
+
+namespace quetzalcleat::peer::test {
+
+class configuration_fleet : public addressed_fleet
+{
+protected:
+    void SetUp() override
+    {
+        for (const auto &seed : seeds)
+            startControl(seed, true);
+        startEntry("127.0.1.20");
+    }
+
+    entry_host &entry() { return entries.at("127.0.1.20"); }
+    bool entryHas(std::uint64_t version)
+    {
+        return until(
+            [&] { return !entry().versions.empty() && entry().versions.back() == version; });
+    }
+};
+
+/// Guards against a lower version that replaces a higher one, a resend that is refused, and a host
+/// that does not get an accepted version.
+TEST_F(configuration_fleet, HighestVersionWins)
+{
+    EXPECT_EQ(write(7), write_outcome::Accepted);
+    EXPECT_TRUE(entryHas(7));
+    EXPECT_EQ(write(7), write_outcome::NotNewer);
+    EXPECT_EQ(write(3), write_outcome::NotNewer);
+    EXPECT_EQ(write(12), write_outcome::Accepted);
+    EXPECT_EQ(newestVersion(), 12U);
+    EXPECT_TRUE(entryHas(12));
+    EXPECT_TRUE(std::is_sorted(entry().versions.begin(), entry().versions.end()));
+}
+
+/// Guards against a race in which the lower version ends in force: many writes at once, the highest
+/// one among them.
+TEST_F(configuration_fleet, WritesAtTheSameTimeEndWithTheHighest)
+{
+    const auto at = waitForLeader();
+    std::size_t answered = 0;
+    for (const std::uint64_t version : {5U, 9U, 2U, 14U, 11U, 14U, 1U})
+        controls.at(at).writer->write(std::to_string(version), version,
+                                      [&](write_outcome) { ++answered; });
+    EXPECT_TRUE(until([&] { return answered == 7; }));
+    EXPECT_EQ(newestVersion(), 14U);
+}
+
+/// Guards against an accepted version that is lost with its leader, and a lease that outlives it.
+TEST_F(configuration_fleet, AcceptedVersionSurvivesItsLeader)
+{
+    EXPECT_EQ(write(4), write_outcome::Accepted);
+    stopControl(waitForLeader());
+    EXPECT_EQ(newestVersion(), 4U);
+    EXPECT_EQ(write(5), write_outcome::Accepted);
+    EXPECT_TRUE(entryHas(5));
+    EXPECT_TRUE(until([&] { return entry().lease->age() < std::chrono::milliseconds(600); }));
+}
+
+/// Guards against a confirmation by hosts that cannot know the newest configuration: without a
+/// majority no lease is renewed and nothing is read or accepted.
+TEST_F(configuration_fleet, MinorityConfirmsNothing)
+{
+    EXPECT_EQ(write(4), write_outcome::Accepted);
+    stopControl("127.0.1.1");
+    stopControl("127.0.1.2");
+    EXPECT_TRUE(until([this] { return leader().empty(); }));
+    const auto before = entry().lease->age();
+    runFor(context, std::chrono::milliseconds(700));
+    EXPECT_GE(entry().lease->age(), before + std::chrono::milliseconds(600));
+    EXPECT_FALSE(controls.at("127.0.1.3").service->confirmedConfiguration());
+}
+
+/// Guards against a host that votes under its old identity with an empty disk, and against one that
+/// stays out after it lost its disk.
+TEST_F(configuration_fleet, WipedHostComesBackAsANewMember)
+{
+    EXPECT_EQ(write(4), write_outcome::Accepted);
+    const auto at = waitForLeader();
+    stopControl(at);
+    wipe(at);
+    startControl(at, false);
+    EXPECT_FALSE(controls.at(at).service->isVoter());
+    EXPECT_TRUE(until([&] { return controls.at(at).service->isVoter(); }));
+    EXPECT_EQ(newestVersion(), 4U);
+    const auto hosts = controls.at(waitForLeader()).service->voterHosts();
+    EXPECT_EQ(hosts.size(), 3U);
+    // The others may go one after the other.
+    for (const auto &seed : seeds) {
+        if (seed != at) {
+            stopControl(seed);
+            break;
+        }
+    }
+    EXPECT_EQ(newestVersion(), 4U);
+}
+
+/// Guards against a replacement at a new address that does not become a voter, or that nobody
+/// finds.
+TEST_F(configuration_fleet, HostAtANewAddressReplacesALostOne)
+{
+    EXPECT_EQ(write(4), write_outcome::Accepted);
+    stopControl("127.0.1.1");
+    startControl("127.0.1.4", false);
+    EXPECT_TRUE(until([this] { return controls.at("127.0.1.4").service->isVoter(); }));
+    EXPECT_EQ(write(6), write_outcome::Accepted);
+    EXPECT_TRUE(entryHas(6));
+}
+
+/// Guards against endpoints that a host keeps using after they left the list, and against lists
+/// that are sent whole again and again.
+TEST(endpoint_catalogue, TellsOnlyWhatChanged)
+{
+    const core::instant now{std::chrono::hours(1)};
+    endpoint_catalogue catalogue(9);
+    endpoint_replica replica;
+    const auto exchange = [&] {
+        endpoint_changes changes;
+        catalogue.fill(changes, replica.epoch(), replica.version(), now);
+        replica.apply(changes);
+        return changes;
+    };
+    EXPECT_EQ(exchange().epoch, 0U);
+    const endpoint_entry one{"i1", "s", "10.0.0.1", 80, "dc", 6, false};
+    endpoint_entry two{"i2", "s", "10.0.0.2", 80, "dc", 6, false};
+    catalogue.update({one, two}, now);
+    EXPECT_TRUE(exchange().isWhole);
+    EXPECT_EQ(replica.entries().size(), 2U);
+    catalogue.update({one, two}, now);
+    EXPECT_TRUE(exchange().entries.empty());
+    two.isLeaving = true;
+    catalogue.update({one, two}, now);
+    EXPECT_EQ(exchange().entries, std::vector<endpoint_entry>{two});
+    catalogue.update({two}, now);
+    EXPECT_EQ(exchange().removed, std::vector<std::string>{"i1"});
+    EXPECT_EQ(replica.entries().size(), 1U);
+
+    // A catalogue of another process replaces everything.
+    endpoint_catalogue other(10);
+    other.update({one}, now);
+    endpoint_changes changes;
+    other.fill(changes, replica.epoch(), replica.version(), now);
+    EXPECT_TRUE(changes.isWhole);
+    EXPECT_TRUE(replica.apply(changes));
+    EXPECT_EQ(replica.entries().begin()->first, "i1");
+}
+
+} // namespace quetzalcleat::peer::test
