LibForward, LibPeer: Order engines' queues by rank and route, staff the quick lane by square root

Cause: accounts have one of two ranks, so at the engine a long prompt and a quick question were equals and the newer one was put back; a quarter of the engines kept for quick requests is too much in a large fleet; loads of other hosts stayed at their last values while no control host answered.

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -140,6 +140,9 @@
             const auto self = weak.lock();
             if (!self)
                 return;
+            // Loads of other hosts that are not renewed mislead more than none.
+            if (!isConfirmed)
+                self->applyLoads({}, 0);
             self->m_log.write(isConfirmed ? "control_regained" : "control_lost",
                               {{"leader", self->m_lease->leader()},
                                {"revision", std::to_string(self->m_lease->revision())}});
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -55,6 +55,15 @@
     return status / 100 == 2;
 }
 
+/// The rank that counts for the caller decides; among equals, the rank of the route does. Most
+/// accounts have one of two ranks, so that without the second part a long prompt and a quick
+/// question would be equals at the engine.
+int urgencyOf(int rank, int routeRank, int lowest)
+{
+    constexpr int routeRanks = 3;
+    return std::clamp(rank * routeRanks + std::clamp(routeRank, 0, routeRanks - 1), 0, lowest);
+}
+
 std::string number(std::int64_t value)
 {
     return std::to_string(value);
@@ -260,7 +269,8 @@
     if (m_account != nullptr)
         head.headers.push_back({names.account, m_account->name});
     if (m_service->engine)
-        head.headers.push_back({names.urgency, number(std::clamp(m_rank, 0, names.lowestUrgency))});
+        head.headers.push_back(
+            {names.urgency, number(urgencyOf(m_rank, m_route->rank, names.lowestUrgency))});
     const bool hasBody
         = !m_body.empty() || m_request.has("Content-Length") || m_request.has("Transfer-Encoding");
     if (hasBody)
--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -44,8 +44,10 @@
 /// The engines of the quick lane: in each region the ones with the lowest hashes, so that all hosts
 /// agree without a message and a change of one engine moves few others.
 std::vector<const endpoint *> quickLane(const std::vector<endpoint_table::endpoint_pointer> &all,
-                                        const placement_options &options)
+                                        const placement_options &options, std::uint32_t slots)
 {
+    const auto share = options.quickShare
+        * std::sqrt(options.quickSlots / std::max(static_cast<double>(slots), 1.0));
     std::map<std::string, std::vector<std::pair<std::uint64_t, const endpoint *>>> regions;
     for (const auto &entry : all) {
         if (entry->listed.isLeaving || entry->isGone)
@@ -58,7 +60,8 @@
     for (auto &[region, engines] : regions) {
         std::sort(engines.begin(), engines.end());
         const auto count = static_cast<std::size_t>(
-            std::lround(static_cast<double>(engines.size()) * options.quickShare));
+            std::lround(static_cast<double>(engines.size()) * share
+                        + std::sqrt(static_cast<double>(engines.size())) * options.quickRootShare));
         // A region with one engine has no lane.
         const auto kept = engines.size() < 2 ? 0 : std::max<std::size_t>(count, 1);
         for (std::size_t index = 0; index < kept; ++index)
@@ -117,7 +120,8 @@
     };
     std::vector<const endpoint *> quick;
     if (request.lane != engine_lane::Any)
-        quick = quickLane(endpoints.of(request.target->name), options);
+        quick = quickLane(endpoints.of(request.target->name), options,
+                          request.target->engine ? request.target->engine->slots : 0);
     std::vector<candidate> candidates;
     for (const auto &entry : endpoints.of(request.target->name)) {
         const bool tried = std::find(request.excluded.begin(), request.excluded.end(), entry)
--- a/Libraries/LibForward/placement.h
+++ b/Libraries/LibForward/placement.h
@@ -30,8 +30,13 @@
     std::chrono::microseconds dataCentreDistance{1800};
     std::chrono::microseconds regionDistance{40000};
     engine_speed speed;
-    /// Part of the engines of each region that is kept for requests with tight objectives.
-    double quickShare = 0.25;
+    /// Engines of each region that are kept for requests with tight objectives: a part of them for
+    /// the mean load, and a multiple of the square root of their number for its variation.
+    /// Source: square-root staffing (Halfin and Whitt, 1981).
+    double quickShare = 0.08;
+    /// The part holds for engines with this many slots; of smaller ones there are more.
+    double quickSlots = 64;
+    double quickRootShare = 0.4;
     /// Parts sent to an engine longer ago than this are no longer expected in its cache.
     std::chrono::milliseconds cacheMemory{60'000};
 };
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -7,6 +7,7 @@
 #include "LibPeer/configuration_feed.h"
 #include "LibPeer/configuration_publisher.h"
 #include "LibPeer/endpoint_catalogue.h"
+#include "LibPeer/load_exchange.h"
 #include "LibPeer/peer_error.h"
 #include "LibPeer/peer_network.h"
 #include "LibPeer/proposal_table.h"
@@ -41,11 +42,6 @@
 /// the longest disturbances on the users' sheets (about 7 s).
 constexpr std::chrono::milliseconds lostTime{12'000};
 
-/// A host that has not asked for a lease for this long is forgotten.
-constexpr std::chrono::milliseconds leasedHostTime{2000};
-
-constexpr std::size_t maximumLeasedHosts = 4096;
-
 constexpr auto seedEditId = "seed";
 
 const core::logger &log()
@@ -199,15 +195,9 @@
     proposal_table m_proposals;
     std::optional<state::state_clock> m_clock; ///< Set while leading.
     consensus::term_number m_clockTerm = 0;
-    struct leased_host
-    {
-        core::instant lastSeen;
-        std::uint64_t revision = 0;
-        std::vector<endpoint_load> loads;
-    };
-
     std::shared_ptr<const endpoint_catalogue> m_catalogue;
-    std::map<std::string, leased_host> m_leased; ///< Hosts that asked for a lease lately.
+    load_exchange m_loads; ///< Of the hosts that asked for a lease lately.
+    std::map<std::string, std::uint64_t> m_revisions; ///< In force at these hosts.
     std::map<consensus::member_id, core::instant> m_lastHeard; ///< From other members.
     std::optional<share_ledger> m_shares; ///< Of the term in which this host leads.
     consensus::term_number m_sharesTerm = 0;
@@ -654,27 +644,12 @@
                                                          const lease_request &request)
 {
     const auto now = currentTime();
-    std::erase_if(m_leased,
-                  [&](const auto &entry) { return now - entry.second.lastSeen > leasedHostTime; });
-    if (m_leased.size() >= maximumLeasedHosts && !m_leased.contains(host))
+    if (!m_loads.record(host, request.loads, now))
         return;
-    m_leased[host] = {now, request.revision, request.loads};
+    m_revisions[host] = request.revision;
     auto answer = leaseAnswer(request.revision);
     answer.sequence = request.sequence;
-    std::map<std::string, endpoint_load> sums;
-    for (const auto &[other, known] : m_leased) {
-        if (other == host)
-            continue;
-        for (const auto &load : known.loads) {
-            auto &sum = sums[load.incarnation];
-            sum.running += load.running;
-            sum.waitingTokens += load.waitingTokens;
-        }
-    }
-    for (auto &[incarnation, sum] : sums) {
-        sum.incarnation = incarnation;
-        answer.loads.push_back(std::move(sum));
-    }
+    answer.loads = m_loads.sumsWithout(host, now);
     if (m_catalogue && answer.confirmed)
         m_catalogue->fill(answer.endpoints, request.listEpoch, request.listVersion,
                           std::chrono::steady_clock::now());
@@ -691,7 +666,7 @@
     if (answer.hasDocument)
         answer.configuration = newest;
     answer.leader = leaderHost();
-    answer.hosts = static_cast<std::uint32_t>(m_leased.size());
+    answer.hosts = static_cast<std::uint32_t>(m_loads.hostCount());
     for (const auto &member : status().members.members)
         answer.controlHosts.push_back(member.name);
     return answer;
@@ -701,11 +676,11 @@
 {
     if (!isLeader())
         return;
-    for (auto &[host, known] : m_leased) {
-        if (known.revision >= m_state.currentConfiguration().revision)
-            continue;
-        if (m_network->send(host, leaseAnswer(known.revision)))
-            known.revision = m_state.currentConfiguration().revision;
+    const auto newest = m_state.currentConfiguration().revision;
+    for (const auto &host : m_loads.hosts(currentTime())) {
+        auto &revision = m_revisions[host];
+        if (revision < newest && m_network->send(host, leaseAnswer(revision)))
+            revision = newest;
     }
 }
 
--- /dev/null
+++ b/Libraries/LibPeer/load_exchange.cpp
@@ -0,0 +1,88 @@
+#include "LibPeer/load_exchange.h"
+
+#include <utility>
+
+namespace quetzalcleat::peer {
+
+void load_exchange::add(const report &entry)
+{
+    for (const auto &load : entry.loads) {
+        auto &sum = m_totals[load.incarnation];
+        sum.running += load.running;
+        sum.waitingTokens += load.waitingTokens;
+    }
+}
+
+void load_exchange::subtract(const report &entry)
+{
+    for (const auto &load : entry.loads) {
+        const auto found = m_totals.find(load.incarnation);
+        if (found == m_totals.end())
+            continue;
+        found->second.running -= load.running;
+        found->second.waitingTokens -= load.waitingTokens;
+        if (found->second.running == 0 && found->second.waitingTokens == 0)
+            m_totals.erase(found);
+    }
+}
+
+void load_exchange::forget(core::instant now)
+{
+    for (auto entry = m_reports.begin(); entry != m_reports.end();) {
+        if (now - entry->second.at <= memory) {
+            ++entry;
+            continue;
+        }
+        subtract(entry->second);
+        entry = m_reports.erase(entry);
+    }
+}
+
+bool load_exchange::record(const std::string &host, std::vector<endpoint_load> loads,
+                           core::instant now)
+{
+    forget(now);
+    if (m_reports.size() >= maximumHosts && !m_reports.contains(host))
+        return false;
+    auto &known = m_reports[host];
+    subtract(known);
+    known = {now, std::move(loads)};
+    add(known);
+    return true;
+}
+
+std::vector<endpoint_load> load_exchange::sumsWithout(const std::string &host, core::instant now)
+{
+    forget(now);
+    std::map<std::string, total> own;
+    if (const auto found = m_reports.find(host); found != m_reports.end()) {
+        for (const auto &load : found->second.loads) {
+            own[load.incarnation].running += load.running;
+            own[load.incarnation].waitingTokens += load.waitingTokens;
+        }
+    }
+    std::vector<endpoint_load> sums;
+    sums.reserve(m_totals.size());
+    for (const auto &[incarnation, sum] : m_totals) {
+        auto rest = sum;
+        if (const auto found = own.find(incarnation); found != own.end()) {
+            rest.running -= found->second.running;
+            rest.waitingTokens -= found->second.waitingTokens;
+        }
+        if (rest.running != 0 || rest.waitingTokens != 0)
+            sums.push_back({incarnation, rest.running, rest.waitingTokens});
+    }
+    return sums;
+}
+
+std::vector<std::string> load_exchange::hosts(core::instant now)
+{
+    forget(now);
+    std::vector<std::string> names;
+    names.reserve(m_reports.size());
+    for (const auto &[host, entry] : m_reports)
+        names.push_back(host);
+    return names;
+}
+
+} // namespace quetzalcleat::peer
--- a/Tests/Forward/test_placement.cpp
+++ b/Tests/Forward/test_placement.cpp
@@ -80,6 +80,27 @@
     EXPECT_EQ(slow.size(), 9U);
 }
 
+/// Load pattern: bursts of quick questions on large fleets. Guards against a quick lane that grows
+/// with the fleet as if its load varied as much, and against one that is too small where engines
+/// have few slots.
+TEST(placement, QuickLaneFollowsSquareRootStaffing)
+{
+    const auto laneOf = [](int engines, std::uint32_t slots) {
+        engine_fleet fleet(engines);
+        fleet.target.engine->slots = slots;
+        std::set<const endpoint *> quick;
+        for (std::uint64_t own = 0; own < 400; ++own) {
+            const auto choice = fleet.choose(quickQuestion(own + 100), engine_lane::Quick);
+            choice.chosen->waitingTokens += 10;
+            quick.insert(choice.chosen.get());
+        }
+        return quick.size();
+    };
+    EXPECT_EQ(laneOf(12, 64), 3U);
+    EXPECT_EQ(laneOf(60, 64), 9U);
+    EXPECT_GT(laneOf(60, 24), laneOf(60, 64));
+}
+
 /// Load pattern: a burst of long prompts that share prefixes. Guards against moves away from the
 /// engine of a prefix, each of which reads the prefix again and makes all engines busier.
 TEST(placement, PrefixStaysWithItsEngineInABurst)
