--- a/Tests/Forward/test_placement.cpp
+++ b/Tests/Forward/test_placement.cpp
@@ -88,6 +88,7 @@
     const auto laneOf = [](int engines, std::uint32_t slots) {
         engine_fleet fleet(engines);
         fleet.target.engine->slots = slots;
+        fleet.options.regionDistance = std::chrono::microseconds(0);
         std::set<const endpoint *> quick;
         for (std::uint64_t own = 0; own < 400; ++own) {
             const auto choice = fleet.choose(quickQuestion(own + 100), engine_lane::Quick);
