LibFleet: Dump the state of a node on request

Change: /dump at the metrics port gives leader, revision, lease age, voters and each endpoint. After: builds; not covered by a test yet.

--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -66,8 +66,16 @@
         m_service->stop();
     }
 
-    const peer::control_service &service() const { return *m_service; }
-    std::uint64_t revision() const { return m_feed->revision(); }
+    /// One line.
+    std::string dump() const
+    {
+        std::string text = "control leader=" + m_service->leaderHost()
+            + " revision=" + std::to_string(m_feed->revision())
+            + " confirmed=" + (m_service->confirmedConfiguration() ? "yes" : "no") + " voters=";
+        for (const auto &host : m_service->voterHosts())
+            text += host + ',';
+        return text + '\n';
+    }
 
 private:
     using responder = forward::plain_server::responder;
--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -91,6 +91,28 @@
             && m_forwarder->hasFreshLease();
     }
 
+    /// One line for the host and one for each endpoint.
+    std::string dump() const
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const auto version = m_forwarder->routes() ? m_forwarder->routes()->content().version : 0;
+        std::string text = "entry version=" + std::to_string(version)
+            + " revision=" + std::to_string(m_lease->revision()) + " leader=" + m_lease->leader()
+            + " lease_age_ms="
+            + std::to_string(std::min<std::int64_t>(m_lease->age().count(), 999'999))
+            + " requests=" + std::to_string(m_forwarder->requestsInProgress())
+            + " callers=" + std::to_string(m_forwarder->sessions()) + '\n';
+        for (const auto &[incarnation, target] : m_forwarder->endpoints().all())
+            text += "endpoint incarnation=" + incarnation + " service=" + target->listed.service
+                + " address=" + target->listed.address.text()
+                + " leaving=" + (target->listed.isLeaving ? "yes" : "no")
+                + " running=" + std::to_string(target->running)
+                + " running_elsewhere=" + std::to_string(target->runningElsewhere)
+                + " failure_percent=" + std::to_string(static_cast<int>(target->failureShare * 100))
+                + " ejected=" + (target->ejectedUntil > now ? "yes" : "no") + '\n';
+        return text;
+    }
+
 private:
     forward::forwarder_options forwarderOptions() const
     {
--- a/Libraries/LibFleet/node_process.h
+++ b/Libraries/LibFleet/node_process.h
@@ -143,13 +143,30 @@
             return {};
         m_metrics = std::make_shared<forward::plain_server>(
             m_context,
-            [this](const forward::http_head &, const std::string &,
+            [this](const forward::http_head &head, const std::string &,
                    const forward::plain_server::responder &respond) {
-                respond({200, "text/plain; version=0.0.4", {}, m_counters.text()});
+                if (head.path() == "/metrics")
+                    respond({200, "text/plain; version=0.0.4", {}, m_counters.text()});
+                else if (head.path() == "/dump")
+                    respond({200, "text/plain", {}, dump()});
+                else
+                    respond({404, "text/plain", {}, "no such page\n"});
             });
         return m_metrics->start({m_settings.ip, m_options.metricsPort});
     }
 
+    /// The state of the process, a line for each part, in the form of the log.
+    std::string dump() const
+    {
+        std::string text = "host=" + m_settings.hostName + " data_centre=" + m_settings.dataCentre
+            + " stopping=" + (m_stopSince ? "yes" : "no") + '\n';
+        if (m_control)
+            text += m_control->dump();
+        if (m_entry)
+            text += m_entry->dump();
+        return text;
+    }
+
     void waitForSignal()
     {
         m_signals.async_wait([this](std::error_code error, int signal) {
--- a/Libraries/LibForward/wire_names.h
+++ b/Libraries/LibForward/wire_names.h
@@ -16,7 +16,7 @@
     std::string signature = "X-Signature"; ///< Of an endpoint over its answer.
     std::string account = "X-Client-Account";
     std::string urgency = "X-Priority"; ///< 0 is the most urgent.
-    std::string sizes = "X-Token-Counts"; ///< Prompt tokens, comma, most output tokens.
+    std::string sizes = "X-Prompt-Size"; ///< Prompt tokens, comma, most output tokens.
     std::string promptParts = "X-Prompt-Parts"; ///< Hexadecimal id, colon, tokens; by commas.
     std::string lengthEstimate = "X-Expected-Tokens"; ///< Output tokens, as the caller expects.
     /// Headers that only this system may set; removed from what callers send.
