LibFleet, Tests: Name the source of the list, test waits and urgency

Cause: at each start a host logged list_relay_lost, although nothing was lost; waiting for a configuration and the order at the engines had no test of their own. Change: the line is list_source source=platform|control. Two cases in test_forward.

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -208,8 +208,9 @@
         // A host that starts does not wait: after a loss of all hosts there may be no leader yet.
         const bool reads = !m_hasList || m_lease->listAge() > patience;
         if (std::exchange(m_readsList, reads) != reads)
-            m_log.write(reads ? "list_relay_lost" : "list_relay_regained",
-                        {{"hosts", std::to_string(m_hosts)}});
+            m_log.write(
+                "list_source",
+                {{"source", reads ? "platform" : "control"}, {"hosts", std::to_string(m_hosts)}});
         return reads;
     }
 
--- a/Tests/Forward/test_forwarding.cpp
+++ b/Tests/Forward/test_forwarding.cpp
@@ -259,6 +259,54 @@
     EXPECT_TRUE(acceptAny().isOpen());
 }
 
+/// Guards against callers that are refused just before a host can answer, as after a loss of all
+/// hosts, and against requests that wait for ever.
+TEST_F(forwarder_test, RequestWaitsForAConfirmedConfiguration)
+{
+    m_leaseAge = 60'000;
+    auto caller
+        = call("GET", "/keyed/a", "Authorization: Bearer secret\r\nX-Time-Left-Ms: 60000\r\n");
+    EXPECT_FALSE(anyConnection(shortWhile));
+    m_leaseAge = 0;
+    auto endpoint = acceptAny();
+    endpoint.readMessage();
+    endpoint.send(signedAnswer("whole"));
+    EXPECT_TRUE(caller.readMessage().ends_with("whole"));
+
+    m_leaseAge = 60'000;
+    const auto answer
+        = call("GET", "/keyed/a", "Authorization: Bearer secret\r\nX-Time-Left-Ms: 400\r\n")
+              .readMessage();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+    EXPECT_TRUE(contains(answer, "Retry-After: "));
+}
+
+/// Guards against a quick question that is put back for a long prompt of the same account rank, and
+/// against a rank that does not take precedence over the route.
+TEST_F(forwarder_test, UrgencyFollowsRankAndRoute)
+{
+    auto content = defaultConfiguration();
+    content.services[0].engine = engine_profile{64, 400'000, 2};
+    content.routes[0].rank = 0;
+    content.routes[2].rank = 2;
+    content.routes[4].rank = 0;
+    content.accounts[0].rank = 1;
+    inLoop([&] { m_forwarder->setRoutes(route_table::create(content).value()); });
+    const auto urgencyOf
+        = [this](const std::string &method, const std::string &target, const std::string &headers) {
+              auto caller = call(method, target, headers);
+              auto endpoint = acceptAny();
+              const auto text = endpoint.readMessage();
+              const auto place = text.find("X-Priority: ");
+              return place == std::string::npos ? -1 : std::stoi(text.substr(place + 12));
+          };
+    const auto quick = urgencyOf("GET", "/read/a", {});
+    const auto slow = urgencyOf("GET", "/stream/a", {});
+    const auto keyed = urgencyOf("GET", "/keyed/a", "Authorization: Bearer secret\r\n");
+    EXPECT_LT(quick, keyed);
+    EXPECT_LT(keyed, slow);
+}
+
 /// Guards against bodies and headers beyond the configured limits.
 TEST_F(forwarder_test, RefusesWhatIsTooLarge)
 {
