--- a/Tests/Peer/test_configuration_lease.cpp
+++ b/Tests/Peer/test_configuration_lease.cpp
@@ -63,6 +63,7 @@
 TEST_F(configuration_fleet, MinorityConfirmsNothing)
 {
     EXPECT_EQ(write(4), write_outcome::Accepted);
+    ASSERT_TRUE(until([&] { return entry().lease->age() < std::chrono::milliseconds(600); }));
     stopControl("127.0.1.1");
     stopControl("127.0.1.2");
     EXPECT_TRUE(until([this] { return leader().empty(); }));
