LibForward, LibPeer: Remove copies and state that nothing reads

The leader copied the whole configuration document to answer each lease request and each turn of the list reader, where only a yes or no was asked: isConfirmed(). Revisions of hosts that no longer ask were kept for ever. The code that opens a listener, the look-up of the callers' limits, the end of a prompt's wait, the reading time of tokens and the removal of hop- by-hop headers each stood twice or more. Endpoint and exchange held fields that nothing read. The numbers of the callers' patience have names.

--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -71,7 +71,7 @@
     {
         std::string text = "control leader=" + m_service->leaderHost()
             + " revision=" + std::to_string(m_feed->revision())
-            + " confirmed=" + (m_service->confirmedConfiguration() ? "yes" : "no") + " voters=";
+            + " confirmed=" + (m_service->isConfirmed() ? "yes" : "no") + " voters=";
         for (const auto &host : m_service->voterHosts())
             text += host + ',';
         return text + '\n';
@@ -152,7 +152,7 @@
             });
         m_list->setGate([weak] {
             const auto self = weak.lock();
-            return self && self->m_service->confirmedConfiguration().has_value();
+            return self && self->m_service->isConfirmed();
         });
         m_list->start();
     }
@@ -227,7 +227,7 @@
     void write(const std::string &target, std::string body, responder respond)
     {
         // Only the leader reads the document, which takes time in proportion to its size.
-        if (!m_service->confirmedConfiguration()) {
+        if (!m_service->isConfirmed()) {
             redirect(target, respond, "configuration_write");
             return;
         }
--- a/Libraries/LibForward/caller_session.cpp
+++ b/Libraries/LibForward/caller_session.cpp
@@ -31,13 +31,16 @@
     std::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     m_buffer.resize(readBytes);
-    const auto routes = m_owner->routes();
-    if (routes)
-        m_reader.limitHeader(routes->content().limits.headerBytes);
-    armTimer(routes ? routes->content().limits.idleTimeout : caller_limits{}.idleTimeout);
+    armTimer(limits().idleTimeout);
     read();
 }
 
+caller_limits caller_session::limits() const
+{
+    const auto &routes = m_owner->routes();
+    return routes ? routes->content().limits : caller_limits{};
+}
+
 void caller_session::read()
 {
     if (m_reading || m_closed || (m_phase == phase::Busy && m_input.size() >= maximumAhead))
@@ -70,10 +73,8 @@
             m_headChecked = false;
             m_reader.restart();
             m_body.clear();
-            const auto routes = m_owner->routes();
-            const auto limits = routes ? routes->content().limits : caller_limits{};
-            m_reader.limitHeader(limits.headerBytes);
-            armTimer(limits.headerTimeout);
+            m_reader.limitHeader(limits().headerBytes);
+            armTimer(limits().headerTimeout);
         }
         const auto used = m_reader.read(m_input, m_body);
         if (!used) {
@@ -88,8 +89,7 @@
             checkHead();
         if (m_phase != phase::Reading)
             return;
-        const auto routes = m_owner->routes();
-        if (m_body.size() > (routes ? routes->content().limits : caller_limits{}).bodyBytes) {
+        if (m_body.size() > limits().bodyBytes) {
             refuse(413, "Content Too Large");
             return;
         }
@@ -103,11 +103,9 @@
 void caller_session::checkHead()
 {
     m_headChecked = true;
-    const auto routes = m_owner->routes();
-    const auto limits = routes ? routes->content().limits : caller_limits{};
     auto &head = m_reader.head();
     const auto length = parseNumber(head.value("Content-Length"));
-    if (length && *length > limits.bodyBytes) {
+    if (length && *length > limits().bodyBytes) {
         refuse(413, "Content Too Large");
         return;
     }
@@ -115,7 +113,7 @@
         refuse(400, "Bad Request");
         return;
     }
-    armTimer(limits.idleTimeout);
+    armTimer(limits().idleTimeout);
     if (!m_reader.complete() && equalsIgnoringCase(head.value("Expect"), "100-continue"))
         queue("HTTP/1.1 100 Continue\r\n\r\n");
 }
@@ -167,7 +165,6 @@
 {
     if (m_owner->isStopping())
         m_keep = false;
-    m_chunked = true;
     head.remove("Content-Length");
     head.set("Transfer-Encoding", "chunked");
     if (!m_keep)
@@ -211,8 +208,7 @@
     }
     m_phase = phase::Idle;
     m_requestStart = std::chrono::steady_clock::now();
-    const auto routes = m_owner->routes();
-    armTimer((routes ? routes->content().limits : caller_limits{}).idleTimeout);
+    armTimer(limits().idleTimeout);
     // Not from within the exchange that has just ended.
     asio::post(m_owner->context(), [self = shared_from_this()] {
         if (self->m_closed)
--- a/Libraries/LibForward/caller_session.h
+++ b/Libraries/LibForward/caller_session.h
@@ -46,6 +46,7 @@
 
     void read();
     void process();
+    caller_limits limits() const;
     void checkHead();
     void startExchange();
     void refuse(int status, std::string_view reason);
@@ -73,7 +74,6 @@
     bool m_reading = false;
     bool m_writing = false;
     bool m_keep = true;
-    bool m_chunked = false;
     bool m_answersHead = false;
     bool m_closed = false;
 };
--- a/Libraries/LibForward/endpoint_table.h
+++ b/Libraries/LibForward/endpoint_table.h
@@ -48,15 +48,12 @@
     bool isGone = false; ///< Not in the newest list.
 
     std::uint32_t running = 0; ///< Attempts of this host in progress.
-    std::uint32_t waitingPrompts = 0; ///< Those without a first byte.
     std::uint64_t waitingTokens = 0; ///< Prompt tokens of this host that are not read yet.
-    std::uint64_t heldTokens = 0; ///< Prompt and output tokens of this host's attempts.
     std::uint32_t runningElsewhere = 0; ///< Attempts of other hosts, as last reported.
     std::uint64_t waitingTokensElsewhere = 0;
 
     double failureShare = 0; ///< Moving average, 0 to 1.
     std::uint32_t outcomes = 0; ///< Outcomes counted into the average, up to a small bound.
-    double slowness = 1; ///< Moving average of measured over predicted time to the first byte.
     std::uint32_t ejections = 0; ///< In a row.
     core::instant ejectedUntil; ///< Gets nothing before this time, unless all others are worse.
     core::instant lastHeard; ///< Last byte of any answer.
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -26,6 +26,11 @@
 /// Callers leave a stream after a pause of 2 s, four objectives or eight gap objectives, whichever
 /// is longest (the users' protocol page); another endpoint is tried at this part of it.
 constexpr double patienceShare = 0.6;
+constexpr std::chrono::milliseconds callerPatience{2000};
+constexpr int patienceObjectives = 4;
+constexpr int patienceGapObjectives = 8;
+/// Least time for the answer of a request that is not a stream, before another endpoint is tried.
+constexpr std::chrono::milliseconds leastPatience{200};
 /// Bounds of Retry-After; callers wait for at most a third of the time they have left.
 constexpr std::chrono::milliseconds shortestReturn{300};
 constexpr std::chrono::milliseconds longestReturn{1500};
@@ -64,6 +69,13 @@
     return std::clamp(rank * routeRanks + std::clamp(routeRank, 0, routeRanks - 1), 0, lowest);
 }
 
+void removeHopByHop(http_head &head)
+{
+    const std::string connection(head.value("Connection"));
+    std::erase_if(head.headers,
+                  [&](const header_field &field) { return isHopByHop(field.name, connection); });
+}
+
 std::string number(std::int64_t value)
 {
     return std::to_string(value);
@@ -180,13 +192,13 @@
 {
     const auto left = parseNumber(m_request.value(m_owner->options().names.timeLeft));
     constexpr std::chrono::hours longest{24};
-    m_callerDeadline = m_arrived + longest;
+    core::instant callerDeadline = m_arrived + longest;
     if (left)
-        m_callerDeadline = std::min(m_callerDeadline,
-                                    m_arrived
-                                        + std::chrono::milliseconds(std::min<std::uint64_t>(
-                                            *left, std::chrono::milliseconds(longest).count())));
-    m_deadline = std::min(m_callerDeadline, m_arrived + m_route->timeout);
+        callerDeadline = std::min(callerDeadline,
+                                  m_arrived
+                                      + std::chrono::milliseconds(std::min<std::uint64_t>(
+                                          *left, std::chrono::milliseconds(longest).count())));
+    m_deadline = std::min(callerDeadline, m_arrived + m_route->timeout);
 }
 
 void exchange::readSize()
@@ -300,12 +312,10 @@
     }
     m_endpoint = choice.chosen;
     m_tried.push_back(m_endpoint);
-    m_attemptStart = now;
     m_expectedWait = choice.expectedWait;
     m_unread = choice.unreadTokens;
     m_waitsForFirst = true;
     ++m_endpoint->running;
-    ++m_endpoint->waitingPrompts;
     m_endpoint->waitingTokens += m_unread;
     m_endpoint->isProbing = m_endpoint->ejections > 0 && m_endpoint->ejectedUntil <= now;
     if (m_service->engine) {
@@ -387,17 +397,11 @@
     }
     if (part.empty())
         return;
-    if (std::exchange(m_waitsForFirst, false)) {
-        --m_endpoint->waitingPrompts;
-        m_endpoint->waitingTokens -= m_unread;
-    }
+    noteFirstByte(*m_endpoint);
     if (!std::exchange(m_answerStarted, true)) {
         m_owner->latency(m_service->name).observe(elapsed());
         http_head head = m_answer;
-        const std::string connection(head.value("Connection"));
-        std::erase_if(head.headers, [&](const header_field &field) {
-            return isHopByHop(field.name, connection);
-        });
+        removeHopByHop(head);
         session->beginAnswer(std::move(head));
     }
     startAttemptTimer();
@@ -471,11 +475,7 @@
         return;
     }
     const int status = m_answer.status;
-    const std::string connection(m_answer.value("Connection"));
-    std::erase_if(m_answer.headers, [&](const header_field &field) {
-        return isHopByHop(field.name, connection)
-            || equalsIgnoringCase(field.name, "Content-Length");
-    });
+    removeHopByHop(m_answer);
     m_owner->latency(m_service->name).observe(elapsed());
     done(status, "answered");
     session->sendAnswer(std::move(m_answer), m_answerBody);
@@ -545,11 +545,11 @@
 {
     if (!m_route->mayRunAgain())
         return;
-    auto patience = std::max(m_route->latencyObjective, std::chrono::milliseconds(200));
+    auto patience = std::max(m_route->latencyObjective, leastPatience);
     if (isStream()) {
         const auto longest
-            = std::max({std::chrono::milliseconds(2000), m_route->latencyObjective * 4,
-                        m_route->eventGapObjective * 8});
+            = std::max({callerPatience, m_route->latencyObjective * patienceObjectives,
+                        m_route->eventGapObjective * patienceGapObjectives});
         patience = std::chrono::milliseconds(
             static_cast<std::int64_t>(static_cast<double>(longest.count()) * patienceShare));
     }
@@ -604,16 +604,20 @@
     done(0, "caller_left");
 }
 
+/// Its prompt no longer waits at the endpoint.
+void exchange::noteFirstByte(endpoint &target)
+{
+    if (std::exchange(m_waitsForFirst, false))
+        target.waitingTokens -= m_unread;
+}
+
 void exchange::releaseEndpoint(attempt_outcome outcome)
 {
     const auto target = std::exchange(m_endpoint, nullptr);
     if (!target)
         return;
     --target->running;
-    if (std::exchange(m_waitsForFirst, false)) {
-        --target->waitingPrompts;
-        target->waitingTokens -= m_unread;
-    }
+    noteFirstByte(*target);
     const bool wasEjected = target->ejectedUntil > std::chrono::steady_clock::now();
     m_owner->endpoints().noteOutcome(*target, outcome, std::chrono::steady_clock::now());
     if (!wasEjected && target->ejectedUntil > std::chrono::steady_clock::now())
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -55,6 +55,7 @@
     void startAttemptTimer();
     void handleDeadline();
 
+    void noteFirstByte(endpoint &target);
     void releaseEndpoint(attempt_outcome outcome);
     void answer(int status, std::string_view reason, std::string_view cause,
                 std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0));
@@ -71,7 +72,6 @@
     std::string m_body;
     core::instant m_arrived;
     core::instant m_deadline; ///< The earlier one of the caller's and the route's.
-    core::instant m_callerDeadline;
     asio::steady_timer m_deadlineTimer;
     asio::steady_timer m_attemptTimer;
 
@@ -89,7 +89,6 @@
     endpoint_table::endpoint_pointer m_endpoint; ///< Of the attempt in progress.
     std::vector<endpoint_table::endpoint_pointer> m_tried;
     std::uint64_t m_unread = 0; ///< Prompt tokens counted as waiting at the endpoint.
-    core::instant m_attemptStart;
     std::chrono::microseconds m_expectedWait{0};
     bool m_waitsForFirst = false;
     int m_sends = 0; ///< Attempts whose connection opened.
--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "LibForward/forwarder.h"
 
 #include "LibForward/caller_session.h"
+#include "LibForward/listen.h"
 
 #include <utility>
 #include <vector>
@@ -28,17 +29,7 @@
 
 core::result<void> forwarder::start()
 {
-    std::error_code error;
-    const auto ip = asio::ip::make_address(m_options.callerAddress.ip, error);
-    const asio::ip::tcp::endpoint place(ip, m_options.callerAddress.port);
-    if (!error)
-        m_acceptor.open(place.protocol(), error);
-    if (!error)
-        m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind(place, error);
-    if (!error)
-        m_acceptor.listen(backlog, error);
+    const auto error = listenOn(m_acceptor, m_options.callerAddress, backlog);
     if (error) {
         m_log.write("listen_failed",
                     {{"address", m_options.callerAddress.text()}, {"error", error.message()}});
--- /dev/null
+++ b/Libraries/LibForward/listen.cpp
@@ -0,0 +1,22 @@
+#include "LibForward/listen.h"
+
+namespace quetzalcleat::forward {
+
+std::error_code listenOn(asio::ip::tcp::acceptor &acceptor, const core::socket_address &address,
+                         int backlog)
+{
+    std::error_code error;
+    const auto ip = asio::ip::make_address(address.ip, error);
+    const asio::ip::tcp::endpoint place(ip, address.port);
+    if (!error)
+        acceptor.open(place.protocol(), error);
+    if (!error)
+        acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(place, error);
+    if (!error)
+        acceptor.listen(backlog, error);
+    return error;
+}
+
+} // namespace quetzalcleat::forward
--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -79,19 +79,20 @@
     return std::chrono::microseconds(0);
 }
 
+std::chrono::microseconds readingTime(double tokens, const engine_speed &speed)
+{
+    return std::chrono::microseconds(
+        static_cast<std::int64_t>(tokens * 1000.0 / speed.promptTokensPerMillisecond));
+}
+
 std::chrono::microseconds engineWait(const endpoint &target, std::uint64_t unread,
                                      const placement_options &options)
 {
-    const auto perTokens = [&](double tokens) {
-        return std::chrono::microseconds(
-            static_cast<std::int64_t>(tokens * 1000.0 / options.speed.promptTokensPerMillisecond));
-    };
     const auto waiting = static_cast<double>(target.waitingTokens + target.waitingTokensElsewhere);
     const auto batch = target.running + target.runningElsewhere;
     const auto step = options.speed.step + options.speed.stepPerRequest * batch;
-    const auto raw = perTokens(waiting) + perTokens(static_cast<double>(unread)) + step * 2;
-    return std::chrono::microseconds(
-        static_cast<std::int64_t>(static_cast<double>(raw.count()) * target.slowness));
+    return readingTime(waiting, options.speed)
+        + readingTime(static_cast<double>(unread), options.speed) + step * 2;
 }
 
 } // namespace
--- a/Libraries/LibForward/plain_server.cpp
+++ b/Libraries/LibForward/plain_server.cpp
@@ -1,5 +1,7 @@
 #include "LibForward/plain_server.h"
 
+#include "LibForward/listen.h"
+
 #include <chrono>
 #include <utility>
 
@@ -126,17 +128,7 @@
 
 core::result<void> plain_server::start(const core::socket_address &address)
 {
-    std::error_code error;
-    const auto ip = asio::ip::make_address(address.ip, error);
-    const asio::ip::tcp::endpoint place(ip, address.port);
-    if (!error)
-        m_acceptor.open(place.protocol(), error);
-    if (!error)
-        m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind(place, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    const auto error = listenOn(m_acceptor, address, asio::socket_base::max_listen_connections);
     if (error)
         return forward_error::ListenFailed;
     acceptNext();
--- a/Libraries/LibForward/upstream.h
+++ b/Libraries/LibForward/upstream.h
@@ -112,8 +112,6 @@
     void pause() { m_paused = true; }
     void resume();
 
-    bool usesNewConnection() const { return m_connection && !m_connection->wasUsed; }
-
 private:
     attempt(std::shared_ptr<connection_pool> pool, request content, handlers handlers);
 
--- a/Libraries/LibPeer/configuration_lease.cpp
+++ b/Libraries/LibPeer/configuration_lease.cpp
@@ -38,7 +38,6 @@
 
 void configuration_lease::start()
 {
-    m_startedAt = core::suspendAwareNow();
     ask();
     startTimer();
 }
--- a/Libraries/LibPeer/configuration_lease.h
+++ b/Libraries/LibPeer/configuration_lease.h
@@ -83,7 +83,6 @@
     std::optional<core::instant> m_confirmedAt;
     endpoint_replica m_endpoints;
     std::optional<core::instant> m_listReadAt; ///< By the control host, on this host's clock.
-    core::instant m_startedAt;
     bool m_wasConfirmed = false;
     bool m_stopped = false;
 };
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -131,6 +131,7 @@
     void start();
     void stop();
     bool isLeader() const { return m_core && status().role == consensus::raft_role::Leader; }
+    bool isConfirmed() const;
     std::optional<state::configuration> confirmedConfiguration() const;
     std::string leaderHost() const { return view().leader; }
     void leaveLeadership();
@@ -679,7 +680,7 @@
 {
     lease_answer answer;
     const auto &newest = m_state.currentConfiguration();
-    answer.confirmed = confirmedConfiguration().has_value();
+    answer.confirmed = isConfirmed();
     answer.revision = newest.revision;
     answer.hasDocument = newest.revision > revision;
     if (answer.hasDocument)
@@ -696,17 +697,26 @@
     if (!isLeader())
         return;
     const auto newest = m_state.currentConfiguration().revision;
-    for (const auto &host : m_loads.hosts(currentTime())) {
+    const auto hosts = m_loads.hosts(currentTime());
+    std::erase_if(m_revisions, [&](const auto &entry) {
+        return std::find(hosts.begin(), hosts.end(), entry.first) == hosts.end();
+    });
+    for (const auto &host : hosts) {
         auto &revision = m_revisions[host];
         if (revision < newest && m_network->send(host, leaseAnswer(revision)))
             revision = newest;
     }
 }
 
-std::optional<state::configuration> control_service::implementation::confirmedConfiguration() const
+bool control_service::implementation::isConfirmed() const
 {
     const auto index = m_core->readIndex(currentTime());
-    if (m_stopped || !index || m_applied.index < index.value())
+    return !m_stopped && index && m_applied.index >= index.value();
+}
+
+std::optional<state::configuration> control_service::implementation::confirmedConfiguration() const
+{
+    if (!isConfirmed())
         return std::nullopt;
     return m_state.currentConfiguration();
 }
@@ -803,6 +813,11 @@
     return m_implementation->confirmedConfiguration();
 }
 
+bool control_service::isConfirmed() const
+{
+    return m_implementation->isConfirmed();
+}
+
 std::string control_service::leaderHost() const
 {
     return m_implementation->leaderHost();
--- a/Libraries/LibPeer/control_service.h
+++ b/Libraries/LibPeer/control_service.h
@@ -59,6 +59,9 @@
     /// The newest accepted configuration, if this host leads and can be sure of it.
     std::optional<state::configuration> confirmedConfiguration() const;
 
+    /// Whether this host leads and can be sure that its configuration is the newest.
+    bool isConfirmed() const;
+
     /// Host name of the leader that this host follows; empty if unknown.
     std::string leaderHost() const;
 
