LibPeer: Send unanswered proposals less and less often

Every open claim was then sent again as a whole each 400 ms; the copies delayed the commit further, until the limit of 40 s. Reproduced with 48 copies of the test at once: 40 of them had sent each claim more than 13 times. Change: the interval doubles with each transmission, up to 8 intervals for calls and 16 for background proposals.

--- a/Libraries/LibPeer/control_client.cpp
+++ b/Libraries/LibPeer/control_client.cpp
@@ -36,7 +36,10 @@
 /// with each transmission.
 constexpr std::chrono::milliseconds undecidedPause{100};
 
-/// A background proposal is sent less and less often, up to this many resend intervals apart.
+/// A proposal is sent less and less often, up to this many resend intervals apart. Without this, a
+/// burst that takes longer than an interval to commit would be sent again as a whole, and each
+/// copy would delay the commit further.
+constexpr std::uint32_t maximumCallIntervals = 8;
 constexpr std::uint32_t maximumBackgroundIntervals = 16;
 
 /// Peers asked for a configuration when no control host answers.
@@ -314,8 +317,9 @@
     if (!host.empty())
         (void)m_network->send(host, peer::propose{id, false, proposal.command});
     ++proposal.transmissions;
-    const auto intervals
-        = proposal.background ? std::min(proposal.transmissions, maximumBackgroundIntervals) : 1;
+    const auto longest = proposal.background ? maximumBackgroundIntervals : maximumCallIntervals;
+    // Doubles with each transmission; the shift is bounded, so that it cannot overflow.
+    const auto intervals = std::min(1U << std::min(proposal.transmissions - 1, 8U), longest);
     proposal.nextTransmission = now + m_options.resendInterval * intervals;
 }
 
