LibPeer: Count only committed voters, wait for them in the replacement tests

The leader reported the membership it had appended, not the one that was committed. The writer, which counts voters before it accepts a change, read the same uncommitted figure. Ruled out: load (each failure is one order of events), the membership protocol itself. Change: voterHosts() tells the committed membership; both replacement tests wait for the exact set of voters instead of its size, which is stricter.

--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -743,8 +743,9 @@
 
 std::vector<std::string> control_service::implementation::voterHosts() const
 {
+    // A change that is not committed may still be undone by the next leader.
     std::vector<std::string> hosts;
-    for (const auto &member : status().members.members) {
+    for (const auto &member : m_core->membershipAt(status().commit).members) {
         if (member.role == consensus::member_role::Voter)
             hosts.push_back(member.name);
     }
--- a/Libraries/LibPeer/control_service.h
+++ b/Libraries/LibPeer/control_service.h
@@ -65,7 +65,7 @@
     /// Host name of the leader that this host follows; empty if unknown.
     std::string leaderHost() const;
 
-    /// Hosts whose members may vote.
+    /// Hosts whose members may vote, by the newest membership known to be committed.
     std::vector<std::string> voterHosts() const;
 
     /// The list of endpoints that hosts are told with their leases.
--- a/Tests/Peer/addressed_fleet.h
+++ b/Tests/Peer/addressed_fleet.h
@@ -150,6 +150,18 @@
         return newest && !newest->document.empty() ? std::stoull(newest->document) : 0;
     }
 
+    /// Whether the leader knows exactly these hosts as voters, by a committed membership.
+    bool votersAre(std::vector<std::string> expected)
+    {
+        const auto at = leader();
+        if (at.empty())
+            return false;
+        auto voters = controls.at(at).service->voterHosts();
+        std::sort(voters.begin(), voters.end());
+        std::sort(expected.begin(), expected.end());
+        return voters == expected;
+    }
+
     bool until(const std::function<bool()> &condition) { return runUntil(context, condition); }
 
     asio::io_context context;
--- a/Tests/Peer/test_configuration_lease.cpp
+++ b/Tests/Peer/test_configuration_lease.cpp
@@ -119,11 +119,7 @@
     runFor(context, std::chrono::milliseconds(1700));
     startControl("127.0.1.4", false);
     // The sheets give the successor 4 s before the next loss.
-    EXPECT_TRUE(until([this] {
-        const auto hosts = leader().empty() ? std::vector<std::string>()
-                                            : controls.at(leader()).service->voterHosts();
-        return controls.at("127.0.1.4").service->isVoter() && hosts.size() == 3;
-    }));
+    ASSERT_TRUE(until([this] { return votersAre({"127.0.1.2", "127.0.1.3", "127.0.1.4"}); }));
     EXPECT_EQ(write(6), write_outcome::Accepted);
     stopControl("127.0.1.2");
     wipe("127.0.1.2");
@@ -140,9 +136,7 @@
     startControl("127.0.1.4", false);
     EXPECT_TRUE(until([this] { return controls.at("127.0.1.4").service->isVoter(); }));
     stopControl("127.0.1.1");
-    EXPECT_TRUE(until([this] {
-        return !leader().empty() && controls.at(leader()).service->voterHosts().size() == 3;
-    }));
+    ASSERT_TRUE(until([this] { return votersAre({"127.0.1.2", "127.0.1.3", "127.0.1.4"}); }));
     stopControl("127.0.1.3");
     wipe("127.0.1.3");
     startControl("127.0.1.3", false);
@@ -151,7 +145,7 @@
     // The first host comes back and is taken in again.
     startControl("127.0.1.1", false);
     EXPECT_TRUE(until([this] {
-        return !leader().empty() && controls.at(leader()).service->voterHosts().size() == 4;
+        return votersAre({"127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.1.4"});
     }));
 }
 
