LibForward: Keep long prompts at the engine of their prefix, tell others of lost endpoints

A full engine counted as 2 s of wait for each request above its places, though a place there is free after a batch's time over the places (0.2 s), so prefixes left their engines as soon as batches were full and put others out of the memory. Besides, each of 83 hosts found out by itself, with requests of callers, that an incarnation was gone (182 answers 421 in half a second on 8 hosts), and a retry was charged also where no connection opened. Conclusion: prefixes that stay are worth more than short queues.

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -237,17 +237,22 @@
     std::vector<peer::endpoint_load> ownLoads() const
     {
         std::vector<peer::endpoint_load> loads;
+        const auto now = std::chrono::steady_clock::now();
         for (const auto &[incarnation, target] : m_forwarder->endpoints().all()) {
-            if (target->running > 0)
-                loads.push_back({incarnation, target->running, target->waitingTokens});
+            const bool lost = forward::endpoint_table::tellsLost(*target, now);
+            if (target->running > 0 || lost)
+                loads.push_back({incarnation, target->running, target->quick, lost ? 1U : 0U,
+                                 target->waitingTokens});
         }
         return loads;
     }
 
     void applyLoads(const std::vector<peer::endpoint_load> &loads, std::uint32_t hosts)
     {
+        const auto now = std::chrono::steady_clock::now();
         for (const auto &[incarnation, target] : m_forwarder->endpoints().all()) {
             target->runningElsewhere = 0;
+            target->quickElsewhere = 0;
             target->waitingTokensElsewhere = 0;
         }
         for (const auto &load : loads) {
@@ -255,7 +260,9 @@
             if (found == m_forwarder->endpoints().all().end())
                 continue;
             found->second->runningElsewhere = load.running;
+            found->second->quickElsewhere = load.quick;
             found->second->waitingTokensElsewhere = load.waitingTokens;
+            forward::endpoint_table::noteLostElsewhere(*found->second, load.lost, now);
         }
         // The largest number seen, so that hosts out of the leader's sight keep their part.
         m_hosts = std::max(m_hosts, hosts);
--- a/Libraries/LibForward/endpoint_table.cpp
+++ b/Libraries/LibForward/endpoint_table.cpp
@@ -18,6 +18,15 @@
 /// First ejection; doubled with each further one.
 constexpr std::chrono::milliseconds firstEjection{700};
 constexpr std::chrono::milliseconds longestEjection{6000};
+/// A loss is told to other hosts for this long. Above the first ejection, so that the host that
+/// tries the endpoint again learns more before the others forget.
+constexpr std::chrono::milliseconds lossTold{1000};
+/// One host alone may have lost only its own way to the endpoint.
+constexpr std::uint32_t lossWitnesses = 2;
+/// Ejection on the word of others, renewed while they tell it.
+constexpr std::chrono::milliseconds hintedEjection{600};
+/// An endpoint that this host heard within this time is not ejected on the word of others.
+constexpr std::chrono::milliseconds ownEvidence{500};
 
 } // namespace
 
@@ -62,8 +71,17 @@
 {
     const bool wasProbing = target.isProbing;
     target.isProbing = false;
-    if (outcome == attempt_outcome::Abandoned || outcome == attempt_outcome::Refused)
+    if (outcome == attempt_outcome::Replaced) {
+        target.listed.isLeaving = true;
+        target.lostAt = now;
+    }
+    if (outcome == attempt_outcome::Abandoned || outcome == attempt_outcome::Refused
+        || outcome == attempt_outcome::Replaced)
         return;
+    if (outcome == attempt_outcome::Unreachable)
+        target.lostAt = now;
+    else if (outcome == attempt_outcome::Served)
+        target.lostAt.reset();
     const bool failed = outcome != attempt_outcome::Served;
     target.failureShare += outcomeWeight * ((failed ? 1.0 : 0.0) - target.failureShare);
     target.outcomes = std::min(target.outcomes + 1, minimumOutcomes);
@@ -86,4 +104,16 @@
     target.ejectedUntil = now + length;
 }
 
+void endpoint_table::noteLostElsewhere(endpoint &target, std::uint32_t hosts, core::instant now)
+{
+    if (hosts < lossWitnesses || now - target.lastHeard < ownEvidence)
+        return;
+    target.ejectedUntil = std::max(target.ejectedUntil, now + hintedEjection);
+}
+
+bool endpoint_table::tellsLost(const endpoint &target, core::instant now)
+{
+    return target.lostAt && now - *target.lostAt < lossTold;
+}
+
 } // namespace quetzalcleat::forward
--- a/Libraries/LibForward/endpoint_table.h
+++ b/Libraries/LibForward/endpoint_table.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -48,8 +49,10 @@
     bool isGone = false; ///< Not in the newest list.
 
     std::uint32_t running = 0; ///< Attempts of this host in progress.
+    std::uint32_t quick = 0; ///< Of these, the ones with the tightest objective.
     std::uint64_t waitingTokens = 0; ///< Prompt tokens of this host that are not read yet.
     std::uint32_t runningElsewhere = 0; ///< Attempts of other hosts, as last reported.
+    std::uint32_t quickElsewhere = 0;
     std::uint64_t waitingTokensElsewhere = 0;
 
     double failureShare = 0; ///< Moving average, 0 to 1.
@@ -57,6 +60,7 @@
     std::uint32_t ejections = 0; ///< In a row.
     core::instant ejectedUntil; ///< Gets nothing before this time, unless all others are worse.
     core::instant lastHeard; ///< Last byte of any answer.
+    std::optional<core::instant> lostAt; ///< No connection, or another incarnation answered.
     bool isProbing = false; ///< One request tries it after an ejection.
 
     /// When a part was last sent here.
@@ -67,6 +71,7 @@
 enum class attempt_outcome {
     Served,
     Refused, ///< Not run, says the endpoint.
+    Replaced, ///< Not run: another incarnation has this address.
     Failed, ///< A failure of the endpoint or of the way to it.
     Unreachable, ///< No connection.
     Abandoned, ///< The caller left or the time ran out; says nothing about the endpoint.
@@ -87,6 +92,12 @@
 
     void noteOutcome(endpoint &target, attempt_outcome outcome, core::instant now);
 
+    /// Other hosts lost this endpoint lately. A hint: what this host hears itself counts more.
+    static void noteLostElsewhere(endpoint &target, std::uint32_t hosts, core::instant now);
+
+    /// Whether this host should tell others that it lost the endpoint.
+    static bool tellsLost(const endpoint &target, core::instant now);
+
     std::size_t size() const { return m_endpoints.size(); }
     const std::map<std::string, endpoint_pointer> &all() const { return m_endpoints; }
 
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -304,6 +304,7 @@
     if (request.size != nullptr && isStream())
         request.lane = m_routes->isQuick(*m_route) ? engine_lane::Quick : engine_lane::Long;
     request.affinity = m_service->engine ? m_affinity : 0;
+    request.objective = m_route->latencyObjective;
     request.excluded = m_tried;
     const auto choice = place(m_owner->endpoints(), request, m_owner->options().placement, now);
     if (!choice.chosen) {
@@ -315,7 +316,9 @@
     m_expectedWait = choice.expectedWait;
     m_unread = choice.unreadTokens;
     m_waitsForFirst = true;
+    m_isQuick = request.lane == engine_lane::Quick;
     ++m_endpoint->running;
+    m_endpoint->quick += m_isQuick ? 1 : 0;
     m_endpoint->waitingTokens += m_unread;
     m_endpoint->isProbing = m_endpoint->ejections > 0 && m_endpoint->ejectedUntil <= now;
     if (m_service->engine) {
@@ -358,6 +361,7 @@
 {
     ++m_sends;
     ++m_possibleRuns;
+    m_holdsRetry = false;
 }
 
 void exchange::handleHead(http_head &head)
@@ -398,6 +402,7 @@
     if (part.empty())
         return;
     noteFirstByte(*m_endpoint);
+    notePart();
     if (!std::exchange(m_answerStarted, true)) {
         m_owner->latency(m_service->name).observe(elapsed());
         http_head head = m_answer;
@@ -439,10 +444,8 @@
     }
     if (m_answer.has(names.notRun) || m_answer.status == 421) {
         --m_possibleRuns;
-        // Another incarnation answers at this address.
-        if (m_answer.status == 421)
-            m_endpoint->listed.isLeaving = true;
-        releaseEndpoint(attempt_outcome::Refused);
+        releaseEndpoint(m_answer.status == 421 ? attempt_outcome::Replaced
+                                               : attempt_outcome::Refused);
         attemptFailed("refused: " + number(m_answer.status), false);
         return;
     }
@@ -537,8 +540,10 @@
     if (m_possibleRuns >= m_route->maximumAttempts || m_sends >= maximumSends
         || m_tried.size() >= 2 * maximumSends || timeLeft() < leastTimeLeft)
         return false;
-    return m_sends == 0
-        || m_owner->retries().take(m_service->name, std::chrono::steady_clock::now());
+    // What never reached an endpoint has not used up what was taken for it.
+    if (m_sends > 0 && !m_holdsRetry)
+        m_holdsRetry = m_owner->retries().take(m_service->name, std::chrono::steady_clock::now());
+    return m_sends == 0 || m_holdsRetry;
 }
 
 void exchange::startAttemptTimer()
@@ -611,12 +616,25 @@
         target.waitingTokens -= m_unread;
 }
 
+void exchange::notePart()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (!m_answerStarted)
+        m_firstPart = elapsed();
+    else
+        m_longestPause
+            = std::max(m_longestPause,
+                       std::chrono::duration_cast<std::chrono::milliseconds>(now - m_lastPart));
+    m_lastPart = now;
+}
+
 void exchange::releaseEndpoint(attempt_outcome outcome)
 {
     const auto target = std::exchange(m_endpoint, nullptr);
     if (!target)
         return;
     --target->running;
+    target->quick -= m_isQuick ? 1 : 0;
     noteFirstByte(*target);
     const bool wasEjected = target->ejectedUntil > std::chrono::steady_clock::now();
     m_owner->endpoints().noteOutcome(*target, outcome, std::chrono::steady_clock::now());
@@ -682,6 +700,8 @@
          {"sends", number(m_sends)},
          {"elapsed_ms", number(elapsed().count())},
          {"events", number(static_cast<std::int64_t>(m_events.events()))},
+         {"first_part_ms", number(m_firstPart.count())},
+         {"longest_pause_ms", number(m_longestPause.count())},
          {"expected_wait_ms", number(m_expectedWait.count() / 1000)},
          {"parts", std::string(m_request.value(m_owner->options().names.promptParts))},
          {"unread_tokens", number(static_cast<std::int64_t>(m_unread))},
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -56,6 +56,7 @@
     void handleDeadline();
 
     void noteFirstByte(endpoint &target);
+    void notePart();
     void releaseEndpoint(attempt_outcome outcome);
     void answer(int status, std::string_view reason, std::string_view cause,
                 std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0));
@@ -93,11 +94,16 @@
     bool m_waitsForFirst = false;
     int m_sends = 0; ///< Attempts whose connection opened.
     int m_possibleRuns = 0; ///< Of these, those that may have run.
+    bool m_holdsRetry = false; ///< Taken from the allowance and not used yet.
+    bool m_isQuick = false; ///< The attempt in progress counts as quick at its endpoint.
 
     http_head m_answer; ///< Of the attempt in progress.
     std::string m_answerBody;
     event_splitter m_events;
     bool m_answerStarted = false; ///< The caller has got the head.
+    std::chrono::milliseconds m_firstPart{0}; ///< Arrival to the first part of the answer.
+    std::chrono::milliseconds m_longestPause{0}; ///< Between two parts of the answer.
+    core::instant m_lastPart;
     bool m_relaying = false; ///< A body too long to keep is passed on as it comes.
     bool m_waits = false; ///< For a configuration or an endpoint; counted at the owner.
     bool m_done = false;
--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -11,19 +11,26 @@
 namespace {
 
 /// Leaving the engine of a prefix costs this many times the reading of the prefix: it is read
-/// again, and it takes the place of another one in the cache.
-constexpr double strayFactor = 3;
+/// again, it delays the whole batch, and it takes the place of another prefix, which then moves
+/// too. Long prompts fill the memory of their engines, so for them a wait is mostly cheaper.
+constexpr int strayFactor = 3;
+constexpr int longStrayFactor = 40;
+/// Of an engine that would begin after the objective, for the second one.
+constexpr int lateStrayFactor = 12;
 /// Leaving the second engine too costs as much again, so that a prefix in demand has two engines
 /// before it has many.
-constexpr double farStrayFactor = 2 * strayFactor;
+constexpr int farStray = 2;
 /// Cost of an engine of the other lane. A long prefill among quick requests delays all of them; a
 /// quick request among long prefills only delays itself.
 constexpr std::chrono::microseconds longInQuickCost{1'500'000};
 constexpr std::chrono::microseconds quickInLongCost{250'000};
 /// Cost of an endpoint that is ejected: only used when all are.
 constexpr std::chrono::microseconds ejectedCost{std::chrono::seconds(60)};
-/// Time that a full endpoint is expected to take until a place is free.
+/// Time that a full plain endpoint is expected to take until a place is free.
 constexpr std::chrono::microseconds fullCost{std::chrono::seconds(2)};
+/// Time that a request stays in a batch that is read into all the while; a place is free after this
+/// time over the number of places. Source: 30 events of 4 tokens and steps of 40 ms (the sheets).
+constexpr std::chrono::microseconds batchTime{std::chrono::seconds(5)};
 /// Work of a request at a plain service, for the wait behind others. Source: the users' sheets.
 constexpr std::chrono::microseconds plainWork{40'000};
 
@@ -95,6 +102,31 @@
         + readingTime(static_cast<double>(unread), options.speed) + step * 2;
 }
 
+struct candidate
+{
+    endpoint_table::endpoint_pointer target;
+    std::uint64_t weight = 0;
+    bool isQuick = false;
+};
+
+/// Whether the engine of the prefix would begin after the objective.
+bool homeIsLate(const placement_request &request, const std::vector<candidate> &candidates,
+                std::uint64_t homeWeight, const placement_options &options)
+{
+    if (request.size == nullptr || request.objective.count() == 0)
+        return false;
+    const auto home = std::find_if(candidates.begin(), candidates.end(),
+                                   [&](const auto &entry) { return entry.weight == homeWeight; });
+    if (home == candidates.end())
+        return false;
+    const auto &target = *home->target;
+    auto wait = engineWait(target, 0, options);
+    const auto taken = target.running + target.runningElsewhere;
+    if (target.listed.slots != 0 && taken >= target.listed.slots)
+        wait += batchTime / target.listed.slots * (taken + 1 - target.listed.slots);
+    return wait > request.objective;
+}
+
 } // namespace
 
 std::uint64_t unreadTokens(const endpoint &target, const generation_size &size,
@@ -113,12 +145,6 @@
 placement_choice place(const endpoint_table &endpoints, const placement_request &request,
                        const placement_options &options, core::instant now)
 {
-    struct candidate
-    {
-        endpoint_table::endpoint_pointer target;
-        std::uint64_t weight = 0;
-        bool isQuick = false;
-    };
     std::vector<const endpoint *> quick;
     if (request.lane != engine_lane::Any)
         quick = quickLane(endpoints.of(request.target->name), options,
@@ -144,12 +170,18 @@
         second = std::max(second, std::min(best, entry.weight));
         best = std::max(best, entry.weight);
     }
-    const auto strayTime = request.size == nullptr || request.size->parts.empty()
+    const auto sharedTokens = request.size == nullptr || request.size->parts.empty()
         ? 0.0
         : static_cast<double>(
-              request.size->promptTokens
-              - std::min(request.size->promptTokens, request.size->parts.back().tokens))
-            * 1000.0 / options.speed.promptTokensPerMillisecond;
+            request.size->promptTokens
+            - std::min(request.size->promptTokens, request.size->parts.back().tokens));
+    const auto sharedTime = readingTime(sharedTokens, options.speed);
+    const bool isQuick = request.lane == engine_lane::Quick;
+    const auto usualFactor = isQuick ? strayFactor : longStrayFactor;
+    const auto homeFactor = !isQuick && homeIsLate(request, candidates, best, options)
+        ? lateStrayFactor
+        : usualFactor;
+    const auto farFactor = farStray * usualFactor;
     placement_choice choice;
     auto bestCost = std::chrono::microseconds::max();
     for (const auto &entry : candidates) {
@@ -170,10 +202,10 @@
         }
         auto cost = wait;
         if (request.affinity != 0 && entry.weight != best)
-            cost += std::chrono::microseconds(static_cast<std::int64_t>(
-                strayTime * (entry.weight == second ? strayFactor : farStrayFactor)));
+            cost += sharedTime * (entry.weight == second ? homeFactor : farFactor);
         if (isFull)
-            cost += fullCost * (taken + 1 - target.listed.slots);
+            cost += (request.size == nullptr ? fullCost : batchTime / target.listed.slots)
+                * (taken + 1 - target.listed.slots);
         if (target.ejectedUntil > now || target.isProbing)
             cost += ejectedCost;
         if (cost < bestCost) {
--- a/Libraries/LibForward/placement.h
+++ b/Libraries/LibForward/placement.h
@@ -50,6 +50,8 @@
     const service *target = nullptr;
     const generation_size *size = nullptr; ///< Null for plain services.
     engine_lane lane = engine_lane::Any;
+    /// Time to the first event; the engine of a prefix is left more easily if it cannot keep it.
+    std::chrono::milliseconds objective{0}; ///< 0 for none.
     std::uint64_t affinity = 0; ///< Hash of the shared prefix; 0 for none.
     std::vector<endpoint_table::endpoint_pointer> excluded; ///< Tried before.
 };
--- a/Libraries/LibPeer/load_exchange.cpp
+++ b/Libraries/LibPeer/load_exchange.cpp
@@ -4,12 +4,38 @@
 
 namespace quetzalcleat::peer {
 
+namespace {
+
+void addTo(endpoint_load &sum, const endpoint_load &load)
+{
+    sum.running += load.running;
+    sum.quick += load.quick;
+    sum.lost += load.lost;
+    sum.waitingTokens += load.waitingTokens;
+}
+
+void subtractFrom(endpoint_load &sum, const endpoint_load &load)
+{
+    sum.running -= load.running;
+    sum.quick -= load.quick;
+    sum.lost -= load.lost;
+    sum.waitingTokens -= load.waitingTokens;
+}
+
+/// Requests of a host are part of its running ones, so quick ones need not be looked at.
+bool isNothing(const endpoint_load &load)
+{
+    return load.running == 0 && load.lost == 0 && load.waitingTokens == 0;
+}
+
+} // namespace
+
 void load_exchange::add(const report &entry)
 {
     for (const auto &load : entry.loads) {
         auto &sum = m_totals[load.incarnation];
-        sum.running += load.running;
-        sum.waitingTokens += load.waitingTokens;
+        sum.incarnation = load.incarnation;
+        addTo(sum, load);
     }
 }
 
@@ -19,9 +45,8 @@
         const auto found = m_totals.find(load.incarnation);
         if (found == m_totals.end())
             continue;
-        found->second.running -= load.running;
-        found->second.waitingTokens -= load.waitingTokens;
-        if (found->second.running == 0 && found->second.waitingTokens == 0)
+        subtractFrom(found->second, load);
+        if (isNothing(found->second))
             m_totals.erase(found);
     }
 }
@@ -54,23 +79,19 @@
 std::vector<endpoint_load> load_exchange::sumsWithout(const std::string &host, core::instant now)
 {
     forget(now);
-    std::map<std::string, total> own;
+    std::map<std::string, endpoint_load> own;
     if (const auto found = m_reports.find(host); found != m_reports.end()) {
-        for (const auto &load : found->second.loads) {
-            own[load.incarnation].running += load.running;
-            own[load.incarnation].waitingTokens += load.waitingTokens;
-        }
+        for (const auto &load : found->second.loads)
+            addTo(own[load.incarnation], load);
     }
     std::vector<endpoint_load> sums;
     sums.reserve(m_totals.size());
     for (const auto &[incarnation, sum] : m_totals) {
         auto rest = sum;
-        if (const auto found = own.find(incarnation); found != own.end()) {
-            rest.running -= found->second.running;
-            rest.waitingTokens -= found->second.waitingTokens;
-        }
-        if (rest.running != 0 || rest.waitingTokens != 0)
-            sums.push_back({incarnation, rest.running, rest.waitingTokens});
+        if (const auto found = own.find(incarnation); found != own.end())
+            subtractFrom(rest, found->second);
+        if (!isNothing(rest))
+            sums.push_back(std::move(rest));
     }
     return sums;
 }
--- a/Libraries/LibPeer/load_exchange.h
+++ b/Libraries/LibPeer/load_exchange.h
@@ -35,18 +35,12 @@
         std::vector<endpoint_load> loads;
     };
 
-    struct total
-    {
-        std::uint32_t running = 0;
-        std::uint64_t waitingTokens = 0;
-    };
-
     void add(const report &entry);
     void subtract(const report &entry);
     void forget(core::instant now);
 
     std::map<std::string, report> m_reports;
-    std::map<std::string, total> m_totals; ///< By incarnation.
+    std::map<std::string, endpoint_load> m_totals; ///< By incarnation.
 };
 
 } // namespace quetzalcleat::peer
--- a/Tests/Forward/test_placement.cpp
+++ b/Tests/Forward/test_placement.cpp
@@ -39,6 +39,8 @@
         request.target = &target;
         request.size = &size;
         request.lane = lane;
+        // Source: the users' sheets.
+        request.objective = std::chrono::milliseconds(lane == engine_lane::Quick ? 500 : 2500);
         request.affinity = size.parts.size() > 1 ? size.parts[size.parts.size() - 2].id : 0;
         return place(table, request, options, now);
     }
@@ -124,6 +126,28 @@
     EXPECT_LE(places, engines.size() * 5 / 4);
 }
 
+/// Load pattern: a burst of long prompts that fills the batches of all engines. Guards against
+/// prefixes that leave a full engine although a place there is free sooner than the prefix is read
+/// elsewhere: each move puts out another prefix, until every prompt is read whole.
+TEST(placement, FullBatchesDoNotMovePrefixes)
+{
+    engine_fleet fleet(12);
+    std::size_t moved = 0;
+    std::mt19937 random(1);
+    for (std::uint64_t number = 0; number < 600; ++number) {
+        const std::uint64_t book = 1'000 + random() % 90;
+        for (const auto &[name, entry] : fleet.table.all())
+            entry->running = 0;
+        const auto home = fleet.choose(longPrompt(book, 10'000 + number), engine_lane::Long).chosen;
+        for (const auto &[name, entry] : fleet.table.all())
+            entry->running = 56 + random() % 16;
+        const auto chosen
+            = fleet.choose(longPrompt(book, 10'000 + number), engine_lane::Long).chosen;
+        moved += chosen == home ? 0 : 1;
+    }
+    EXPECT_LE(moved, 12U);
+}
+
 /// Load pattern: one prefix gets much of the traffic. Guards against a queue at its engine while
 /// others are free.
 TEST(placement, HotPrefixSpreadsWhenItsEngineIsFull)
@@ -204,3 +228,44 @@
     }
     EXPECT_LT(ejected, 100);
 }
+
+/// Guards against a dead endpoint that each of many hosts has to find out by itself, with a request
+/// of a caller each time, and against one host whose own way is cut that talks all others out of
+/// it.
+TEST(endpoint_table, LostEndpointsAreToldToOthers)
+{
+    endpoint_table table;
+    table.update({{"i1", "s", {"10.0.0.1", 80}, "dc", 6, false}});
+    auto &target = *table.of("s").front();
+    EXPECT_FALSE(endpoint_table::tellsLost(target, start));
+    table.noteOutcome(target, attempt_outcome::Unreachable, start);
+    EXPECT_TRUE(endpoint_table::tellsLost(target, start));
+    EXPECT_FALSE(endpoint_table::tellsLost(target, start + std::chrono::seconds(2)));
+
+    endpoint_table other;
+    other.update({{"i1", "s", {"10.0.0.1", 80}, "dc", 6, false}});
+    auto &hinted = *other.of("s").front();
+    endpoint_table::noteLostElsewhere(hinted, 1, start);
+    EXPECT_LE(hinted.ejectedUntil, start);
+    hinted.lastHeard = start;
+    endpoint_table::noteLostElsewhere(hinted, 9, start + std::chrono::milliseconds(100));
+    EXPECT_LE(hinted.ejectedUntil, start);
+    endpoint_table::noteLostElsewhere(hinted, 2, start + std::chrono::seconds(1));
+    EXPECT_GT(hinted.ejectedUntil, start + std::chrono::seconds(1));
+}
+
+/// Guards against an address that is asked again for an incarnation which is gone, and against its
+/// successor being blamed for it.
+TEST(endpoint_table, ReplacedIncarnationIsNotUsedAgain)
+{
+    endpoint_table table;
+    table.update({{"i1", "s", {"10.0.0.1", 80}, "dc", 6, false}});
+    auto &target = *table.of("s").front();
+    table.noteOutcome(target, attempt_outcome::Replaced, start);
+    EXPECT_TRUE(target.listed.isLeaving);
+    EXPECT_TRUE(endpoint_table::tellsLost(target, start));
+    table.update({{"i2", "s", {"10.0.0.1", 80}, "dc", 6, false}});
+    ASSERT_EQ(table.of("s").size(), 1U);
+    EXPECT_FALSE(table.of("s").front()->listed.isLeaving);
+    EXPECT_EQ(table.of("s").front()->failureShare, 0);
+}
