Tests: Add a fault soak of the real node processes

Change: Tests/Soak starts three control and four entry processes on loopback with stand-ins for endpoints and the list, kills, pauses, stops, restarts and wipes them by a seeded schedule, delays, cuts, resets and silences connections by a proxy, and compares what callers and the operator were told with what ran. Not covered: links between hosts, disks, clocks.

--- /dev/null
+++ b/Tests/Soak/fault_soak.py
@@ -0,0 +1,348 @@
+#!/usr/bin/env python3
+"""Runs the real node processes on loopback, injects faults from outside, and checks what callers,
+the operator and endpoints see. A seed fixes the schedule of faults; the machine decides the rest.
+
+Usage: Tests/Soak/fault_soak.py [--program FILE] [--seeds 1,2,5-9] [--seconds S] [--jobs N]
+                                [--entries N] [--keep FOLDER]
+"""
+import argparse
+import asyncio
+import pathlib
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from callers import PROMISES, Operator, Request, Truth, call
+from fleet import GRACE_SECONDS, PORTS, REVOKE_SECONDS, Fleet
+from stand_ins import Endpoint, EndpointList, Proxy
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+TROUBLE_SECONDS = 6.0  # contact-ms of the users' sheets, and the time to come up.
+DRAIN_SECONDS = 4.0 + 1.0  # drain-ms, and the lag of the stand-ins' clocks.
+STOP_MARGIN_SECONDS = 2.0  # For a busy machine.
+
+
+class Run:
+    def __init__(self, options, seed, slot):
+        self.options, self.seed = options, seed
+        self.random = random.Random(seed)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"quetzalcleat-soak-{seed}-"))
+        prefix = f"127.{40 + slot}.{seed % 200 + 1}"
+        self.fleet = Fleet(options.program, self.folder, prefix, options.entries)
+        self.truth = Truth()
+        self.problems = self.truth.problems
+        self.operator = Operator(self.fleet.controls, self.problems)
+        self.log = []
+        self.control_calm_at = 0.0
+        self.endpoints = [Endpoint(f"desk-{index}", "desk", f"{prefix}.{index + 101}", 9000,
+                                   self.truth) for index in range(3)]
+        self.endpoints += [Endpoint(f"pool-{index}", "pool", f"{prefix}.{index + 111}", 9000,
+                                    self.truth) for index in range(4)]
+        self.worker_proxies = {each.name: Proxy(each.host, 9001, (each.host, 9000))
+                               for each in self.endpoints}
+        self.entry_proxies = [Proxy(entry.ip, 9002, (entry.ip, PORTS["front"]))
+                              for entry in self.fleet.entries]
+        self.stops = []  # (process, time of SIGTERM)
+
+    def note(self, text):
+        self.log.append(f"{time.monotonic() - self.begun:7.3f} {text}")
+
+    async def play(self):
+        self.begun = time.monotonic()
+        for each in self.endpoints:
+            await each.start()
+        for proxy in list(self.worker_proxies.values()) + self.entry_proxies:
+            await proxy.start()
+        host, port = self.fleet.list_address.split(":")
+        platform = EndpointList(self.endpoints, self.worker_proxies, ("one-a", "two-a", "three-a"))
+        await asyncio.start_server(platform.serve, host, int(port))
+        await self.fleet.start()
+        try:
+            if not await self.operator.change(False):
+                self.problems.append("START the first configuration was not accepted in 20 s")
+                return
+            await asyncio.sleep(1.5)
+            end = time.monotonic() + self.options.seconds
+            tasks = [self.callers(end), self.operators(end), self.faults(end)]
+            await asyncio.gather(*tasks)
+            await self.recover()
+        finally:
+            await self.fleet.stop()
+        self.check()
+
+    async def callers(self, end):
+        pending, count = set(), 0
+        while time.monotonic() < end:
+            count += 1
+            request_id = f"{self.seed:x}-{count:x}"
+            index = self.random.randrange(len(self.fleet.entries))
+            old = [key for key in self.operator.removed_keys]
+            key = self.random.choice(old) if old and self.random.random() < 0.1 else \
+                self.random.choice(self.operator.keys)
+            request = Request(request_id, self.random.choice(("order", "lookup", "stream", "once")),
+                              key, self.fleet.entries[index], time.monotonic())
+            self.truth.requests[request_id] = request
+            task = asyncio.ensure_future(
+                call(request, self.entry_proxies[index].address, 4000))
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+            await asyncio.sleep(0.015)
+        await asyncio.gather(*pending)
+
+    async def operators(self, end):
+        while time.monotonic() < end:
+            await self.operator.change(self.random.random() < 0.4)
+            await self.operator.read(self.random.choice(self.fleet.controls))
+            await asyncio.sleep(self.random.uniform(0.05, 1.0))
+
+    async def faults(self, end):
+        kinds = [self.kill, self.pause, self.terminate, self.hang_up, self.crash_endpoint,
+                 self.drain_endpoint, self.delay, self.reset, self.silence, self.cut,
+                 self.wipe, self.storm]
+        pending = set()
+        while time.monotonic() < end:
+            kind = self.random.choice(kinds)
+            task = asyncio.ensure_future(kind())
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+            # Series and overlaps: most faults follow while earlier ones last.
+            await asyncio.sleep(self.random.choice((0.05, 0.3, 0.8, 1.5)))
+        await asyncio.gather(*pending)
+
+    def victim(self, processes):
+        """A process without a fault in progress. One control host at a time: the deployment bears
+        the loss of one, and a lost one counts for some seconds after it is back."""
+        now = time.monotonic()
+        if any(each in self.fleet.controls for each in processes):
+            if any(each.troubled_until > now for each in self.fleet.controls):
+                processes = [each for each in processes if each in self.fleet.entries]
+        free = [each for each in processes if each.troubled_until <= now and each.is_running()]
+        return self.random.choice(free) if free else None
+
+    async def kill(self):
+        if process := self.victim(self.fleet.processes):
+            duration = self.random.uniform(0.1, 2.0)
+            process.trouble(duration + TROUBLE_SECONDS)
+            self.note(f"kill {process.name}")
+            await process.kill()
+            await asyncio.sleep(duration)
+            process.write_settings(False, self.seeds())
+            await process.start()
+
+    async def wipe(self):
+        if process := self.victim(self.fleet.controls):
+            process.trouble(1 + TROUBLE_SECONDS)
+            self.note(f"wipe {process.name}")
+            await process.kill()
+            process.wipe()
+            process.write_settings(False, self.seeds())
+            await asyncio.sleep(0.3)
+            await process.start()
+
+    async def pause(self):
+        if process := self.victim(self.fleet.processes):
+            duration = self.random.choice((0.3, 1.5, 4.0, 7.0))
+            process.trouble(duration + TROUBLE_SECONDS)
+            self.note(f"pause {process.name} {duration}")
+            process.paused = True
+            await process.signal(signal.SIGSTOP)
+            await asyncio.sleep(duration)
+            await process.signal(signal.SIGCONT)
+            process.paused = False
+
+    async def terminate(self):
+        if process := self.victim(self.fleet.processes):
+            process.trouble(GRACE_SECONDS + TROUBLE_SECONDS)
+            self.note(f"terminate {process.name}")
+            process.stopping_since = time.monotonic()
+            self.stops.append((process, process.stopping_since))
+            await process.signal(signal.SIGTERM)
+            try:
+                code = await asyncio.wait_for(process.wait(False),
+                                              GRACE_SECONDS + STOP_MARGIN_SECONDS)
+            except asyncio.TimeoutError:
+                self.problems.append(f"STOP {process.name} ran on past the grace time")
+                await process.kill()
+                code = 0
+            if code != 0:
+                self.problems.append(f"STOP {process.name} ended with {code}")
+            process.write_settings(False, self.seeds())
+            await process.start()
+
+    async def hang_up(self):
+        for process in self.fleet.processes:
+            if process.is_running():
+                process.write_settings(False, self.seeds())
+                await process.signal(signal.SIGHUP)
+        self.note("hang up all, with other seeds")
+
+    def seeds(self):
+        """Fewer seeds than there are control hosts, now and then."""
+        return self.random.sample([each.ip for each in self.fleet.controls],
+                                  self.random.choice((2, 3)))
+
+    async def crash_endpoint(self):
+        endpoint = self.random.choice([e for e in self.endpoints if e.state == "ready"] or [None])
+        if endpoint:
+            self.note(f"crash {endpoint.id}")
+            await endpoint.crash()
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            await endpoint.start()
+
+    async def drain_endpoint(self):
+        endpoint = self.random.choice([e for e in self.endpoints if e.state == "ready"] or [None])
+        if endpoint:
+            self.note(f"drain {endpoint.id}")
+            endpoint.drain()
+            await asyncio.sleep(DRAIN_SECONDS + 2)
+            if endpoint.state == "draining":
+                await endpoint.crash()
+                await endpoint.start()
+
+    def proxy(self):
+        """A proxy, and the entry host whose callers it serves, if any."""
+        index = self.random.randrange(len(self.entry_proxies) + len(self.endpoints))
+        if index < len(self.entry_proxies):
+            return self.entry_proxies[index], self.fleet.entries[index].name
+        name = self.endpoints[index - len(self.entry_proxies)].name
+        return self.worker_proxies[name], name
+
+    async def delay(self):
+        proxy, name = self.proxy()
+        proxy.delay = self.random.choice((0.02, 0.2, 0.7))
+        self.note(f"delay {name} {proxy.delay}")
+        await asyncio.sleep(self.random.uniform(0.5, 2))
+        proxy.delay = 0.0
+
+    async def reset(self):
+        proxy, name = self.proxy()
+        self.note(f"reset {name}")
+        proxy.reset()
+
+    async def silence(self):
+        proxy, name = self.proxy()
+        self.note(f"silence {name}")
+        proxy.silence()
+
+    async def cut(self):
+        proxy, name = self.proxy()
+        directions = self.random.choice((("forward",), ("backward",), ("forward", "backward")))
+        self.note(f"cut {name} {'and '.join(directions)}")
+        for direction in directions:
+            proxy.cut[direction] = True
+        await asyncio.sleep(self.random.uniform(0.3, 2.5))
+        for direction in directions:
+            proxy.cut[direction] = False
+
+    async def storm(self):
+        self.note("storm of changes")
+        for _ in range(6):
+            await self.operator.change(False)
+
+    async def recover(self):
+        """After the faults, every control host is there again and the newest version is read."""
+        deadline = time.monotonic() + 12
+        version = None
+        while time.monotonic() < deadline and version is None:
+            for control in self.fleet.controls:
+                version = version or await self.operator.read(control)
+            await asyncio.sleep(0.2)
+        if version is None:
+            self.problems.append("RECOVER no control host tells the configuration after 12 s")
+        request = Request(f"{self.seed:x}-end", "lookup", "stable", None, time.monotonic())
+        self.truth.requests[request.id] = request
+        while time.monotonic() < deadline + 5 and request.status != "200":
+            await call(request, self.entry_proxies[0].address, 3000)
+            await asyncio.sleep(0.2)
+        if request.status != "200":
+            self.problems.append(f"RECOVER no answer after the faults: {request.status}")
+        await asyncio.sleep(0.5)
+
+    def check(self):
+        runs = self.truth.runs
+        for request in self.truth.requests.values():
+            mine = runs.get(request.id, [])
+            if request.problem:
+                self.problems.append(request.problem)
+            if request.kind in ("order", "once") and len(mine) > 1:
+                self.problems.append(f"TWICE {request.id} {[run[2] for run in mine]}")
+            if request.kind in ("order", "once") and request.status in PROMISES and mine:
+                self.problems.append(f"REFUSED {request.id} {request.status} ran at {mine[0][2]}")
+            if request.status in ("401", "404") and request.key == "stable":
+                self.problems.append(f"DENIED {request.id} {request.status}")
+            removed = self.operator.removed_keys.get(request.key)
+            if removed and mine and request.sent_at > removed + REVOKE_SECONDS:
+                self.problems.append(f"REVOKED {request.id} ran {request.sent_at - removed:.1f} s "
+                                     f"after its key {request.key} was taken away")
+            for at, endpoint, incarnation, _ in mine:
+                calm = request.entry is None or request.entry.troubled_until < request.sent_at
+                late = endpoint.draining_since and endpoint.id == incarnation \
+                    and at > endpoint.draining_since + DRAIN_SECONDS
+                if late and calm:
+                    self.problems.append(f"DRAIN {request.id} reached {incarnation}")
+        for process in self.fleet.processes:
+            for code, was_ended in process.ends:
+                if code != 0 and not was_ended:
+                    self.problems.append(f"EXIT {process.name} ended by itself with {code}")
+
+
+def seeds_of(text):
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        yield from range(int(first), int(last or first) + 1)
+
+
+def play_one(options, seed):
+    run = Run(options, seed, options.slot)
+    asyncio.run(run.play())
+    served = sum(1 for request in run.truth.requests.values() if request.status == "200")
+    if served * 5 < len(run.truth.requests):
+        run.problems.append(f"SERVED only {served} of {len(run.truth.requests)}")
+    verdict = "failed" if run.problems else "held"
+    print(f"seed {seed}: {verdict}, {len(run.truth.requests)} requests, {served} served, "
+          f"{len(run.log)} faults, version {run.operator.acknowledged}")
+    for problem in run.problems[:10]:
+        print(f"  {problem}")
+    if run.problems:
+        (run.folder / "schedule").write_text("\n".join(run.log) + "\n")
+        print(f"  logs and schedule: {run.folder}")
+    else:
+        shutil.rmtree(run.folder)
+    return 1 if run.problems else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
+    parser.add_argument("--program", default=str(ROOT / "build/bin/quetzalcleat-node"))
+    parser.add_argument("--seeds", default="1")
+    parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--entries", type=int, default=4)
+    parser.add_argument("--jobs", type=int, default=1)
+    parser.add_argument("--slot", type=int, default=0, help=argparse.SUPPRESS)
+    options = parser.parse_args()
+    seeds = list(seeds_of(options.seeds))
+    if len(seeds) == 1:
+        return play_one(options, seeds[0])
+    running, failed = {}, 0
+    while seeds or running:
+        while seeds and len(running) < options.jobs:
+            slot = next(number for number in range(options.jobs) if number not in running)
+            command = [sys.executable, __file__, "--program", options.program, "--seeds",
+                       str(seeds.pop(0)), "--seconds", str(options.seconds), "--entries",
+                       str(options.entries), "--slot", str(slot)]
+            running[slot] = subprocess.Popen(command)
+        for slot, child in list(running.items()):
+            if child.poll() is not None:
+                failed += child.returncode != 0
+                del running[slot]
+        time.sleep(0.05)
+    print(f"{len(list(seeds_of(options.seeds))) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/Tests/Soak/fleet.py
@@ -0,0 +1,110 @@
+"""The real processes of one soak run: their settings files, starts, signals and ends."""
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import time
+
+PORTS = {"peer": 7340, "front": 8227, "ready": 8220, "control": 8229, "list": 8223}
+ZONES = ("one-a", "two-a", "three-a")
+GRACE_SECONDS = 8
+REVOKE_SECONDS = 5
+
+
+class Process:
+    """A node with its address, over all its incarnations."""
+
+    def __init__(self, fleet, name, role, ip, zone):
+        self.fleet, self.name, self.role, self.ip, self.zone = fleet, name, role, ip, zone
+        self.folder = fleet.folder / name
+        self.data_folder = self.folder / "data"
+        self.child = None
+        self.troubled_until = 0.0  # Rules with a time bound do not hold for it before this time.
+        self.stopping_since = None
+        self.paused = False
+        self.ends = []  # (exit code, whether the soak ended it)
+
+    def write_settings(self, first_start, seeds):
+        self.folder.mkdir(parents=True, exist_ok=True)
+        control = self.role == "control"
+        control_port = PORTS["control"]
+        listen = {"control": f"{self.ip}:{PORTS['control']}"} if control else {
+            "front": f"{self.ip}:{PORTS['front']}", "ready": f"{self.ip}:{PORTS['ready']}"}
+        lines = [f'node-name = "{self.name}"', f'ip = "{self.ip}"', f'zone = "{self.zone}"',
+                 f'region = "{self.zone[:-2]}"', f"port-range = [{PORTS['peer']}, 7355]",
+                 f"seeds = {json.dumps([f'{ip}:{control_port}' for ip in seeds])}",
+                 f"bootstrap = {'true' if first_start else 'false'}"]
+        if control:
+            lines.append(f'data-dir = "{self.data_folder}"')
+            self.data_folder.mkdir(exist_ok=True)
+        lines += ["[zones]"] + [f'{zone} = "{zone[:-2]}"' for zone in ZONES]
+        lines += ["[listen]"] + [f'{key} = "{value}"' for key, value in listen.items()]
+        lines += ["[limits]", "max-fds = 4100", "[fault-tolerance]", "machines = 1",
+                  "[contract-params]", f"grace-s = {GRACE_SECONDS}",
+                  f"revoke-ms = {REVOKE_SECONDS * 1000}", "retry-ratio = 0.2",
+                  "retry-window-s = 10", "retry-slack = 58", "[cloud-api]",
+                  f'address = "{self.fleet.list_address}"', "rate-per-s = 47.0",
+                  "max-lag-ms = 800"]
+        (self.folder / "node.toml").write_text("\n".join(lines) + "\n")
+
+    def is_running(self):
+        return self.child is not None and self.child.returncode is None
+
+    async def start(self):
+        with open(self.folder / "log", "ab") as log:
+            self.child = await asyncio.create_subprocess_exec(
+                str(self.fleet.program), "--config", str(self.folder / "node.toml"),
+                stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL)
+        self.stopping_since, self.paused = None, False
+
+    async def signal(self, number):
+        if self.is_running():
+            self.child.send_signal(number)
+
+    async def wait(self, was_ended):
+        code = await self.child.wait()
+        self.ends.append((code, was_ended))
+        return code
+
+    async def kill(self):
+        if self.is_running():
+            self.child.kill()
+            await self.wait(True)
+
+    def wipe(self):
+        for file in self.data_folder.iterdir():
+            file.unlink()
+
+    def trouble(self, seconds):
+        self.troubled_until = max(self.troubled_until, time.monotonic() + seconds)
+
+
+class Fleet:
+    def __init__(self, program, folder, prefix, entries):
+        self.program, self.folder = pathlib.Path(program), pathlib.Path(folder)
+        self.prefix = prefix
+        self.list_address = f"{prefix}.200:{PORTS['list']}"
+        self.controls = [Process(self, f"control-{index + 1}", "control", f"{prefix}.{index + 1}",
+                                 ZONES[index]) for index in range(3)]
+        self.entries = [Process(self, f"entry-{index + 1}", "entry", f"{prefix}.{index + 11}",
+                                ZONES[index % 3]) for index in range(entries)]
+
+    @property
+    def processes(self):
+        return self.controls + self.entries
+
+    async def start(self):
+        seeds = [control.ip for control in self.controls]
+        for process in self.processes:
+            process.write_settings(True, seeds)
+            await process.start()
+
+    async def stop(self):
+        """Ends what this run started, by process id, and nothing else."""
+        for process in self.processes:
+            if process.is_running():
+                if process.paused:
+                    os.kill(process.child.pid, signal.SIGCONT)
+                process.child.kill()
+                await process.child.wait()
