LibForward: Bound what is ejected on the word of others, remove unused counts

Change: hints are left aside where they name over 40 in 100 of a service; endpoint_load and the table of endpoints lose the count; placeWait serves both places.

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -241,18 +241,17 @@
         for (const auto &[incarnation, target] : m_forwarder->endpoints().all()) {
             const bool lost = forward::endpoint_table::tellsLost(*target, now);
             if (target->running > 0 || lost)
-                loads.push_back({incarnation, target->running, target->quick, lost ? 1U : 0U,
-                                 target->waitingTokens});
+                loads.push_back(
+                    {incarnation, target->running, lost ? 1U : 0U, target->waitingTokens});
         }
         return loads;
     }
 
     void applyLoads(const std::vector<peer::endpoint_load> &loads, std::uint32_t hosts)
     {
-        const auto now = std::chrono::steady_clock::now();
+        std::map<std::string, std::uint32_t> lost;
         for (const auto &[incarnation, target] : m_forwarder->endpoints().all()) {
             target->runningElsewhere = 0;
-            target->quickElsewhere = 0;
             target->waitingTokensElsewhere = 0;
         }
         for (const auto &load : loads) {
@@ -260,10 +259,11 @@
             if (found == m_forwarder->endpoints().all().end())
                 continue;
             found->second->runningElsewhere = load.running;
-            found->second->quickElsewhere = load.quick;
             found->second->waitingTokensElsewhere = load.waitingTokens;
-            forward::endpoint_table::noteLostElsewhere(*found->second, load.lost, now);
+            if (load.lost > 0)
+                lost[load.incarnation] = load.lost;
         }
+        m_forwarder->endpoints().noteLostElsewhere(lost, std::chrono::steady_clock::now());
         // The largest number seen, so that hosts out of the leader's sight keep their part.
         m_hosts = std::max(m_hosts, hosts);
         m_forwarder->retries().setSlackShare(1.0 / static_cast<double>(std::max(m_hosts, 1U)));
--- a/Libraries/LibForward/endpoint_table.cpp
+++ b/Libraries/LibForward/endpoint_table.cpp
@@ -25,6 +25,8 @@
 constexpr std::uint32_t lossWitnesses = 2;
 /// Ejection on the word of others, renewed while they tell it.
 constexpr std::chrono::milliseconds hintedEjection{600};
+/// Part of a service that is ejected on the word of others at most.
+constexpr double hintedMost = 0.4;
 /// An endpoint that this host heard within this time is not ejected on the word of others.
 constexpr std::chrono::milliseconds ownEvidence{500};
 
@@ -104,11 +106,22 @@
     target.ejectedUntil = now + length;
 }
 
-void endpoint_table::noteLostElsewhere(endpoint &target, std::uint32_t hosts, core::instant now)
+void endpoint_table::noteLostElsewhere(const std::map<std::string, std::uint32_t> &hosts,
+                                       core::instant now)
 {
-    if (hosts < lossWitnesses || now - target.lastHeard < ownEvidence)
-        return;
-    target.ejectedUntil = std::max(target.ejectedUntil, now + hintedEjection);
+    const auto isLost = [&](const endpoint_pointer &entry) {
+        const auto found = hosts.find(entry->listed.incarnation);
+        return found != hosts.end() && found->second >= lossWitnesses;
+    };
+    for (const auto &[service, endpoints] : m_services) {
+        const auto count = std::count_if(endpoints.begin(), endpoints.end(), isLost);
+        if (static_cast<double>(count) > hintedMost * static_cast<double>(endpoints.size()))
+            continue;
+        for (const auto &entry : endpoints) {
+            if (isLost(entry) && now - entry->lastHeard >= ownEvidence)
+                entry->ejectedUntil = std::max(entry->ejectedUntil, now + hintedEjection);
+        }
+    }
 }
 
 bool endpoint_table::tellsLost(const endpoint &target, core::instant now)
--- a/Libraries/LibForward/endpoint_table.h
+++ b/Libraries/LibForward/endpoint_table.h
@@ -49,10 +49,8 @@
     bool isGone = false; ///< Not in the newest list.
 
     std::uint32_t running = 0; ///< Attempts of this host in progress.
-    std::uint32_t quick = 0; ///< Of these, the ones with the tightest objective.
     std::uint64_t waitingTokens = 0; ///< Prompt tokens of this host that are not read yet.
     std::uint32_t runningElsewhere = 0; ///< Attempts of other hosts, as last reported.
-    std::uint32_t quickElsewhere = 0;
     std::uint64_t waitingTokensElsewhere = 0;
 
     double failureShare = 0; ///< Moving average, 0 to 1.
@@ -92,8 +90,9 @@
 
     void noteOutcome(endpoint &target, attempt_outcome outcome, core::instant now);
 
-    /// Other hosts lost this endpoint lately. A hint: what this host hears itself counts more.
-    static void noteLostElsewhere(endpoint &target, std::uint32_t hosts, core::instant now);
+    /// Takes over how many other hosts lost an incarnation lately. A hint: what this host hears
+    /// itself counts more, and where others lost much of a service, their own way may be cut.
+    void noteLostElsewhere(const std::map<std::string, std::uint32_t> &hosts, core::instant now);
 
     /// Whether this host should tell others that it lost the endpoint.
     static bool tellsLost(const endpoint &target, core::instant now);
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -316,9 +316,7 @@
     m_expectedWait = choice.expectedWait;
     m_unread = choice.unreadTokens;
     m_waitsForFirst = true;
-    m_isQuick = request.lane == engine_lane::Quick;
     ++m_endpoint->running;
-    m_endpoint->quick += m_isQuick ? 1 : 0;
     m_endpoint->waitingTokens += m_unread;
     m_endpoint->isProbing = m_endpoint->ejections > 0 && m_endpoint->ejectedUntil <= now;
     if (m_service->engine) {
@@ -634,7 +632,6 @@
     if (!target)
         return;
     --target->running;
-    target->quick -= m_isQuick ? 1 : 0;
     noteFirstByte(*target);
     const bool wasEjected = target->ejectedUntil > std::chrono::steady_clock::now();
     m_owner->endpoints().noteOutcome(*target, outcome, std::chrono::steady_clock::now());
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -95,7 +95,6 @@
     int m_sends = 0; ///< Attempts whose connection opened.
     int m_possibleRuns = 0; ///< Of these, those that may have run.
     bool m_holdsRetry = false; ///< Taken from the allowance and not used yet.
-    bool m_isQuick = false; ///< The attempt in progress counts as quick at its endpoint.
 
     http_head m_answer; ///< Of the attempt in progress.
     std::string m_answerBody;
--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -102,6 +102,16 @@
         + readingTime(static_cast<double>(unread), options.speed) + step * 2;
 }
 
+/// Time until a place is free at an endpoint; 0 if one is.
+std::chrono::microseconds placeWait(const endpoint &target, bool isEngine)
+{
+    const auto taken = target.running + target.runningElsewhere;
+    const auto slots = target.listed.slots;
+    if (slots == 0 || taken < slots)
+        return std::chrono::microseconds(0);
+    return (isEngine ? batchTime / slots : fullCost) * (taken + 1 - slots);
+}
+
 struct candidate
 {
     endpoint_table::endpoint_pointer target;
@@ -119,12 +129,8 @@
                                    [&](const auto &entry) { return entry.weight == homeWeight; });
     if (home == candidates.end())
         return false;
-    const auto &target = *home->target;
-    auto wait = engineWait(target, 0, options);
-    const auto taken = target.running + target.runningElsewhere;
-    if (target.listed.slots != 0 && taken >= target.listed.slots)
-        wait += batchTime / target.listed.slots * (taken + 1 - target.listed.slots);
-    return wait > request.objective;
+    return engineWait(*home->target, 0, options) + placeWait(*home->target, true)
+        > request.objective;
 }
 
 } // namespace
@@ -203,9 +209,7 @@
         auto cost = wait;
         if (request.affinity != 0 && entry.weight != best)
             cost += sharedTime * (entry.weight == second ? homeFactor : farFactor);
-        if (isFull)
-            cost += (request.size == nullptr ? fullCost : batchTime / target.listed.slots)
-                * (taken + 1 - target.listed.slots);
+        cost += placeWait(target, request.size != nullptr);
         if (target.ejectedUntil > now || target.isProbing)
             cost += ejectedCost;
         if (cost < bestCost) {
--- a/Libraries/LibPeer/load_exchange.cpp
+++ b/Libraries/LibPeer/load_exchange.cpp
@@ -9,7 +9,6 @@
 void addTo(endpoint_load &sum, const endpoint_load &load)
 {
     sum.running += load.running;
-    sum.quick += load.quick;
     sum.lost += load.lost;
     sum.waitingTokens += load.waitingTokens;
 }
@@ -17,12 +16,10 @@
 void subtractFrom(endpoint_load &sum, const endpoint_load &load)
 {
     sum.running -= load.running;
-    sum.quick -= load.quick;
     sum.lost -= load.lost;
     sum.waitingTokens -= load.waitingTokens;
 }
 
-/// Requests of a host are part of its running ones, so quick ones need not be looked at.
 bool isNothing(const endpoint_load &load)
 {
     return load.running == 0 && load.lost == 0 && load.waitingTokens == 0;
--- a/Libraries/LibPeer/message_fields.h
+++ b/Libraries/LibPeer/message_fields.h
@@ -60,7 +60,7 @@
 constexpr auto fieldsOf(std::type_identity<document_patch>)
 { return std::tuple(&document_patch::baseRevision, &document_patch::resultHash, &document_patch::steps); }
 constexpr auto fieldsOf(std::type_identity<endpoint_load>)
-{ return std::tuple(&endpoint_load::incarnation, &endpoint_load::running, &endpoint_load::quick, &endpoint_load::lost, &endpoint_load::waitingTokens); }
+{ return std::tuple(&endpoint_load::incarnation, &endpoint_load::running, &endpoint_load::lost, &endpoint_load::waitingTokens); }
 constexpr auto fieldsOf(std::type_identity<endpoint_entry>)
 { return std::tuple(&endpoint_entry::incarnation, &endpoint_entry::service, &endpoint_entry::ip, &endpoint_entry::port, &endpoint_entry::dataCentre, &endpoint_entry::slots, &endpoint_entry::isLeaving); }
 constexpr auto fieldsOf(std::type_identity<endpoint_changes>)
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -246,7 +246,6 @@
 {
     std::string incarnation; ///< Of the endpoint.
     std::uint32_t running = 0; ///< Requests in progress.
-    std::uint32_t quick = 0; ///< Of these, the ones with the tightest objective.
     /// Hosts that lately got no connection to this incarnation, or met another one at its address.
     std::uint32_t lost = 0;
     std::uint64_t waitingTokens = 0; ///< Prompt tokens of requests without a first byte.
--- a/Tests/Forward/test_placement.cpp
+++ b/Tests/Forward/test_placement.cpp
@@ -243,14 +243,19 @@
     EXPECT_FALSE(endpoint_table::tellsLost(target, start + std::chrono::seconds(2)));
 
     endpoint_table other;
-    other.update({{"i1", "s", {"10.0.0.1", 80}, "dc", 6, false}});
+    other.update({{"i1", "s", {"10.0.0.1", 80}, "dc", 6, false},
+                  {"i2", "s", {"10.0.0.2", 80}, "dc", 6, false},
+                  {"i3", "s", {"10.0.0.3", 80}, "dc", 6, false}});
     auto &hinted = *other.of("s").front();
-    endpoint_table::noteLostElsewhere(hinted, 1, start);
+    other.noteLostElsewhere({{"i1", 1}}, start);
     EXPECT_LE(hinted.ejectedUntil, start);
     hinted.lastHeard = start;
-    endpoint_table::noteLostElsewhere(hinted, 9, start + std::chrono::milliseconds(100));
+    other.noteLostElsewhere({{"i1", 9}}, start + std::chrono::milliseconds(100));
     EXPECT_LE(hinted.ejectedUntil, start);
-    endpoint_table::noteLostElsewhere(hinted, 2, start + std::chrono::seconds(1));
+    // Others that lost most of a service are cut off themselves.
+    other.noteLostElsewhere({{"i1", 2}, {"i2", 2}}, start + std::chrono::seconds(1));
+    EXPECT_LE(hinted.ejectedUntil, start);
+    other.noteLostElsewhere({{"i1", 2}}, start + std::chrono::seconds(1));
     EXPECT_GT(hinted.ejectedUntil, start + std::chrono::seconds(1));
 }
 
--- a/Tests/Peer/test_load_exchange.cpp
+++ b/Tests/Peer/test_load_exchange.cpp
@@ -25,20 +25,18 @@
         now += std::chrono::milliseconds(pause);
         const auto hostName = "h" + std::to_string(host);
         const auto endpointName = "i" + std::to_string(endpoint);
-        RC_ASSERT(exchange.record(
-            hostName, {{endpointName, running, running / 2, running % 2, running * 10U}}, now));
+        RC_ASSERT(
+            exchange.record(hostName, {{endpointName, running, running % 2, running * 10U}}, now));
         expected[hostName] = {{endpointName, {now, running}}};
         for (int asking = 0; asking < 5; ++asking) {
             const auto askingName = "h" + std::to_string(asking);
             std::map<std::string, std::uint32_t> sums;
-            std::map<std::string, std::uint32_t> quick;
             std::map<std::string, std::uint32_t> lost;
             for (const auto &[other, loads] : expected) {
                 for (const auto &[incarnation, load] : loads) {
                     if (other == askingName || now - load.at > load_exchange::memory)
                         continue;
                     sums[incarnation] += load.running;
-                    quick[incarnation] += load.running / 2;
                     lost[incarnation] += load.running % 2;
                 }
             }
@@ -47,7 +45,6 @@
             for (const auto &load : exchange.sumsWithout(askingName, now)) {
                 given[load.incarnation] = load.running;
                 RC_ASSERT(load.waitingTokens == load.running * 10U);
-                RC_ASSERT(load.quick == quick[load.incarnation]);
                 RC_ASSERT(load.lost == lost[load.incarnation]);
             }
             RC_ASSERT(given == sums);
