Tests: Remove unused state from the fault soak

Read as a newcomer: lists that nothing reads, an option that the usage named and nobody wrote, a port written twice.

--- a/Tests/Soak/callers.py
+++ b/Tests/Soak/callers.py
@@ -4,6 +4,7 @@
 import json
 import time
 
+from fleet import PORTS
 from stand_ins import EVENTS, body_of, event_of, read_head
 
 PROMISES = {"408", "421", "429", "503"}  # Not run, and never will be.
@@ -124,7 +125,7 @@
 
     async def ask(self, control, method, body=b""):
         """Status and body of a call; follows one redirection. None if there is no answer."""
-        host, port, path = control.ip, 8229, "/config"
+        host, port, path = control.ip, PORTS["control"], "/config"
         for _ in range(2):
             try:
                 reader, writer = await asyncio.wait_for(asyncio.open_connection(host, port), 1)
--- a/Tests/Soak/fault_soak.py
+++ b/Tests/Soak/fault_soak.py
@@ -3,7 +3,7 @@
 the operator and endpoints see. A seed fixes the schedule of faults; the machine decides the rest.
 
 Usage: Tests/Soak/fault_soak.py [--program FILE] [--seeds 1,2,5-9] [--seconds S] [--jobs N]
-                                [--entries N] [--keep FOLDER]
+                                [--entries N]
 """
 import argparse
 import asyncio
@@ -37,7 +37,6 @@
         self.problems = self.truth.problems
         self.operator = Operator(self.fleet.controls, self.problems)
         self.log = []
-        self.control_calm_at = 0.0
         self.endpoints = [Endpoint(f"desk-{index}", "desk", f"{prefix}.{index + 101}", 9000,
                                    self.truth) for index in range(3)]
         self.endpoints += [Endpoint(f"pool-{index}", "pool", f"{prefix}.{index + 111}", 9000,
@@ -46,7 +45,6 @@
                                for each in self.endpoints}
         self.entry_proxies = [Proxy(entry.ip, 9002, (entry.ip, PORTS["front"]))
                               for entry in self.fleet.entries]
-        self.stops = []  # (process, time of SIGTERM)
 
     def note(self, text):
         self.log.append(f"{time.monotonic() - self.begun:7.3f} {text}")
@@ -80,7 +78,7 @@
             count += 1
             request_id = f"{self.seed:x}-{count:x}"
             index = self.random.randrange(len(self.fleet.entries))
-            old = [key for key in self.operator.removed_keys]
+            old = list(self.operator.removed_keys)
             key = self.random.choice(old) if old and self.random.random() < 0.1 else \
                 self.random.choice(self.operator.keys)
             request = Request(request_id, self.random.choice(("order", "lookup", "stream", "once")),
@@ -158,8 +156,6 @@
         if process := self.victim(self.fleet.processes):
             process.trouble(GRACE_SECONDS + TROUBLE_SECONDS)
             self.note(f"terminate {process.name}")
-            process.stopping_since = time.monotonic()
-            self.stops.append((process, process.stopping_since))
             await process.signal(signal.SIGTERM)
             try:
                 code = await asyncio.wait_for(process.wait(False),
--- a/Tests/Soak/fleet.py
+++ b/Tests/Soak/fleet.py
@@ -21,7 +21,6 @@
         self.data_folder = self.folder / "data"
         self.child = None
         self.troubled_until = 0.0  # Rules with a time bound do not hold for it before this time.
-        self.stopping_since = None
         self.paused = False
         self.ends = []  # (exit code, whether the soak ended it)
 
@@ -56,7 +55,7 @@
             self.child = await asyncio.create_subprocess_exec(
                 str(self.fleet.program), "--config", str(self.folder / "node.toml"),
                 stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL)
-        self.stopping_since, self.paused = None, False
+        self.paused = False
 
     async def signal(self, number):
         if self.is_running():
