LibForward, LibPeer: Remove an unread flag, build the common part of a push once

Found by reading the whole change: placement_choice::isFull has no reader, and the push of a new configuration copied the membership and checked the lease anew for each host. Behaviour is unchanged.

--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -193,7 +193,6 @@
     for (const auto &entry : candidates) {
         const auto &target = *entry.target;
         const auto taken = target.running + target.runningElsewhere;
-        const bool isFull = target.listed.slots != 0 && taken >= target.listed.slots;
         std::uint64_t unread = 0;
         auto wait = distanceTo(target, options);
         if (request.size != nullptr) {
@@ -214,7 +213,7 @@
             cost += ejectedCost;
         if (cost < bestCost) {
             bestCost = cost;
-            choice = {entry.target, wait, unread, isFull};
+            choice = {entry.target, wait, unread};
         }
     }
     return choice;
--- a/Libraries/LibForward/placement.h
+++ b/Libraries/LibForward/placement.h
@@ -61,7 +61,6 @@
     endpoint_table::endpoint_pointer chosen; ///< Null if no endpoint can be used.
     std::chrono::microseconds expectedWait{0}; ///< Predicted time to the first token.
     std::uint64_t unreadTokens = 0; ///< Prompt tokens that are not expected in its cache.
-    bool isFull = false; ///< All of its places are taken as far as is known.
 };
 
 /// Chooses the endpoint with the lowest predicted time to the first token: prompts that wait there,
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -699,8 +699,9 @@
     const auto now = currentTime();
     const auto hosts = m_loads.hosts(now);
     m_distributor.retain(hosts);
+    const auto common = leaseAnswer();
     for (const auto &host : hosts) {
-        auto answer = leaseAnswer();
+        auto answer = common;
         // What cannot be sent is sent again when the host asks.
         if (m_distributor.push(answer, host, now))
             (void)m_network->send(host, answer);
