LibPeer: Pass a request to join on to the leader

A host that does not lead dropped the request, so a host whose seeds did not name the leader never became a voter again, and the next lost disk took the majority. Raft messages of the leader do not help: they go to the earlier member id.

A follower now passes the request on once, with the name of the host; the leader takes a request that was passed on from members only.

Ruled out: a leader that reaches the host by itself (it connects, but the new member id is known to nobody), and a longer wait (60 s in the test).

Before: configuration_fleet.WipedHostFindsTheLeaderThroughAFollower fails after 60 s.

--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -180,7 +180,9 @@
 
     voter_census countVoters(core::instant now);
     void removeLostVoter();
-    void handleJoin(const std::string &host, const join &request);
+    void handleJoin(const std::string &sender, const join &request);
+    void takeIn(const std::string &host, consensus::member_id id);
+    bool isControlPeer(const std::string &host) const;
     void proposeChange(consensus::membership_change change);
     void askToJoin();
     void proposeSeed();
@@ -566,29 +568,53 @@
     (void)m_network->send(host, m_shares->handle(request, now));
 }
 
-void control_service::implementation::handleJoin(const std::string &host, const join &request)
+void control_service::implementation::handleJoin(const std::string &sender, const join &request)
 {
+    if (request.memberId == 0 || !isControlPeer(sender))
+        return;
     const auto current = status();
-    if (current.role != consensus::raft_role::Leader || request.memberId == 0)
+    const bool isPassedOn = !request.host.empty();
+    if (current.role != consensus::raft_role::Leader) {
+        // A host with an empty disk knows its seeds only, and none of them need lead.
+        const auto leader = current.leader == 0 ? std::string() : hostOf(current.leader);
+        if (!isPassedOn && !leader.empty() && leader != sender)
+            (void)m_network->send(leader, join{request.memberId, sender});
         return;
-    const auto *peer = m_network->findPeer(host);
-    // Hosts that are named by their address need not be in the settings.
-    if (peer == nullptr || (!peer->control && m_network->options().commonPort == 0))
+    }
+    if (!isPassedOn) {
+        takeIn(sender, request.memberId);
         return;
-    const auto *joining = current.members.find(request.memberId);
+    }
+    const bool isMember = std::ranges::any_of(
+        current.members.members, [&](const auto &member) { return member.name == sender; });
+    if (isMember && isControlPeer(request.host))
+        takeIn(request.host, request.memberId);
+}
+
+/// Hosts that are named by their address need not be in the settings.
+bool control_service::implementation::isControlPeer(const std::string &host) const
+{
+    const auto *peer = m_network->findPeer(host);
+    return peer != nullptr && (peer->control || m_network->options().commonPort != 0);
+}
+
+/// Moves a host one step towards a vote; the host asks again until it has one.
+void control_service::implementation::takeIn(const std::string &host, consensus::member_id id)
+{
+    const auto current = status();
+    const auto *joining = current.members.find(id);
     if (joining == nullptr) {
-        proposeChange({consensus::membership_change_kind::AddLearner, request.memberId, host, 0});
+        proposeChange({consensus::membership_change_kind::AddLearner, id, host, 0});
         return;
     }
     if (joining->role == consensus::member_role::Voter)
         return;
     for (const auto &member : current.members.members) {
-        if (member.name != host || member.id == request.memberId)
+        if (member.name != host || member.id == id)
             continue;
         // The host's folder was emptied: its earlier id can never answer again.
         if (member.role == consensus::member_role::Voter)
-            proposeChange(
-                {consensus::membership_change_kind::ReplaceVoter, request.memberId, {}, member.id});
+            proposeChange({consensus::membership_change_kind::ReplaceVoter, id, {}, member.id});
         else
             proposeChange({consensus::membership_change_kind::RemoveMember, member.id, {}, 0});
         return;
@@ -596,10 +622,9 @@
     // A new voter beside a lost one would only raise the majority.
     const auto census = m_options.minimumVoters == 0 ? voter_census{} : countVoters(currentTime());
     if (census.lost)
-        proposeChange(
-            {consensus::membership_change_kind::ReplaceVoter, request.memberId, {}, *census.lost});
+        proposeChange({consensus::membership_change_kind::ReplaceVoter, id, {}, *census.lost});
     else
-        proposeChange({consensus::membership_change_kind::PromoteLearner, request.memberId, {}, 0});
+        proposeChange({consensus::membership_change_kind::PromoteLearner, id, {}, 0});
 }
 
 void control_service::implementation::proposeChange(consensus::membership_change change)
@@ -623,11 +648,11 @@
         return;
     for (const auto &member : current.members.members) {
         if (member.name != m_network->host())
-            (void)m_network->send(member.name, join{m_store.identity().self});
+            (void)m_network->send(member.name, join{m_store.identity().self, {}});
     }
     for (const auto &peer : m_network->options().peers) {
         if (peer.control)
-            (void)m_network->send(peer.name, join{m_store.identity().self});
+            (void)m_network->send(peer.name, join{m_store.identity().self, {}});
     }
 }
 
--- a/Libraries/LibPeer/message_fields.h
+++ b/Libraries/LibPeer/message_fields.h
@@ -70,7 +70,7 @@
 constexpr auto fieldsOf(std::type_identity<lease_answer>)
 { return std::tuple(&lease_answer::sequence, &lease_answer::confirmed, &lease_answer::revision, &lease_answer::hasDocument, &lease_answer::configuration, &lease_answer::patch, &lease_answer::leader, &lease_answer::controlHosts, &lease_answer::hosts, &lease_answer::loads, &lease_answer::endpoints); }
 constexpr auto fieldsOf(std::type_identity<join>)
-{ return std::tuple(&join::memberId); }
+{ return std::tuple(&join::memberId, &join::host); }
 // clang-format on
 
 template <typename Message>
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -189,11 +189,11 @@
     bool operator==(const status_report &) const = default;
 };
 
-/// Asks the leader to take the sender's member id in as a learner, in place of earlier ids of the
-/// same host.
+/// Asks the leader to take a member id in as a learner, in place of earlier ids of the same host.
 struct join
 {
     std::uint64_t memberId = 0;
+    std::string host; ///< Set by a follower that passes the request on; empty: the sender.
 
     bool operator==(const join &) const = default;
 };
--- a/Tests/Peer/addressed_fleet.h
+++ b/Tests/Peer/addressed_fleet.h
@@ -59,9 +59,16 @@
     }
 
     void startControl(const std::string &ip, bool firstStart)
+    {
+        startControl(ip, firstStart, seeds);
+    }
+
+    /// A control host whose settings name other seeds than those of the fleet.
+    void startControl(const std::string &ip, bool firstStart,
+                      const std::vector<std::string> &ownSeeds)
     {
         auto &host = controls[ip];
-        host.network = startNetwork(ip, host.counters, true);
+        host.network = startNetwork(ip, host.counters, true, ownSeeds);
         host.feed = std::make_shared<configuration_feed>();
         host.publisher = configuration_publisher::create(host.network, host.feed);
         control_service_options options;
@@ -100,7 +107,7 @@
     void startEntry(const std::string &ip)
     {
         auto &host = entries[ip];
-        host.network = startNetwork(ip, host.counters, false);
+        host.network = startNetwork(ip, host.counters, false, seeds);
         configuration_lease::handlers handlers;
         handlers.changed = [&host](const state::configuration &newest) {
             host.versions.push_back(std::stoull(newest.document));
@@ -171,7 +178,8 @@
 
 private:
     std::shared_ptr<peer_network> startNetwork(const std::string &ip,
-                                               core::counter_registry &counters, bool control)
+                                               core::counter_registry &counters, bool control,
+                                               const std::vector<std::string> &peers)
     {
         if (m_port == 0) {
             asio::ip::tcp::acceptor probe(context, {asio::ip::make_address("127.0.1.1"), 0});
@@ -182,7 +190,7 @@
         options.control = control;
         options.address = {ip, m_port};
         options.commonPort = m_port;
-        for (const auto &seed : seeds) {
+        for (const auto &seed : peers) {
             if (seed != ip)
                 options.peers.push_back({seed, {}, {seed, m_port}, true});
         }
--- a/Tests/Peer/test_configuration_lease.cpp
+++ b/Tests/Peer/test_configuration_lease.cpp
@@ -96,6 +96,47 @@
     EXPECT_EQ(newestVersion(), 4U);
 }
 
+/// Guards against a host that stays out after it lost its disk because none of its seeds leads: the
+/// next lost disk then takes the majority (seen with Tests/Soak/fault_soak.py --seeds 13).
+TEST_F(configuration_fleet, WipedHostFindsTheLeaderThroughAFollower)
+{
+    EXPECT_EQ(write(4), write_outcome::Accepted);
+    const auto leading = waitForLeader();
+    std::vector<std::string> followers;
+    std::copy_if(seeds.begin(), seeds.end(), std::back_inserter(followers),
+                 [&](const std::string &seed) { return seed != leading; });
+    stopControl(followers[0]);
+    wipe(followers[0]);
+    startControl(followers[0], false, followers);
+    EXPECT_TRUE(until([&] { return controls.at(followers[0]).service->isVoter(); }));
+    ASSERT_TRUE(until([this] { return votersAre(seeds); }));
+    EXPECT_EQ(leader(), leading);
+    stopControl(followers[1]);
+    EXPECT_EQ(newestVersion(), 4U);
+}
+
+/// Guards against a request to join that counts when a host which is no member passes it on.
+TEST_F(configuration_fleet, OnlyMembersPassARequestToJoinOn)
+{
+    EXPECT_EQ(write(4), write_outcome::Accepted);
+    const auto at = waitForLeader();
+    std::vector<std::string> members;
+    entry().network->addReceiver([&](const std::string &, const message &content) {
+        if (const auto *answer = std::get_if<lease_answer>(&content))
+            members = answer->controlHosts;
+    });
+    const auto passOn = [this, &at](const std::shared_ptr<peer_network> &network) {
+        return until([&] { return network->send(at, join{77, "127.0.1.9"}).hasValue(); });
+    };
+    ASSERT_TRUE(passOn(entry().network));
+    runFor(context, std::chrono::milliseconds(700));
+    EXPECT_EQ(members.size(), 3U);
+    const auto follower = std::find_if(controls.begin(), controls.end(),
+                                       [&](const auto &control) { return control.first != at; });
+    ASSERT_TRUE(passOn(follower->second.network));
+    EXPECT_TRUE(until([&] { return members.size() == 4; }));
+}
+
 /// Guards against a replacement at a new address that does not become a voter, or that nobody
 /// finds.
 TEST_F(configuration_fleet, HostAtANewAddressReplacesALostOne)
--- a/Tests/Peer/test_frames.cpp
+++ b/Tests/Peer/test_frames.cpp
@@ -45,7 +45,7 @@
     result.order = {state::order_state::Undone, true};
     const peer::status_report report{{{arbitraryBytes(), 1, 2, 3}, {"b", 4, 5, 6}}};
     return *rc::gen::element<peer::message>(
-        gossip, update, result, report, peer::status_request{}, peer::join{7},
+        gossip, update, result, report, peer::status_request{}, peer::join{7, "10.0.0.7"},
         peer::hello{"c", "h", "e", 5, arbitraryBytes()}, peer::propose{1, true, arbitraryBytes()});
 }
 
--- a/Tests/Peer/test_network.cpp
+++ b/Tests/Peer/test_network.cpp
@@ -100,7 +100,7 @@
         EXPECT_EQ(received["b"][revision - 1].second,
                   peer::message(peer::subscribe{revision, true}));
     }
-    ASSERT_TRUE(b->send("a", peer::join{7}));
+    ASSERT_TRUE(b->send("a", peer::join{7, {}}));
     EXPECT_TRUE(runUntil(context, [&] { return received["a"].size() == 1; }));
 }
 
@@ -112,7 +112,7 @@
     update.configuration.document.assign(3'000'000, 'x');
     update.configuration.document[1'234'567] = 'y';
     ASSERT_TRUE(a->send("b", update));
-    ASSERT_TRUE(a->send("b", peer::join{1}));
+    ASSERT_TRUE(a->send("b", peer::join{1, {}}));
     ASSERT_TRUE(runUntil(context, [&] { return received["b"].size() == 2; }));
     EXPECT_TRUE(received["b"][0].second == peer::message(update));
 
@@ -124,7 +124,7 @@
 TEST_F(two_hosts, SendQueueIsBounded)
 {
     start(oneKey, oneKey);
-    ASSERT_TRUE(a->send("b", peer::join{1}));
+    ASSERT_TRUE(a->send("b", peer::join{1, {}}));
     ASSERT_TRUE(runUntil(context, [&] { return connected(); }));
     link->setCut(relay::direction::Forward, true);
     const peer::propose large{1, false, std::string(200'000, 'x')};
@@ -169,7 +169,7 @@
     const auto before = opened();
     link->silenceOpenConnections();
     ASSERT_TRUE(runUntil(context, [&] { return opened() >= before + 2 && connected(); }));
-    ASSERT_TRUE(a->send("b", peer::join{5}));
+    ASSERT_TRUE(a->send("b", peer::join{5, {}}));
     EXPECT_TRUE(runUntil(context, [&] { return !received["b"].empty(); }));
 }
 
@@ -204,7 +204,7 @@
 TEST_F(two_hosts, HostsWithDifferentFirstKeysUnderstandEachOther)
 {
     start({"key number two, 16+ bytes", oneKey[0]}, {oneKey[0], "key number two, 16+ bytes"});
-    ASSERT_TRUE(a->send("b", peer::join{1}));
+    ASSERT_TRUE(a->send("b", peer::join{1, {}}));
     EXPECT_TRUE(runUntil(context, [&] { return !received["b"].empty(); }));
 }
 
@@ -213,10 +213,10 @@
 {
     idleTime = milliseconds(100);
     start(oneKey, oneKey);
-    ASSERT_TRUE(a->send("b", peer::join{1}));
+    ASSERT_TRUE(a->send("b", peer::join{1, {}}));
     ASSERT_TRUE(runUntil(context, [&] { return !received["b"].empty(); }));
     ASSERT_TRUE(runUntil(context, [&] { return !connected(); }));
-    ASSERT_TRUE(a->send("b", peer::join{2}));
+    ASSERT_TRUE(a->send("b", peer::join{2, {}}));
     EXPECT_TRUE(runUntil(context, [&] { return received["b"].size() == 2; }));
 }
 
@@ -243,6 +243,6 @@
         });
     }
     EXPECT_TRUE(runUntil(context, [&] { return closed == inputs.size(); }));
-    ASSERT_TRUE(a->send("b", peer::join{1}));
+    ASSERT_TRUE(a->send("b", peer::join{1, {}}));
     EXPECT_TRUE(runUntil(context, [&] { return !received["b"].empty(); }));
 }
