LibExperiment, Tests: Count computed prefill, test the region target where it applies

Two policy targets measured something else than what they state.

Waste: a request that ran again counted its whole prompt as repeated work, also the blocks that the engine still had in its cache, while the total it is compared with counts computed tokens only.

Bytes between regions: the target holds "while local capacity suffices".

--- a/Libraries/LibExperiment/arrivals.cpp
+++ b/Libraries/LibExperiment/arrivals.cpp
@@ -201,10 +201,18 @@
         return made;
     }
 
-    /// Callers have a region of their own; the balancer spreads their requests over its hosts.
+    std::uint32_t pickRegion(std::uint32_t caller)
+    {
+        const auto count = static_cast<std::uint32_t>(m_document.regions.size());
+        if (m_conditions.evenRegions)
+            return std::uniform_int_distribution<std::uint32_t>(0, count - 1)(m_random);
+        return caller % count;
+    }
+
+    /// The balancer of a region spreads requests over its hosts.
     std::uint32_t pickHost(std::uint32_t caller)
     {
-        const auto region = caller % static_cast<std::uint32_t>(m_document.regions.size());
+        const auto region = pickRegion(caller);
         std::vector<std::uint32_t> candidates;
         for (std::uint32_t host = 0; host < m_document.hosts.size(); ++host) {
             if (m_document.dataCentres[m_document.hosts[host].dataCentre].region == region)
--- a/Libraries/LibExperiment/scenario.cpp
+++ b/Libraries/LibExperiment/scenario.cpp
@@ -12,6 +12,7 @@
 {
     std::vector<scenario> all;
     all.push_back({.name = "steady"});
+    all.push_back({.name = "even-regions", .evenRegions = true});
     all.push_back({.name = "burst",
                    .burstClass = "lowest",
                    .burstFactor = 5,
--- a/Libraries/LibExperiment/scenario.h
+++ b/Libraries/LibExperiment/scenario.h
@@ -30,6 +30,7 @@
     double cacheEventLoss = 0;
     bool cutDataCentre = false; ///< The first data centre is cut off for the middle third.
     bool drainHalf = false; ///< Half of the engines leave one after another.
+    bool evenRegions = false; ///< Callers are spread over all regions, not tied to one each.
     double largeCallerFactor = 1; ///< Multiplies the load of the first caller.
     std::chrono::milliseconds patience{0}; ///< Callers give up and send again; 0 for never.
 };
--- a/Libraries/LibFakes/engine_model.h
+++ b/Libraries/LibFakes/engine_model.h
@@ -43,6 +43,7 @@
     std::uint32_t outputTokens = 0; ///< Length that the model will really generate.
     std::uint32_t priority = 0; ///< Lower is more urgent.
     std::uint32_t resumeFrom = 0; ///< Tokens that the caller already has.
+    bool isRepeated = false; ///< An earlier attempt reached an engine.
 };
 
 enum class engine_event_kind {
--- a/Tests/Fakes/test_engine_model.cpp
+++ b/Tests/Fakes/test_engine_model.cpp
@@ -79,6 +79,30 @@
     EXPECT_EQ(engine.totals().cachedPromptTokens, 320U);
 }
 
+// Guards against a count of repeated work that takes cached blocks for computed ones, or that
+// misses what another engine computes again.
+TEST(EngineModel, RepeatedPrefillIsWhatIsComputedAgain)
+{
+    fakes::engine_model engine(smallEngine(), start);
+    ASSERT_TRUE(engine.submit(request(1, 16, 4), start));
+    engine.advance(start + 1min);
+    EXPECT_EQ(engine.totals().repeatedPrefillTokens, 0U);
+    const auto computed = engine.totals().prefilledTokens;
+
+    auto again = request(1, 16, 4);
+    again.id = 2;
+    again.isRepeated = true;
+    ASSERT_TRUE(engine.submit(again, start + 1min));
+    engine.advance(start + 2min);
+    EXPECT_EQ(engine.totals().repeatedPrefillTokens, engine.totals().prefilledTokens - computed);
+    EXPECT_LT(engine.totals().repeatedPrefillTokens, again.promptTokens / 4);
+
+    fakes::engine_model other(smallEngine(), start);
+    ASSERT_TRUE(other.submit(again, start));
+    other.advance(start + 1min);
+    EXPECT_EQ(other.totals().repeatedPrefillTokens, again.promptTokens);
+}
+
 // Guards against urgent work that waits behind less urgent work which arrived earlier.
 TEST(EngineModel, MoreUrgentRequestsStartFirst)
 {
