LibForward: Keep connections as announced, prefer endpoints with an open one

Idle connections were given up after 4 s although endpoints announce more, and placement did not know which endpoints had one.

An announced time counts now up to 60 s; without one the 4 s stay. A candidate without an open connection costs the round trip and 5 ms more.

--- a/Libraries/LibForward/endpoint_table.h
+++ b/Libraries/LibForward/endpoint_table.h
@@ -63,6 +63,9 @@
 
     /// When a part was last sent here.
     std::unordered_map<std::uint64_t, core::instant> parts;
+
+    /// Connections with the same key may be used for each other.
+    std::string connectionKey() const { return listed.address.text() + ' ' + listed.incarnation; }
 };
 
 /// How an attempt at an endpoint ended.
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -306,6 +306,9 @@
     request.affinity = m_service->engine ? m_affinity : 0;
     request.objective = m_route->latencyObjective;
     request.excluded = m_tried;
+    request.isConnected = [this, now](const endpoint &target) {
+        return m_owner->pool()->hasIdle(target.connectionKey(), now);
+    };
     const auto choice = place(m_owner->endpoints(), request, m_owner->options().placement, now);
     if (!choice.chosen) {
         giveUp("no_endpoint", m_possibleRuns > 0);
@@ -325,7 +328,7 @@
     }
     attempt::request content;
     content.address = m_endpoint->listed.address;
-    content.key = content.address.text() + ' ' + m_endpoint->listed.incarnation;
+    content.key = m_endpoint->connectionKey();
     content.text = requestText(*m_endpoint, left);
     content.identifier = m_id;
     content.identifierHeader = m_owner->options().names.requestId;
--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -34,6 +34,9 @@
 /// Work of a request at a plain service, for the wait behind others. Source: the users' sheets.
 constexpr std::chrono::microseconds plainWork{40'000};
 
+/// Opening a connection takes a round trip and a place at the endpoint for a moment.
+constexpr std::chrono::microseconds openingCost{5'000};
+
 std::chrono::microseconds distanceTo(const endpoint &target, const placement_options &options)
 {
     if (target.listed.dataCentre == options.dataCentre)
@@ -209,6 +212,8 @@
         if (request.affinity != 0 && entry.weight != best)
             cost += sharedTime * (entry.weight == second ? homeFactor : farFactor);
         cost += placeWait(target, request.size != nullptr);
+        if (request.isConnected && !request.isConnected(target))
+            cost += distanceTo(target, options) + openingCost;
         if (target.ejectedUntil > now || target.isProbing)
             cost += ejectedCost;
         if (cost < bestCost) {
--- a/Libraries/LibForward/placement.h
+++ b/Libraries/LibForward/placement.h
@@ -5,6 +5,7 @@
 #include "LibForward/endpoint_table.h"
 
 #include <chrono>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,7 @@
     std::chrono::milliseconds objective{0}; ///< 0 for none.
     std::uint64_t affinity = 0; ///< Hash of the shared prefix; 0 for none.
     std::vector<endpoint_table::endpoint_pointer> excluded; ///< Tried before.
+    std::function<bool(const endpoint &)> isConnected; ///< Whether a connection is open and idle.
 };
 
 struct placement_choice
--- a/Libraries/LibForward/upstream.cpp
+++ b/Libraries/LibForward/upstream.cpp
@@ -39,18 +39,20 @@
 }
 
 /// Idle time that the peer announces, with a margin for its clock and the way.
-std::chrono::milliseconds announcedIdleTime(const http_head &head, std::chrono::milliseconds most)
+std::chrono::milliseconds announcedIdleTime(const http_head &head, const upstream_options &options)
 {
     constexpr std::chrono::milliseconds margin{700};
     const auto value = head.value("Keep-Alive");
     const auto place = value.find("timeout=");
     if (place == std::string_view::npos)
-        return most;
+        return options.idleTime;
     const auto text = value.substr(place + 8);
     const auto seconds = parseNumber(text.substr(0, text.find_first_not_of("0123456789")));
     if (!seconds)
-        return most;
-    return std::min(most, std::chrono::milliseconds(std::chrono::seconds(*seconds)) - margin);
+        return options.idleTime;
+    return std::min<std::chrono::milliseconds>(options.longestIdleTime,
+                                               std::chrono::seconds(*seconds))
+        - margin;
 }
 
 } // namespace
@@ -74,6 +76,16 @@
     return nullptr;
 }
 
+bool connection_pool::hasIdle(const std::string &key, core::instant now) const
+{
+    const auto found = m_idle.find(key);
+    return found != m_idle.end()
+        && std::any_of(found->second.begin(), found->second.end(), [&](const auto &connection) {
+               return connection->socket.is_open()
+                   && now - connection->idleSince <= connection->idleTime;
+           });
+}
+
 void connection_pool::giveBack(const connection_pointer &connection,
                                std::chrono::milliseconds idleTime)
 {
@@ -241,7 +253,7 @@
             const int status = m_reader.head().status;
             if (status / 100 != 1) {
                 // Before the handler, which may take the headers away.
-                m_idleTime = announcedIdleTime(m_reader.head(), m_pool->options().idleTime);
+                m_idleTime = announcedIdleTime(m_reader.head(), m_pool->options());
                 const auto identifier = m_reader.head().value(m_request.identifierHeader);
                 m_foreign = !identifier.empty() && identifier != m_request.identifier;
                 m_headPassed = true;
--- a/Libraries/LibForward/upstream.h
+++ b/Libraries/LibForward/upstream.h
@@ -21,8 +21,10 @@
 {
     /// For a new connection; a lost first packet is sent again after a second.
     std::chrono::milliseconds connectTimeout{600};
-    /// Idle connections older than this are not used again; below the timeouts of the endpoints.
+    /// Idle connections older than this are not used again, if the endpoint announces no time.
     std::chrono::milliseconds idleTime{4000};
+    /// Upper bound of an announced time, so that connections to unused endpoints end.
+    std::chrono::milliseconds longestIdleTime{60'000};
     /// Bytes that stay unacknowledged for this long mean that the peer is gone.
     std::chrono::milliseconds silenceTimeout{2000};
     std::size_t idlePerEndpoint = 32;
@@ -54,6 +56,7 @@
 
     /// The connection that was used last, or a null pointer.
     connection_pointer take(const std::string &key);
+    bool hasIdle(const std::string &key, core::instant now) const;
     void giveBack(const connection_pointer &connection, std::chrono::milliseconds idleTime);
     void closeIdle(core::instant now);
     void closeAll();
--- a/Tests/Forward/forwarder_fixture.h
+++ b/Tests/Forward/forwarder_fixture.h
@@ -73,6 +73,7 @@
         options.names.reserved = {"X-Reserved"};
         options.retries.slack = 100;
         options.retries.slackShare = 1;
+        options.upstream = m_upstream;
         m_forwarder = std::make_shared<forwarder>(m_context, m_counters, m_log, options, [this] {
             return std::chrono::milliseconds(m_leaseAge.load());
         });
@@ -169,6 +170,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> m_work{m_context.get_executor()};
     core::counter_registry m_counters;
     event_log m_log;
+    upstream_options m_upstream;
     std::atomic<int> m_leaseAge{0};
     std::shared_ptr<forwarder> m_forwarder;
     std::array<scripted_listener, 2> m_endpoints;
--- a/Tests/Forward/test_forwarding.cpp
+++ b/Tests/Forward/test_forwarding.cpp
@@ -57,6 +57,35 @@
     EXPECT_FALSE(anyConnection(std::chrono::milliseconds(0)));
 }
 
+class short_idle_test : public forwarder_test
+{
+protected:
+    static constexpr std::chrono::milliseconds idleTime{200};
+
+    short_idle_test() { m_upstream.idleTime = idleTime; }
+};
+
+/// Guards against connections that are opened anew although the endpoint keeps them for longer, and
+/// against the use of one that it may have closed.
+TEST_F(short_idle_test, KeepsAConnectionAsLongAsAnnounced)
+{
+    setEndpoints({"one"});
+    auto caller = call("GET", "/read/a");
+    auto endpoint = m_endpoints[0].accept();
+    endpoint.readMessage();
+    auto answer = signedAnswer("first");
+    endpoint.send(answer.insert(answer.find("Content-Length"), "Keep-Alive: timeout=30\r\n"));
+    caller.readMessage();
+    std::this_thread::sleep_for(2 * idleTime);
+    caller.send(request("GET", "/read/b"));
+    EXPECT_TRUE(endpoint.readMessage().starts_with("GET /read/b"));
+    endpoint.send(signedAnswer("second"));
+    caller.readMessage();
+    std::this_thread::sleep_for(2 * idleTime);
+    caller.send(request("GET", "/read/c"));
+    EXPECT_TRUE(m_endpoints[0].accept().readMessage().starts_with("GET /read/c"));
+}
+
 /// Guards against an answer to an earlier request that reaches the next caller.
 TEST_F(forwarder_test, SkipsAnAnswerToAnotherRequest)
 {
--- a/Tests/Forward/test_placement.cpp
+++ b/Tests/Forward/test_placement.cpp
@@ -1,5 +1,7 @@
 #include "LibForward/placement.h"
 
+#include <algorithm>
+#include <deque>
 #include <random>
 
 #include <gtest/gtest.h>
@@ -161,6 +163,49 @@
     EXPECT_EQ(second, fleet.choose(longPrompt(77, 3), engine_lane::Long).chosen);
 }
 
+/// Load pattern: few requests from each of many hosts over many equal engines. Guards against a
+/// connection that is opened for nearly every request, and against one that draws work to a busy
+/// engine.
+TEST(placement, OpenConnectionsAreUsedAgain)
+{
+    engine_fleet fleet(12);
+    const auto &engines = fleet.table.of("engines");
+    const generation_size question{{{7, 100}}, 100, 300, 150};
+    placement_request request;
+    request.target = &fleet.target;
+    request.size = &question;
+    const auto countOpened = [&](bool looks) {
+        std::mt19937 random(1);
+        std::deque<const endpoint *> connected;
+        const auto isConnected = [&connected](const endpoint &target) {
+            return std::ranges::find(connected, &target) != connected.end();
+        };
+        request.isConnected = nullptr;
+        if (looks)
+            request.isConnected = isConnected;
+        int opened = 0;
+        for (int turn = 0; turn < 100; ++turn) {
+            for (const auto &entry : engines)
+                entry->runningElsewhere = random() % 8;
+            const auto *chosen = place(fleet.table, request, fleet.options, start).chosen.get();
+            if (isConnected(*chosen))
+                continue;
+            ++opened;
+            connected.push_back(chosen);
+            // Endpoints close what rests for long.
+            if (connected.size() > 3)
+                connected.pop_front();
+        }
+        return opened;
+    };
+    EXPECT_LT(countOpened(true) * 2, countOpened(false));
+
+    const auto &busy = engines.front();
+    busy->waitingTokensElsewhere = 3'000;
+    request.isConnected = [&busy](const endpoint &target) { return &target == busy.get(); };
+    EXPECT_NE(place(fleet.table, request, fleet.options, start).chosen, busy);
+}
+
 /// Guards against work for endpoints that leave, are gone, or were tried before, and against none
 /// at all when every endpoint was ejected.
 TEST(placement, UsesOnlyEndpointsThatTakeWork)
