LibPeer: Send the list of endpoints compressed and once, ask for leases less often in large fleets

The leader answers each lease request of a host that has no list with the whole list, four times a second, until the first one has arrived: 3,000 endpoints are about 150 KB, for 300 hosts at once. Leases themselves grow with hosts times endpoints.

Three new pure parts with tests: packed_list, list_deliveries, configuration_lease_options::intervalFor.

--- a/Libraries/LibPeer/configuration_lease.cpp
+++ b/Libraries/LibPeer/configuration_lease.cpp
@@ -21,6 +21,11 @@
 
 } // namespace
 
+std::chrono::milliseconds configuration_lease_options::intervalFor(std::uint32_t hosts) const
+{
+    return std::clamp(interval * hosts / hostsAtInterval, interval, longestInterval);
+}
+
 configuration_lease::configuration_lease(std::shared_ptr<peer_network> network,
                                          std::vector<std::string> seeds,
                                          configuration_lease_options options, handlers handlers)
@@ -76,7 +81,7 @@
 
 void configuration_lease::startTimer()
 {
-    m_timer.expires_after(m_options.interval);
+    m_timer.expires_after(interval());
     m_timer.async_wait([self = shared_from_this()](std::error_code error) {
         if (error || self->m_stopped)
             return;
@@ -85,10 +90,16 @@
     });
 }
 
+/// Two answers may be lost before others are asked, whatever the interval.
+std::chrono::milliseconds configuration_lease::searchAfter() const
+{
+    return m_options.searchAfter + 2 * (interval() - m_options.interval);
+}
+
 void configuration_lease::ask()
 {
     const auto now = core::suspendAwareNow();
-    const bool searching = age() > m_options.searchAfter;
+    const bool searching = age() > searchAfter();
     if (m_wasConfirmed && searching) {
         m_wasConfirmed = false;
         if (m_handlers.confirmed)
@@ -123,13 +134,14 @@
         return;
     if (answer.hasDocument && answer.configuration.revision > m_revision)
         takeConfiguration(answer);
-    const bool searching = age() > m_options.searchAfter;
+    const bool searching = age() > searchAfter();
     if (!answer.confirmed) {
         if (searching && !answer.leader.empty())
             m_leader = answer.leader;
         return;
     }
     m_leader = host;
+    m_hosts = answer.hosts;
     if (!answer.controlHosts.empty())
         m_controlHosts = {answer.controlHosts.begin(), answer.controlHosts.end()};
     const auto asked = m_asked.find(answer.sequence);
--- a/Libraries/LibPeer/configuration_lease.h
+++ b/Libraries/LibPeer/configuration_lease.h
@@ -19,8 +19,14 @@
 
 struct configuration_lease_options
 {
-    /// Between two requests to the leader.
+    /// Between two requests to the leader, in a fleet of up to `hostsAtInterval` hosts; in a larger
+    /// one each host asks less often, so that the leader answers as many requests.
     std::chrono::milliseconds interval{250};
+    std::uint32_t hostsAtInterval = 100;
+    /// Upper bound of the interval. Keys have to be taken away within 5 s (the users' sheets).
+    std::chrono::milliseconds longestInterval{1000};
+
+    std::chrono::milliseconds intervalFor(std::uint32_t hosts) const;
     /// Without an answer for this long, all known control hosts are asked.
     std::chrono::milliseconds searchAfter{600};
 };
@@ -67,6 +73,8 @@
                         configuration_lease_options options, handlers handlers);
 
     void startTimer();
+    std::chrono::milliseconds interval() const { return m_options.intervalFor(m_hosts); }
+    std::chrono::milliseconds searchAfter() const;
     void ask();
     void receive(const std::string &host, const lease_answer &answer);
     void takeConfiguration(const lease_answer &answer);
@@ -78,6 +86,7 @@
     asio::steady_timer m_timer;
     std::set<std::string> m_controlHosts; ///< As last told by a leader.
     std::string m_leader;
+    std::uint32_t m_hosts = 0; ///< Of the fleet, as last told by a leader.
     std::uint64_t m_revision = 0;
     std::string m_document; ///< Of the revision; patches start from it.
     bool m_needsWhole = false; ///< A patch did not fit.
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -8,6 +8,7 @@
 #include "LibPeer/configuration_feed.h"
 #include "LibPeer/configuration_publisher.h"
 #include "LibPeer/endpoint_catalogue.h"
+#include "LibPeer/list_deliveries.h"
 #include "LibPeer/load_exchange.h"
 #include "LibPeer/peer_error.h"
 #include "LibPeer/peer_network.h"
@@ -208,6 +209,7 @@
     std::optional<state::state_clock> m_clock; ///< Set while leading.
     consensus::term_number m_clockTerm = 0;
     std::shared_ptr<const endpoint_catalogue> m_catalogue;
+    list_deliveries m_lists;
     load_exchange m_loads; ///< Of the hosts that asked for a lease lately.
     configuration_distributor m_distributor;
     std::map<consensus::member_id, core::instant> m_lastHeard; ///< From other members.
@@ -700,10 +702,14 @@
     m_distributor.answer(answer, host, request.revision, now);
     answer.sequence = request.sequence;
     answer.loads = m_loads.sumsWithout(host, now);
-    if (m_catalogue && answer.confirmed)
+    const bool needsList
+        = m_catalogue && m_catalogue->needsWhole(request.listEpoch, request.listVersion);
+    if (m_catalogue && answer.confirmed && !(needsList && m_lists.isOnItsWay(host, now)))
         m_catalogue->fill(answer.endpoints, request.listEpoch, request.listVersion,
                           std::chrono::steady_clock::now());
-    (void)m_network->send(host, answer);
+    // What cannot be sent is met by the next request.
+    if (m_network->send(host, answer) && answer.endpoints.isWhole)
+        m_lists.noteSent(host, now);
 }
 
 lease_answer control_service::implementation::leaseAnswer() const
--- a/Libraries/LibPeer/endpoint_catalogue.h
+++ b/Libraries/LibPeer/endpoint_catalogue.h
@@ -23,11 +23,16 @@
     /// Takes over a list that was read completely.
     void update(const std::vector<endpoint_entry> &list, core::instant now);
 
+    /// Whether a host with this position needs the whole list.
+    bool needsWhole(std::uint64_t epoch, std::uint64_t version) const;
+
     /// Fills in what a host with this position lacks, and the age of the list.
     void fill(endpoint_changes &changes, std::uint64_t epoch, std::uint64_t version,
               core::instant now) const;
 
 private:
+    const std::string &packedList() const;
+
     struct record
     {
         endpoint_entry entry;
@@ -41,6 +46,8 @@
     std::uint64_t m_oldestKnown = 0;
     std::optional<core::instant> m_readAt;
     std::map<std::string, record> m_records; ///< By incarnation.
+    mutable std::string m_packed; ///< The whole list, once a host has needed it.
+    mutable std::uint64_t m_packedVersion = 0;
 };
 
 /// The other side of endpoint_catalogue.
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -275,6 +275,7 @@
     std::uint64_t ageMilliseconds = 0; ///< Since the list was last read.
     bool isWhole = false; ///< The whole list instead of changes.
     std::vector<endpoint_entry> entries;
+    std::string packedEntries; ///< Instead of entries in a whole list; see packed_list.h.
     std::vector<std::string> removed; ///< Incarnations.
 
     bool operator==(const endpoint_changes &) const = default;
--- a/Tests/Peer/test_configuration_lease.cpp
+++ b/Tests/Peer/test_configuration_lease.cpp
@@ -1,3 +1,5 @@
+#include "LibPeer/list_deliveries.h"
+#include "LibPeer/packed_list.h"
 #include "addressed_fleet.h"
 
 namespace quetzalcleat::peer::test {
@@ -227,4 +229,64 @@
     EXPECT_EQ(replica.entries().begin()->first, "i1");
 }
 
+/// Guards against lists that fill the links of a large fleet as it starts, and against damaged ones
+/// that are taken for a list.
+TEST(packed_list, IsSmallAndWhole)
+{
+    std::vector<endpoint_entry> list;
+    std::string plain;
+    for (std::uint32_t index = 0; index < 3000; ++index) {
+        const auto name = core::sha256Hex(std::to_string(index)).substr(0, 8);
+        list.push_back({"i-" + name, "quetzal-pool",
+                        "10.1." + std::to_string(index / 250) + '.' + std::to_string(index % 250),
+                        8389, "kochi-a", 24, index % 7 == 0});
+        plain += list.back().incarnation + list.back().service + list.back().ip
+            + list.back().dataCentre;
+    }
+    const auto packed = packEndpoints(list);
+    EXPECT_LT(packed.size() * 2, plain.size());
+    EXPECT_EQ(unpackEndpoints(packed), list);
+    EXPECT_EQ(unpackEndpoints(packEndpoints({})), std::vector<endpoint_entry>());
+    for (const std::size_t length : {std::size_t{0}, std::size_t{1}, packed.size() - 1})
+        EXPECT_FALSE(unpackEndpoints(packed.substr(0, length)));
+    auto damaged = packed;
+    damaged[damaged.size() / 2] ^= 1;
+    EXPECT_FALSE(unpackEndpoints(damaged));
+}
+
+/// Guards against text of a few bytes that takes all memory once it is unpacked.
+TEST(packed_list, RefusesWhatIsTooLarge)
+{
+    const endpoint_entry large{
+        std::string(std::size_t{5} * 1024 * 1024, 'x'), {}, {}, 0, {}, 0, false};
+    EXPECT_FALSE(unpackEndpoints(packEndpoints({large})));
+}
+
+/// Guards against a list that is sent again while it is on its way, and against one that is never
+/// sent again after its connection was lost.
+TEST(list_deliveries, SendsAgainWhenTheListIsLost)
+{
+    const core::instant now{std::chrono::hours(1)};
+    list_deliveries deliveries;
+    EXPECT_FALSE(deliveries.isOnItsWay("a", now));
+    deliveries.noteSent("a", now);
+    EXPECT_TRUE(deliveries.isOnItsWay("a", now + std::chrono::milliseconds(250)));
+    EXPECT_FALSE(deliveries.isOnItsWay("b", now + std::chrono::milliseconds(250)));
+    const auto lost = now + list_deliveries::lossTime + std::chrono::milliseconds(1);
+    EXPECT_FALSE(deliveries.isOnItsWay("a", lost));
+    deliveries.noteSent("b", lost);
+    EXPECT_TRUE(deliveries.isOnItsWay("b", lost));
+}
+
+/// Guards against leases whose cost for the leader grows faster than the fleet.
+TEST(configuration_lease, LargeFleetsAskLessOften)
+{
+    using namespace std::chrono_literals;
+    const configuration_lease_options options;
+    EXPECT_EQ(options.intervalFor(0), 250ms);
+    EXPECT_EQ(options.intervalFor(100), 250ms);
+    EXPECT_EQ(options.intervalFor(300), 750ms);
+    EXPECT_EQ(options.intervalFor(4000), 1000ms);
+}
+
 } // namespace quetzalcleat::peer::test
