--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -34,7 +34,8 @@
 /// Work of a request at a plain service, for the wait behind others. Source: the users' sheets.
 constexpr std::chrono::microseconds plainWork{40'000};
 
-/// Opening a connection takes a round trip and a place at the endpoint for a moment.
+/// Opening a connection takes a round trip and a place at the endpoint for a moment. Source: rounds
+/// with 2, 5 and 20 ms (docs/platform-measurements.md).
 constexpr std::chrono::microseconds openingCost{5'000};
 
 std::chrono::microseconds distanceTo(const endpoint &target, const placement_options &options)
--- a/Libraries/LibForward/upstream.h
+++ b/Libraries/LibForward/upstream.h
@@ -23,7 +23,8 @@
     std::chrono::milliseconds connectTimeout{600};
     /// Idle connections older than this are not used again, if the endpoint announces no time.
     std::chrono::milliseconds idleTime{4000};
-    /// Upper bound of an announced time, so that connections to unused endpoints end.
+    /// Upper bound of an announced time, so that connections to unused endpoints end. Source: as
+    /// long as prefixes are expected in caches (placement_options::cacheMemory).
     std::chrono::milliseconds longestIdleTime{60'000};
     /// Bytes that stay unacknowledged for this long mean that the peer is gone.
     std::chrono::milliseconds silenceTimeout{2000};
--- a/Libraries/LibPeer/configuration_lease.h
+++ b/Libraries/LibPeer/configuration_lease.h
@@ -20,7 +20,8 @@
 struct configuration_lease_options
 {
     /// Between two requests to the leader, in a fleet of up to `hostsAtInterval` hosts; in a larger
-    /// one each host asks less often, so that the leader answers as many requests.
+    /// one each host asks less often, so that the leader answers as many requests. Source: the
+    /// largest deployment of the users has 83 (their site files).
     std::chrono::milliseconds interval{250};
     std::uint32_t hostsAtInterval = 100;
     /// Upper bound of the interval. Keys have to be taken away within 5 s (the users' sheets).
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -209,7 +209,7 @@
     std::optional<state::state_clock> m_clock; ///< Set while leading.
     consensus::term_number m_clockTerm = 0;
     std::shared_ptr<const endpoint_catalogue> m_catalogue;
-    list_deliveries m_lists;
+    list_deliveries m_lists; ///< While leading.
     load_exchange m_loads; ///< Of the hosts that asked for a lease lately.
     configuration_distributor m_distributor;
     std::map<consensus::member_id, core::instant> m_lastHeard; ///< From other members.
--- a/Libraries/LibPeer/list_deliveries.h
+++ b/Libraries/LibPeer/list_deliveries.h
@@ -8,13 +8,14 @@
 
 namespace quetzalcleat::peer {
 
-/// Whole lists of endpoints that are on their way. A host asks four times a second; on a slow link
-/// a list of thousands of endpoints takes longer, and sent again with each answer it would fill the
-/// links of all hosts after a restart of the fleet. Pure: time is passed in.
+/// Whole lists of endpoints that are on their way. A host asks four times a second; after a restart
+/// of a large fleet the leader takes longer to send all lists, and sent again with each answer they
+/// would hold up the others. Pure: time is passed in.
 class list_deliveries
 {
 public:
-    /// A list that was sent longer ago counts as lost with its connection.
+    /// A list that was sent longer ago counts as lost with its connection. Source: eight requests
+    /// at the shortest interval (configuration_lease_options).
     static constexpr std::chrono::milliseconds lossTime{2000};
 
     void noteSent(const std::string &host, core::instant now);
