LibForward, LibPeer: Look up connections last, call what exists

Found by reading the whole change; behaviour is unchanged. - Placement asked for an open connection at every candidate, a lookup by a text built for it, also where the cost had lost already. - handleJoin spelled out leaderHost(). - packed_list named sizes that no run had measured, and included a header that it does not use instead of the one that it needs.

--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -213,10 +213,11 @@
         if (request.affinity != 0 && entry.weight != best)
             cost += sharedTime * (entry.weight == second ? homeFactor : farFactor);
         cost += placeWait(target, request.size != nullptr);
-        if (request.isConnected && !request.isConnected(target))
-            cost += distanceTo(target, options) + openingCost;
         if (target.ejectedUntil > now || target.isProbing)
             cost += ejectedCost;
+        // Asked last, as it is looked up by name and only raises the cost.
+        if (cost < bestCost && request.isConnected && !request.isConnected(target))
+            cost += distanceTo(target, options) + openingCost;
         if (cost < bestCost) {
             bestCost = cost;
             choice = {entry.target, wait, unread};
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -578,7 +578,7 @@
     const bool isPassedOn = !request.host.empty();
     if (current.role != consensus::raft_role::Leader) {
         // A host with an empty disk knows its seeds only, and none of them need lead.
-        const auto leader = current.leader == 0 ? std::string() : hostOf(current.leader);
+        const auto leader = leaderHost();
         if (!isPassedOn && !leader.empty() && leader != sender)
             (void)m_network->send(leader, join{request.memberId, sender});
         return;
--- a/Libraries/LibPeer/packed_list.cpp
+++ b/Libraries/LibPeer/packed_list.cpp
@@ -3,7 +3,7 @@
 #include "LibPeer/message_codec.h"
 
 #include <array>
-#include <limits>
+#include <new>
 #include <utility>
 
 #include <zlib.h>
--- a/Libraries/LibPeer/packed_list.h
+++ b/Libraries/LibPeer/packed_list.h
@@ -10,7 +10,7 @@
 namespace quetzalcleat::peer {
 
 /// Endpoints as compressed text. Entries of one service differ in little, and a whole list goes to
-/// every host that starts: 3,000 endpoints take about 40 KB instead of 150 KB.
+/// every host that starts.
 std::string packEndpoints(const std::vector<endpoint_entry> &entries);
 
 /// Nothing for text that is damaged or too large.
