LibPolicy: Give every pool, account and service call its turn

With more pools than ticks in an interval, or ticks further apart than it, later pools were never compared and their stragglers never ejected. Now the pool that has waited longest. - victim_selection looked at the largest account only; if all its requests had run before, a request of a higher tier was refused although others could give way. Now the next largest account follows. - basic_decision_core::retryAfter looked up a service call under its model, so a limited account was told 1 s instead of the time of its limit. The key of a pool is made in one place.

--- a/Libraries/LibPolicy/configurator.cpp
+++ b/Libraries/LibPolicy/configurator.cpp
@@ -182,8 +182,7 @@
 
 std::optional<std::uint32_t> configurator::poolFor(core_tables &tables, const request_spec &spec)
 {
-    const pool_key key{spec.service.empty() ? spec.model : std::string(),
-                       spec.service.empty() ? spec.adapter : std::string(), spec.service};
+    const auto key = pool_key::of(spec);
     if (const auto found = tables.poolIndex.find(key); found != tables.poolIndex.end()) {
         if (!tables.pools[found->second].served)
             return std::nullopt;
--- a/Libraries/LibPolicy/decision_core.cpp
+++ b/Libraries/LibPolicy/decision_core.cpp
@@ -103,7 +103,7 @@
     constexpr std::chrono::milliseconds defaultDelay(1000);
     const auto accountIndex = m_tables.accounts.indexOf(spec.account.value);
     const auto classIndex = m_tables.classes.indexOf(spec.requestClass.value);
-    const auto pool = m_tables.poolIndex.find({spec.model, spec.adapter, spec.service});
+    const auto pool = m_tables.poolIndex.find(pool_key::of(spec));
     if (!accountIndex || !classIndex || pool == m_tables.poolIndex.end())
         return defaultDelay;
     return admission_control::retryAfter(
--- a/Libraries/LibPolicy/fair_queue.cpp
+++ b/Libraries/LibPolicy/fair_queue.cpp
@@ -124,17 +124,14 @@
     return m_timely.begin()->due;
 }
 
-fair_queue::account_count fair_queue::largestAccount() const
+std::vector<fair_queue::account_count> fair_queue::accounts() const
 {
-    account_count largest;
+    std::vector<account_count> counts;
     for (const auto &[accountIndex, entry] : m_accounts) {
-        const std::uint32_t queued = entry.queued();
-        // The second condition makes the result independent of the hash table's order.
-        if (queued > largest.queued
-            || (queued == largest.queued && accountIndex < largest.accountIndex))
-            largest = {accountIndex, queued};
+        if (entry.queued() > 0)
+            counts.push_back({accountIndex, entry.queued()});
     }
-    return largest;
+    return counts;
 }
 
 std::uint32_t fair_queue::queuedOf(std::uint32_t accountIndex) const
--- a/Libraries/LibPolicy/fair_queue.h
+++ b/Libraries/LibPolicy/fair_queue.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace quetzalcleat::policy {
 
@@ -65,8 +66,8 @@
         std::uint32_t queued = 0;
     };
 
-    /// The account with the most waiting requests. Linear in the number of accounts.
-    account_count largestAccount() const;
+    /// All accounts that have waiting requests.
+    std::vector<account_count> accounts() const;
     std::uint32_t queuedOf(std::uint32_t accountIndex) const;
 
     /// Visits the account's requests until `visit` returns true, the one whose removal costs least
--- a/Libraries/LibPolicy/outlier_detector.cpp
+++ b/Libraries/LibPolicy/outlier_detector.cpp
@@ -19,13 +19,12 @@
 
 std::uint32_t outlier_detector::run(core_tables &tables, core::instant now)
 {
-    for (auto &pool : tables.pools) {
-        if (now - pool.evaluatedAt < tables.options.outlierInterval)
-            continue;
-        pool.evaluatedAt = now;
-        return evaluatePool(tables, pool, now);
-    }
-    return 0;
+    const auto longest = std::ranges::min_element(tables.pools, {}, &pool_record::evaluatedAt);
+    if (longest == tables.pools.end()
+        || now - longest->evaluatedAt < tables.options.outlierInterval)
+        return 0;
+    longest->evaluatedAt = now;
+    return evaluatePool(tables, *longest, now);
 }
 
 std::uint32_t outlier_detector::evaluatePool(core_tables &tables, pool_record &pool,
--- a/Libraries/LibPolicy/outlier_detector.h
+++ b/Libraries/LibPolicy/outlier_detector.h
@@ -11,8 +11,9 @@
 class outlier_detector
 {
 public:
-    /// Evaluates one pool, the first that was not evaluated for policy_options::outlierInterval.
-    /// Returns the number of ejections. One pool per call keeps a tick short.
+    /// Evaluates one pool, the one that has waited longest of those that were not evaluated for
+    /// policy_options::outlierInterval. Returns the number of ejections. One pool per call keeps a
+    /// tick short; with more pools than ticks in an interval, all still have their turn.
     std::uint32_t run(core_tables &tables, core::instant now);
 
     /// Ejects an endpoint unless too many of its peers are ejected already.
--- a/Libraries/LibPolicy/tables.h
+++ b/Libraries/LibPolicy/tables.h
@@ -89,6 +89,14 @@
     std::string adapter;
     std::string service;
 
+    /// A call of a service has no model, whatever its request says.
+    static pool_key of(const request_spec &spec)
+    {
+        if (!spec.service.empty())
+            return {{}, {}, spec.service};
+        return {spec.model, spec.adapter, {}};
+    }
+
     auto tied() const { return std::tie(model, adapter, service); }
     bool operator<(const pool_key &other) const { return tied() < other.tied(); }
 };
--- a/Libraries/LibPolicy/victim_selection.cpp
+++ b/Libraries/LibPolicy/victim_selection.cpp
@@ -1,6 +1,8 @@
 #include "LibPolicy/victim_selection.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace quetzalcleat::policy {
 
@@ -41,29 +43,38 @@
                                                                         std::uint32_t classIndex,
                                                                         std::uint32_t queuedAbove)
 {
-    const fair_queue *largestQueue = nullptr;
-    fair_queue::account_count largest{0, queuedAbove};
+    struct candidate
+    {
+        const fair_queue *queue;
+        fair_queue::account_count account;
+    };
+    std::vector<candidate> candidates;
     for (const auto &pool : tables.pools) {
         if (classIndex >= pool.queues.size())
             continue;
         const auto &waiting = pool.queues[classIndex].waiting;
-        const auto candidate = waiting.largestAccount();
-        if (candidate.queued > largest.queued) {
-            largest = candidate;
-            largestQueue = &waiting;
+        for (const auto &account : waiting.accounts()) {
+            if (account.queued > queuedAbove)
+                candidates.push_back({&waiting, account});
         }
     }
-    if (largestQueue == nullptr)
-        return std::nullopt;
+    std::ranges::sort(candidates, [](const candidate &left, const candidate &right) {
+        return std::pair(right.account.queued, left.account.accountIndex)
+            < std::pair(left.account.queued, right.account.accountIndex);
+    });
     std::optional<request_id> victim;
-    largestQueue->visitInSheddingOrder(largest.accountIndex,
-                                       [&](const fair_queue::queue_entry &entry) {
-                                           // The work of earlier attempts would be wasted.
-                                           if (tables.requests.find(entry.request)->attempts > 0)
-                                               return false;
-                                           victim = entry.request;
-                                           return true;
-                                       });
+    for (const auto &entry : candidates) {
+        entry.queue->visitInSheddingOrder(
+            entry.account.accountIndex, [&](const fair_queue::queue_entry &waiting) {
+                // The work of earlier attempts would be wasted.
+                if (tables.requests.find(waiting.request)->attempts > 0)
+                    return false;
+                victim = waiting.request;
+                return true;
+            });
+        if (victim)
+            break;
+    }
     return victim;
 }
 
--- a/Tests/Policy/test_admission.cpp
+++ b/Tests/Policy/test_admission.cpp
@@ -100,6 +100,53 @@
     EXPECT_TRUE(driver.running.contains(small));
 }
 
+// Guards against a request that is refused although the queue holds requests of a lower tier,
+// because those of the largest account have all run before and are not shed.
+TEST(Admission, ShedsFromTheNextAccountIfTheLargestHasRunBefore)
+{
+    policy_options options;
+    options.hostQueueBound = 3;
+    driver driver(makeDocument(2, 2), options);
+    const auto first = driver.submit(makeSpec(1, 0));
+    const auto second = driver.submit(makeSpec(1, 0));
+    driver.tick();
+    // Both come back after a failed attempt and wait behind requests that take their slots.
+    driver.submit(makeSpec(0, 1));
+    driver.submit(makeSpec(0, 1));
+    driver.finish(first, attempt_outcome::RetryBeforeFirstByte);
+    driver.finish(second, attempt_outcome::RetryBeforeFirstByte);
+    driver.tick();
+    const auto other = driver.submit(makeSpec(1, 1));
+    const auto top = driver.submit(makeSpec(0, 0));
+    ASSERT_NE(top.value, 0U);
+    const auto decisions = driver.tick();
+    ASSERT_EQ(count(decisions, decision_kind::Shed), 1U);
+    EXPECT_EQ(decisions[0].request, other);
+    EXPECT_EQ(decisions[0].beneficiary, top);
+}
+
+// Guards against a time to come back that ignores the limits of the account, for a call of a plain
+// service that names a model.
+TEST(Admission, RetryAfterOfAServiceCallFollowsItsLimits)
+{
+    auto document = makeDocument(1, 1);
+    document.accounts[0].configuredLimits.requestsPerSecond = 0.1;
+    document.accounts[0].configuredLimits.requestBurst = 1;
+    inventory::endpoint service;
+    service.name = "desk";
+    service.kind = inventory::endpoint_kind::Service;
+    service.dataCentre = 0;
+    service.service = "booking";
+    service.capacity = 4;
+    document.endpoints.push_back(service);
+    driver driver(document);
+    auto spec = makeSpec(0);
+    spec.service = "booking";
+    ASSERT_NE(driver.submit(spec).value, 0U);
+    ASSERT_EQ(driver.refusal(spec), policy_error::AccountRequestLimit);
+    EXPECT_GT(driver.core.retryAfter(spec, driver.now), 5s);
+}
+
 // Guards against requests of a lower tier that keep out a higher one when the host's queues are
 // full.
 TEST(Admission, FullHostShedsTheLowestTier)
--- a/Tests/Policy/test_endpoints.cpp
+++ b/Tests/Policy/test_endpoints.cpp
@@ -87,6 +87,34 @@
     EXPECT_EQ(driver.endpoint(0).health, endpoint_health::Healthy);
 }
 
+// Guards against pools that are never compared because the pools before them are always due first:
+// with many pools, or ticks further apart than the interval, every tick found the first pool due.
+TEST(Endpoints, StragglerOfALaterPoolIsEjected)
+{
+    auto document = makeDocument(2, 8, 0, 4);
+    for (std::uint32_t index = 0; index < 4; ++index)
+        document.endpoints[index].models = {"other model"};
+    policy_options options;
+    options.outlierInterval = 10ms;
+    driver driver(document, options);
+    const auto answer = [&driver](const std::string &model, std::uint32_t slowEndpoint) {
+        auto spec = makeSpec(0);
+        spec.model = model;
+        const auto id = driver.submit(spec);
+        driver.tick(2 * 10ms);
+        const bool isSlow = driver.running.at(id).endpoint.value == slowEndpoint;
+        driver.now += isSlow ? 500ms : 20ms;
+        driver.core.reportFirstToken(id, driver.now);
+        driver.finish(id);
+    };
+    constexpr std::uint32_t straggler = 6;
+    for (int index = 0; index < 80; ++index) {
+        answer("other model", straggler);
+        answer("model", straggler);
+    }
+    EXPECT_EQ(driver.endpoint(straggler).health, endpoint_health::Ejected);
+}
+
 // Guards against a straggler that passes its probe because only its tokens are slow.
 TEST(Endpoints, SlowTokensFailAProbe)
 {
