LibPeer: Tell verdicts and starts of a host's processes apart

Two causes, found while looking for clock jumps: - Proposals of each process were numbered from 1. A verdict for an earlier process of the host that arrived after the restart was taken for the proposal with the same number: a claim could count as granted by the verdict on another key, and its order be sent without a claim. Numbers now start at random. The test two_hosts.LateVerdictForAnEarlierProcessIsNotTaken fails before and passes after. After the clock was set back between two starts, the state refused registration and claims of the host until the clock had caught up. A process that was never registered now raises its number until the state takes it, by a random amount, as an equal number counts as the same process. One that was registered stays replaced. Ruled out: sending the recorded number with the refusal, which needs a new frame version. Share requests were refused for one lease time at most; they follow the raised number.

Shares, proposals and the deadline of a claim use a clock that counts while the machine is suspended, so that a permission is not used after its time.

--- a/Libraries/LibPeer/control_client.cpp
+++ b/Libraries/LibPeer/control_client.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/hash.h"
 #include "LibCore/logger.h"
+#include "LibCore/time.h"
 #include "LibPeer/configuration_feed.h"
 #include "LibPeer/control_host_selector.h"
 #include "LibPeer/gossip_core.h"
@@ -16,6 +17,7 @@
 #include <span>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -64,9 +66,16 @@
     return logger;
 }
 
+/// At least added to an incarnation that the state refuses as out of date, and multiplied for each
+/// further refusal: incarnations count microseconds, so clocks set back by a year take 14 refusals.
+constexpr std::uint64_t firstIncarnationRaise = 1'000'000;
+constexpr std::uint64_t incarnationRaiseFactor = 4;
+
+/// Also counts while the machine is suspended, so that a share or the verdict of a call is not used
+/// after its time.
 core::instant currentTime()
 {
-    return std::chrono::steady_clock::now();
+    return core::suspendAwareNow();
 }
 
 std::string encode(state::command_body body)
@@ -105,8 +114,9 @@
           m_gossip({}, m_network->host(), m_network->incarnation(),
                    core::hash64(core::secureRandomBytes(8)), currentTime()),
           m_share({}, m_network->host(), m_network->incarnation()),
-          m_tickTimer(m_network->context()), m_random(static_cast<std::minstd_rand::result_type>(
-                                                 core::hash64(core::secureRandomBytes(8))))
+          m_incarnation(m_network->incarnation()), m_tickTimer(m_network->context()),
+          m_random(
+              static_cast<std::minstd_rand::result_type>(core::hash64(core::secureRandomBytes(8))))
     {
     }
 
@@ -123,6 +133,11 @@
               std::function<void(core::result<Verdict>)> handler, std::function<void()> onTimeout);
 
     void onConfiguration(configuration_handler handler);
+    void onIncarnationRaised(incarnation_handler handler)
+    {
+        m_incarnationHandlers.push_back(std::move(handler));
+    }
+    std::uint64_t incarnation() const { return m_incarnation; }
     fleet_status status() const;
     void reportDemand(std::uint64_t demand) { m_demand = demand; }
     share_parts share() const { return m_share.share(currentTime()); }
@@ -148,6 +163,8 @@
     };
 
     void registerHost();
+    void handleRegistration(std::error_code error);
+    void raiseIncarnation();
     void receive(const std::string &host, const message &content);
     void handleResult(const propose_result &result);
     void handleUpdate(const std::string &host, const configuration_update &update);
@@ -168,13 +185,19 @@
     control_host_selector m_controlHosts;
     gossip_core m_gossip;
     share_holder m_share;
+    std::uint64_t m_incarnation; ///< Raised if the state knows a higher one.
+    std::uint64_t m_raise = firstIncarnationRaise;
+    bool m_registered = false;
+    std::vector<incarnation_handler> m_incarnationHandlers;
     std::uint64_t m_demand = 0;
     core::instant m_lastShareRequest;
     asio::steady_timer m_tickTimer;
     std::minstd_rand m_random;
 
     std::map<std::uint64_t, pending_proposal> m_pending;
-    std::uint64_t m_lastRequest = 0;
+    /// Starts at random: a late verdict for an earlier process of this host must not be taken for
+    /// the verdict on a proposal of this one.
+    std::uint64_t m_lastRequest = core::hash64(core::secureRandomBytes(8)) >> 1U;
     std::size_t m_calls = 0;
 
     core::instant m_lastSubscription;
@@ -235,14 +258,14 @@
 
 void control_client::implementation::registerHost()
 {
-    const state::host_register registration{m_network->host(), m_network->incarnation()};
+    const state::host_register registration{m_network->host(), m_incarnation};
     const std::weak_ptr<implementation> weak = weak_from_this();
     propose(
         registration, m_options.backgroundTime, true,
-        [](const state::command_result &result) {
-            if (result.error)
-                log().error("cannot register this host: " + result.error.message()
-                            + "; its clock may have been set back");
+        [weak](const state::command_result &result) {
+            const auto self = weak.lock();
+            if (self && !self->m_stopped)
+                self->handleRegistration(result.error);
         },
         [weak] {
             const auto self = weak.lock();
@@ -251,6 +274,39 @@
         });
 }
 
+void control_client::implementation::handleRegistration(std::error_code error)
+{
+    if (!error) {
+        m_registered = true;
+        return;
+    }
+    // A process that was registered has been replaced by a later one and must not take over again.
+    if (error != state::state_error::StaleIncarnation || m_registered) {
+        log().error("cannot register this host: " + error.message());
+        return;
+    }
+    raiseIncarnation();
+    registerHost();
+}
+
+/// The time of day may have been set back between two starts, so that the number taken from it is
+/// not above that of the earlier process. The earlier process has ended, as it held the port.
+void control_client::implementation::raiseIncarnation()
+{
+    const auto before = m_incarnation;
+    // A random part, as the state takes an equal number for the same process.
+    std::uniform_int_distribution<std::uint64_t> raise(m_raise, 2 * m_raise);
+    m_incarnation = std::max(m_incarnation + raise(m_random), m_gossip.self().incarnation);
+    m_raise *= incarnationRaiseFactor;
+    m_share.raiseIncarnation(m_incarnation);
+    m_gossip.raiseIncarnation(m_incarnation);
+    log().warning("the state knows a later process of this host: the clock may have been set back; "
+                  "raising the incarnation from "
+                  + std::to_string(before) + " to " + std::to_string(m_incarnation));
+    for (const auto &handler : m_incarnationHandlers)
+        handler(m_incarnation);
+}
+
 void control_client::implementation::propose(state::command_body body,
                                              std::chrono::milliseconds timeout, bool background,
                                              result_handler onResult,
@@ -386,6 +442,9 @@
         found->second.nextTransmission = found->second.deadline;
         return;
     }
+    // The state has accepted the incarnation of this process with its claim.
+    if (result.kind == verdict_kind::Claim && result.error == 0)
+        m_registered = true;
     const auto handler = std::move(found->second.onResult);
     m_calls -= found->second.background ? 0 : 1;
     m_pending.erase(found);
@@ -535,7 +594,7 @@
     }
     hosts[m_network->host()] = {m_network->host(),
                                 m_network->options().dataCentre,
-                                m_network->incarnation(),
+                                m_incarnation,
                                 m_feed->revision(),
                                 true,
                                 {}};
@@ -634,6 +693,16 @@
     return static_cast<double>(m_implementation->share()) / wholeShare;
 }
 
+void control_client::onIncarnationRaised(incarnation_handler handler)
+{
+    m_implementation->onIncarnationRaised(std::move(handler));
+}
+
+std::uint64_t control_client::incarnation() const
+{
+    return m_implementation->incarnation();
+}
+
 fleet_status control_client::status() const
 {
     return m_implementation->status();
--- a/Libraries/LibPeer/control_client.h
+++ b/Libraries/LibPeer/control_client.h
@@ -71,6 +71,12 @@
     /// Calls the handler with the revision in force, if there is one, and with each later one.
     void onConfiguration(configuration_handler handler);
 
+    /// Calls the handler with the number under which this process claims from now on, whenever it
+    /// is raised: the state knew an earlier process of this host under a higher one.
+    void onIncarnationRaised(incarnation_handler handler);
+
+    std::uint64_t incarnation() const;
+
     fleet_status status() const;
 
     /// Demand of this host for fleet-wide limits, for example requests in the last seconds. The
--- a/Libraries/LibPeer/gossip_core.cpp
+++ b/Libraries/LibPeer/gossip_core.cpp
@@ -274,6 +274,14 @@
     enqueue(m_self);
 }
 
+void gossip_core::raiseIncarnation(std::uint64_t incarnation)
+{
+    if (incarnation <= m_self.incarnation)
+        return;
+    m_self.incarnation = incarnation;
+    enqueue(m_self);
+}
+
 void gossip_core::suspect(const std::string &host, core::instant now)
 {
     const auto found = m_members.find(host);
--- a/Libraries/LibPeer/gossip_core.h
+++ b/Libraries/LibPeer/gossip_core.h
@@ -66,6 +66,9 @@
 
     void setRevision(std::uint64_t revision);
 
+    /// Announces a higher incarnation of this host.
+    void raiseIncarnation(std::uint64_t incarnation);
+
     /// Drives probes and timeouts; must be called several times per probe timeout.
     void tick(core::instant now);
 
--- a/Libraries/LibPeer/share_allocator.h
+++ b/Libraries/LibPeer/share_allocator.h
@@ -80,6 +80,9 @@
     share_request makeRequest(std::uint64_t demand, core::instant now);
     void handle(const share_grant &grant, core::instant now);
 
+    /// Requests carry the number from now on, so that they replace those of an earlier process.
+    void raiseIncarnation(std::uint64_t incarnation) { m_incarnation = incarnation; }
+
     /// The share that the host may use now; 0 after the lease has expired.
     share_parts share(core::instant now) const;
 
--- a/Services/quetzalcleatd/entry.h
+++ b/Services/quetzalcleatd/entry.h
@@ -68,6 +68,8 @@
         m_observer->start();
         m_control.onConfiguration(
             [this](const state::configuration &configuration) { putInForce(configuration); });
+        m_control.onIncarnationRaised(
+            [this](std::uint64_t incarnation) { m_environment.hostIncarnation = incarnation; });
         return {};
     }
 
--- a/Services/quetzalcleatd/service_session.h
+++ b/Services/quetzalcleatd/service_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCore/time.h"
 #include "LibHttp/caller_server.h"
 #include "LibHttp/http_error.h"
 #include "LibPeer/control_plane.h"
@@ -90,8 +91,8 @@
         const auto timeout = m_environment.options.claimTimeout;
         // Enforced by the session's own timer, so that a late grant is never used, whatever delayed
         // it.
-        m_claimDeadline = std::chrono::steady_clock::now() + timeout;
-        m_claimTimer.expires_at(m_claimDeadline);
+        m_claimDeadline = core::suspendAwareNow() + timeout;
+        m_claimTimer.expires_after(timeout);
         m_claimTimer.async_wait([self = this->shared_from_this()](std::error_code error) {
             if (!error)
                 self->onClaimTimeout();
@@ -117,7 +118,8 @@
         if (m_phase != phase::Claiming)
             return;
         m_claimTimer.cancel();
-        if (std::chrono::steady_clock::now() >= m_claimDeadline || !verdict) {
+        // The clock of the timer does not count while the machine is suspended.
+        if (core::suspendAwareNow() >= m_claimDeadline || !verdict) {
             m_control.abandonClaim(m_attempt);
             refuse(ledgerUnavailable());
             return;
--- a/Services/quetzalcleatd/session_environment.h
+++ b/Services/quetzalcleatd/session_environment.h
@@ -36,7 +36,7 @@
     const core::logger &log;
     std::shared_ptr<const routing_table> routing; ///< Null until a configuration is in force.
     std::string hostName;
-    std::uint64_t hostIncarnation = 0;
+    std::uint64_t hostIncarnation = 0; ///< Under which this process claims.
     session_options options;
 };
 
--- a/Tests/Daemon/fake_control_plane.h
+++ b/Tests/Daemon/fake_control_plane.h
@@ -27,8 +27,17 @@
                     peer::claim_handler handler);
     void applyEdit(state::edit edit, std::chrono::milliseconds timeout, peer::edit_handler handler);
     void onConfiguration(peer::configuration_handler handler);
+    void onIncarnationRaised(peer::incarnation_handler handler)
+    {
+        m_incarnationHandlers.push_back(std::move(handler));
+    }
     peer::fleet_status status() const;
 
+    void raiseIncarnation(std::uint64_t incarnation)
+    {
+        for (const auto &handler : m_incarnationHandlers)
+            handler(incarnation);
+    }
     void publish(std::string document);
     void removeListeners() { m_listeners.clear(); }
 
@@ -60,6 +69,7 @@
     std::map<std::pair<std::string, std::string>, record> m_records; ///< By account and key.
     state::configuration m_configuration;
     std::vector<peer::configuration_handler> m_listeners;
+    std::vector<peer::incarnation_handler> m_incarnationHandlers;
 };
 
 static_assert(peer::control_plane<fake_control_plane>);
--- a/Tests/Daemon/test_service.cpp
+++ b/Tests/Daemon/test_service.cpp
@@ -41,6 +41,20 @@
     EXPECT_FALSE(http::findHeader(m_serviceCalls[0].headers, "Authorization"));
 }
 
+// Guards against claims under a number that the state refuses, after the clock was set back between
+// two starts of the host.
+TEST_F(service_test, ClaimsUnderTheRaisedIncarnation)
+{
+    startDaemon();
+    await(*order("wire 7"));
+    ASSERT_EQ(m_control.claims.size(), 1U);
+    const auto raised = m_control.claims[0].attempt.hostIncarnation + 1000;
+    m_control.raiseIncarnation(raised);
+    await(*order("wire 8", "k2"));
+    ASSERT_EQ(m_control.claims.size(), 2U);
+    EXPECT_EQ(m_control.claims[1].attempt.hostIncarnation, raised);
+}
+
 // Guards against a duplicate that runs again or gets a different response.
 TEST_F(service_test, AnswersADuplicateFromTheLedger)
 {
--- a/Tests/Peer/test_cluster.h
+++ b/Tests/Peer/test_cluster.h
@@ -57,13 +57,17 @@
             startHost(name, true);
     }
 
-    void startHost(const std::string &name, bool initialise = false)
+    /// `incarnation` 0 takes a number above those of all earlier starts.
+    void startHost(const std::string &name, bool initialise = false, std::uint64_t incarnation = 0)
     {
         auto &host = hosts[name];
         host.revisions.clear();
-        auto runtime = control_runtime::create(
-            context, host.settings, host.counters,
-            {initialise, initialise ? "seed document" : "", ++m_incarnation, {}, snapshotEntries});
+        auto runtime = control_runtime::create(context, host.settings, host.counters,
+                                               {initialise,
+                                                initialise ? "seed document" : "",
+                                                incarnation == 0 ? ++m_incarnation : incarnation,
+                                                {},
+                                                snapshotEntries});
         ASSERT_TRUE(runtime) << name << ": " << runtime.error().message();
         host.runtime = std::move(runtime).value();
         for (auto &[link, relay] : m_relays) {
@@ -159,10 +163,7 @@
 
     state::claim_request request(const std::string &host, const std::string &key)
     {
-        return {{{"caller", key},
-                 core::secureRandomBytes(16),
-                 host,
-                 hosts[host].runtime->incarnation()},
+        return {{{"caller", key}, core::secureRandomBytes(16), host, client(host).incarnation()},
                 "body hash"};
     }
 
--- a/Tests/Peer/test_control.cpp
+++ b/Tests/Peer/test_control.cpp
@@ -174,6 +174,62 @@
     }));
 }
 
+// Guards against a host that gets no claims, shares or registration until its clock has caught up,
+// because it was set back before the process started again.
+TEST_F(control, HostWhoseClockWasSetBackClaimsAgain)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::microseconds;
+    constexpr std::uint64_t firstStart = 1'800'000'000'000'000;
+    std::uint64_t highest = 0;
+    startAll();
+    ASSERT_TRUE(until([&] { return allHaveRevision(1); }));
+    for (const auto setBack : {std::chrono::seconds(1), std::chrono::seconds(30),
+                               std::chrono::seconds(std::chrono::hours(24))}) {
+        stopHost("e3");
+        const auto start = std::max(firstStart, highest);
+        startHost("e3", false, start);
+        const auto before = request("e3", "before-" + std::to_string(setBack.count()));
+        const auto granted = claim(before);
+        ASSERT_TRUE(granted) << granted.error().message();
+        ASSERT_EQ(granted.value().kind, state::claim_verdict_kind::Granted);
+        highest = client("e3").incarnation() + 1;
+        stopHost("e3");
+        startHost("e3", false, start - duration_cast<microseconds>(setBack).count());
+        ASSERT_TRUE(until([&] { return client("e3").incarnation() > start; }));
+        const auto after = claim(request("e3", "after-" + std::to_string(setBack.count())));
+        ASSERT_TRUE(after) << after.error().message();
+        EXPECT_EQ(after.value().kind, state::claim_verdict_kind::Granted);
+        // The call of the earlier process may have run.
+        const auto duplicate = claim(request("e1", "before-" + std::to_string(setBack.count())));
+        ASSERT_TRUE(duplicate);
+        EXPECT_EQ(duplicate.value().kind, state::claim_verdict_kind::OutcomeUnknown);
+        highest = std::max(highest, client("e3").incarnation() + 1);
+        ASSERT_TRUE(until([&] { return client("e3").leasedShare() > 0; }));
+    }
+}
+
+// Guards against a replaced process that takes its host over again: only a process that was never
+// registered may raise its number.
+TEST_F(control, ReplacedProcessStaysReplaced)
+{
+    startAll();
+    ASSERT_TRUE(until([&] { return allHaveRevision(1); }));
+    ASSERT_TRUE(claim(request("e1", "key")));
+    const auto before = client("e1").incarnation();
+    // A later process of the host registers through another one.
+    auto later = request("e2", "later");
+    later.attempt.host = "e1";
+    later.attempt.hostIncarnation = before + 1000;
+    std::optional<quetzalcleat::core::result<state::claim_verdict>> verdict;
+    client("e2").claim(later, callTimeout, [&](auto result) { verdict = result; });
+    ASSERT_TRUE(until([&] { return verdict.has_value(); }));
+    const auto refused = claim(request("e1", "other key"));
+    EXPECT_FALSE(refused);
+    runFor(context, milliseconds(500));
+    EXPECT_EQ(client("e1").incarnation(), before);
+}
+
 // Guards against a grant that arrives after the call has timed out and is delivered, or keeps the
 // key locked.
 TEST_F(control, LateGrantIsAbandoned)
--- a/Tests/Peer/test_network.cpp
+++ b/Tests/Peer/test_network.cpp
@@ -1,4 +1,6 @@
 #include "LibCore/hash.h"
+#include "LibPeer/configuration_feed.h"
+#include "LibPeer/control_client.h"
 #include "LibPeer/peer_error.h"
 #include "LibPeer/peer_network.h"
 #include "event_loop.h"
@@ -246,3 +248,52 @@
     ASSERT_TRUE(a->send("b", peer::join{1, {}}));
     EXPECT_TRUE(runUntil(context, [&] { return !received["b"].empty(); }));
 }
+
+// Guards against a verdict for an earlier process of a host that arrives late and is taken by the
+// next one: the booking of one caller would be sent under the claim of another.
+TEST_F(two_hosts, LateVerdictForAnEarlierProcessIsNotTaken)
+{
+    std::vector<peer::propose> proposals;
+    const auto takeProposals = [&] {
+        for (auto &[from, content] : received["b"]) {
+            if (const auto *proposal = std::get_if<peer::propose>(&content))
+                proposals.push_back(*proposal);
+        }
+        received["b"].clear();
+    };
+    std::vector<std::uint64_t> idsOfFirst;
+    for (const int process : {1, 2}) {
+        b = makeHost("b", oneKey);
+        link = relay::tcp_relay::create(context, 0, loopback(b->port()));
+        a = makeHost("a", oneKey, {{"b", "dc", {"127.0.0.1", link->port()}, true}});
+        const auto client
+            = peer::control_client::create(a, std::make_shared<peer::configuration_feed>());
+        client->start();
+        std::optional<core::result<quetzalcleat::state::claim_verdict>> verdict;
+        client->claim({{{"caller", "key"}, "attempt", "a", 1}, "hash"}, milliseconds(5000),
+                      [&](auto result) { verdict = result; });
+        proposals.clear();
+        ASSERT_TRUE(runUntil(context, [&] {
+            takeProposals();
+            return proposals.size() >= 2;
+        }));
+        if (process == 1) {
+            for (const auto &proposal : proposals)
+                idsOfFirst.push_back(proposal.proposalId);
+        } else {
+            for (const auto id : idsOfFirst) {
+                quetzalcleat::state::command_result granted;
+                granted.verdict = quetzalcleat::state::claim_verdict{
+                    quetzalcleat::state::claim_verdict_kind::Granted, {}};
+                ASSERT_TRUE(b->send("a", peer::makeProposeResult(id, granted)));
+            }
+            runFor(context, milliseconds(300));
+            EXPECT_FALSE(verdict.has_value());
+        }
+        client->stop();
+        TearDown();
+        a.reset();
+        b.reset();
+        link.reset();
+    }
+}
