LibForward: Bound bytes without end, and lose no answer to slow peers or a stop

All bytes outside of bodies and incomplete events have bounds now, with a cause in the log; the list of endpoints has one for a page and a read. - A caller that pipelined requests and read nothing filled the memory with responses. - A closing connection was cut a second after the response was queued, so slow callers lost the end of large answers. The time now runs from the last progress. - An attempt timer ran while reading was paused for a slow caller, and moved a sound stream. Bytes that complete no event counted as progress of a stalled one. - At a planned stop, connections that waited to be accepted and requests that waited to be read were reset; the process ended while responses were on their way; at the end of the grace time requests were cut. They are accepted, read, awaited, and answered with 503 if nothing was sent, else 502. - A refusal or a stream without the id of the request was trusted on a connection that was used before, where it may belong to the request before. - An announced idle time that overflows closed or kept the connection. - An exception in the work for one connection ended the process. It ends the connection now; any other is logged and ends the process, as its state is unknown.

--- a/Libraries/LibCore/core_error.cpp
+++ b/Libraries/LibCore/core_error.cpp
@@ -40,6 +40,8 @@
             return "address is used twice";
         case core_error::InvalidName:
             return "not a name of 1 to 64 letters, digits, '.', '_' or '-'";
+        case core_error::UnexpectedException:
+            return "unexpected exception";
         }
         return "unknown error";
     }
--- a/Libraries/LibCore/core_error.h
+++ b/Libraries/LibCore/core_error.h
@@ -19,6 +19,7 @@
     WeakKey,
     DuplicateAddress,
     InvalidName,
+    UnexpectedException, ///< An exception that no caller expects.
 };
 
 const std::error_category &coreCategory();
--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -71,13 +71,16 @@
 
     void beginStop() { m_forwarder->beginStop(); }
 
-    /// Closes idle connections. Returns whether no request is in progress.
+    /// Closes idle connections. Returns whether none is open: on one without a request in progress,
+    /// a request may be arriving or a response may be on its way to a slow caller.
     bool drained()
     {
         m_forwarder->closeIdle();
-        return m_forwarder->requestsInProgress() == 0;
+        return m_forwarder->sessions() == 0;
     }
 
+    void endRequests() { m_forwarder->endRequests(); }
+
     void stop()
     {
         m_readinessServer->stop();
--- a/Libraries/LibFleet/node_process.h
+++ b/Libraries/LibFleet/node_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/counter_registry.h"
+#include "LibCore/unexpected_error.h"
 #include "LibFleet/control_node.h"
 #include "LibFleet/entry_node.h"
 
@@ -12,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -66,7 +68,13 @@
                       {"seeds", std::to_string(m_settings.seeds.size())}});
         waitForSignal();
         startTimer();
-        m_context.run();
+        // The state of the process is not known after an error that no connection has contained,
+        // so it ends and starts again from its disk.
+        if (const auto failure = core::runContained([this] { m_context.run(); })) {
+            m_log->write("unexpected_error", {{"cause", failure.message()}});
+            m_log->flush();
+            return 1;
+        }
         m_log->write("stopped", {});
         m_log->flush();
         return 0;
@@ -236,8 +244,13 @@
     bool mayExit(core::instant now)
     {
         const auto since = now - *m_stopSince;
-        if (since >= m_settings.graceTime - stopMargin)
-            return true;
+        if (since >= m_settings.graceTime - stopMargin) {
+            // The answers are written before the next call.
+            if (!m_entry || std::exchange(m_requestsEnded, true))
+                return true;
+            m_entry->endRequests();
+            return false;
+        }
         if (m_control && since < leadershipTransferTime)
             return false;
         if (!m_entry)
@@ -273,6 +286,7 @@
     std::shared_ptr<entry_node<Dialect>> m_entry;
     std::shared_ptr<forward::http_server> m_metricsServer;
     std::optional<core::instant> m_stopSince;
+    bool m_requestsEnded = false;
 };
 
 } // namespace quetzalcleat::fleet
--- a/Libraries/LibForward/caller_session.cpp
+++ b/Libraries/LibForward/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "LibForward/caller_session.h"
 
+#include "LibCore/unexpected_error.h"
 #include "LibForward/exchange.h"
 
 #include <algorithm>
@@ -7,7 +8,7 @@
 #include <utility>
 
 #include <asio/buffer.hpp>
-#include <asio/write.hpp>
+#include <asio/post.hpp>
 
 namespace quetzalcleat::forward {
 
@@ -16,8 +17,17 @@
 constexpr std::size_t readBytes = std::size_t{16} * 1024;
 /// Bytes of pipelined requests that are read while a request is in progress.
 constexpr std::size_t maximumPipelinedBytes = std::size_t{64} * 1024;
+/// A further pipelined request is not started while more bytes than this wait for a slow caller.
+constexpr std::size_t maximumUnsentBytes = std::size_t{256} * 1024;
+/// Buffers passed to one write.
+constexpr std::size_t maximumWriteBuffers = 32;
+/// During a planned stop, a connection that has just been accepted is kept open this long for its
+/// first request, which is usually on its way.
+constexpr std::chrono::milliseconds firstRequestTime{1000};
 /// How long a closing connection is still read, so that a reset does not discard the response.
 constexpr std::chrono::milliseconds lingerTime{1000};
+/// More than what is usually on its way; a caller that sends more is taken to have no end.
+constexpr std::size_t maximumLingerBytes = std::size_t{256} * 1024;
 
 } // namespace
 
@@ -31,6 +41,7 @@
     std::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     m_buffer.resize(readBytes);
+    m_requestStart = std::chrono::steady_clock::now();
     armTimer(limits().idleTimeout);
     read();
 }
@@ -60,17 +71,31 @@
                                      if (self->m_input.empty() && self->m_phase == phase::Idle)
                                          self->m_requestStart = std::chrono::steady_clock::now();
                                      self->m_input.append(self->m_buffer.data(), bytes);
-                                     self->process();
+                                     self->processContained();
+                                 } else if ((self->m_lingerBytes += bytes) > maximumLingerBytes) {
+                                     self->close();
                                  }
                                  self->read();
                              });
 }
 
+/// An unexpected error in one request ends its connection, not the process.
+void caller_session::processContained()
+{
+    if (const auto failure = core::runContained([this] { process(); })) {
+        m_owner->log().write("caller_connection_failed", {{"cause", failure.message()}});
+        handleDisconnect();
+    }
+}
+
 void caller_session::process()
 {
     while (!m_closed && !m_input.empty() && (m_phase == phase::Idle || m_phase == phase::Reading)) {
         if (m_phase == phase::Idle) {
+            if (m_unsentBytes > maximumUnsentBytes)
+                return;
             m_phase = phase::Reading;
+            m_hadRequest = true;
             m_headChecked = false;
             m_reader.restart();
             m_body.clear();
@@ -214,7 +239,7 @@
     asio::post(m_owner->context(), [self = shared_from_this()] {
         if (self->m_closed)
             return;
-        self->process();
+        self->processContained();
         self->read();
     });
 }
@@ -223,7 +248,8 @@
 {
     m_phase = phase::Closing;
     m_input.clear();
-    armTimer(lingerTime);
+    // A slow caller is given the idle time for each part of the response.
+    armTimer(m_output.empty() ? lingerTime : limits().idleTimeout);
     if (!m_writing && m_output.empty()) {
         std::error_code ignored;
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -245,29 +271,46 @@
 {
     m_writing = true;
     std::vector<asio::const_buffer> buffers;
-    const auto count = std::min<std::size_t>(m_output.size(), 32);
+    const auto count = std::min(m_output.size(), maximumWriteBuffers);
     for (std::size_t index = 0; index < count; ++index)
         buffers.emplace_back(asio::buffer(m_output[index]));
-    asio::async_write(m_socket, buffers,
-                      [self = shared_from_this(), count](std::error_code error, std::size_t bytes) {
-                          self->m_writing = false;
-                          if (self->m_closed)
-                              return;
-                          if (error) {
-                              self->handleDisconnect();
-                              return;
-                          }
-                          self->m_output.erase(self->m_output.begin(),
-                                               self->m_output.begin()
-                                                   + static_cast<std::ptrdiff_t>(count));
-                          self->m_unsentBytes -= std::min(bytes, self->m_unsentBytes);
-                          if (!self->m_output.empty())
-                              self->write();
-                          else if (self->m_phase == phase::Closing)
-                              self->shutDown();
-                          else if (self->m_exchange)
-                              self->m_exchange->handleOutputDrained();
-                      });
+    buffers.front() += m_sentOfFirst;
+    m_socket.async_write_some(
+        buffers, [self = shared_from_this()](std::error_code error, std::size_t bytes) {
+            self->m_writing = false;
+            if (self->m_closed)
+                return;
+            if (error) {
+                self->handleDisconnect();
+                return;
+            }
+            self->recordWritten(bytes);
+        });
+}
+
+void caller_session::recordWritten(std::size_t bytes)
+{
+    m_unsentBytes -= std::min(bytes, m_unsentBytes);
+    m_sentOfFirst += bytes;
+    while (!m_output.empty() && m_sentOfFirst >= m_output.front().size()) {
+        m_sentOfFirst -= m_output.front().size();
+        m_output.pop_front();
+    }
+    if (!m_output.empty()) {
+        if (m_phase == phase::Idle || m_phase == phase::Closing)
+            armTimer(limits().idleTimeout);
+        write();
+        return;
+    }
+    if (m_phase == phase::Closing) {
+        shutDown();
+    } else if (m_exchange) {
+        m_exchange->handleOutputDrained();
+    } else {
+        // Requests that waited for the caller to read.
+        processContained();
+        read();
+    }
 }
 
 void caller_session::armTimer(std::chrono::milliseconds time)
@@ -299,7 +342,23 @@
 
 void caller_session::closeIfIdle()
 {
-    if (m_phase == phase::Idle && m_input.empty())
+    if (m_phase != phase::Idle || !m_input.empty() || !m_output.empty())
+        return;
+    // Bytes that wait to be read would be lost, and the caller would see a reset.
+    std::error_code ignored;
+    if (m_socket.available(ignored) > 0)
+        return;
+    const bool awaitsFirstRequest
+        = !m_hadRequest && std::chrono::steady_clock::now() - m_requestStart < firstRequestTime;
+    if (!awaitsFirstRequest)
+        close();
+}
+
+void caller_session::endRequest()
+{
+    if (const auto current = m_exchange)
+        current->handleStop();
+    else if (m_phase != phase::Closing)
         close();
 }
 
--- a/Libraries/LibForward/caller_session.h
+++ b/Libraries/LibForward/caller_session.h
@@ -23,8 +23,10 @@
 
     void start();
 
-    /// Closes the connection unless a request is being read or in progress.
+    /// Closes the connection unless a request has arrived, is being read or is in progress.
     void closeIfIdle();
+    /// Ends a request in progress at the end of the grace time of a planned stop.
+    void endRequest();
     void close();
 
     /// Sends a complete response. Sets Content-Length.
@@ -39,19 +41,20 @@
     void abortResponse();
 
     std::size_t unsentBytes() const { return m_unsentBytes; }
-    void disableKeepAlive() { m_keepAlive = false; }
 
 private:
     enum class phase { Idle, Reading, Busy, Closing };
 
     void read();
     void process();
+    void processContained();
     caller_limits limits() const;
     void checkHead();
     void startExchange();
     void refuse(int status, std::string_view reason);
     void queue(std::string bytes);
     void write();
+    void recordWritten(std::size_t bytes);
     void responseDone();
     void armTimer(std::chrono::milliseconds time);
     void handleTimeout();
@@ -67,9 +70,12 @@
     std::string m_body;
     std::deque<std::string> m_output;
     std::size_t m_unsentBytes = 0;
+    std::size_t m_lingerBytes = 0; ///< Discarded while the connection closes.
+    std::size_t m_sentOfFirst = 0; ///< Bytes of the first entry of `m_output` that are sent.
     std::shared_ptr<exchange> m_exchange;
     core::instant m_requestStart;
     phase m_phase = phase::Idle;
+    bool m_hadRequest = false; ///< Since the connection was accepted.
     bool m_headChecked = false;
     bool m_reading = false;
     bool m_writing = false;
--- a/Libraries/LibForward/endpoint_list_reader.h
+++ b/Libraries/LibForward/endpoint_list_reader.h
@@ -43,6 +43,10 @@
     std::chrono::milliseconds interval{1000};
     /// For one page. The platform normally responds within a few ms.
     std::chrono::milliseconds timeout{1500};
+    /// Of one page; a larger one is taken to have no end. An entry takes about 300 bytes.
+    std::size_t maximumPageBytes = std::size_t{4} * 1024 * 1024;
+    /// Of one read of the list, so that pages that name each other come to an end.
+    std::size_t maximumEndpoints = 100'000;
 };
 
 /// Polls the platform's list of endpoints, page by page.
@@ -111,7 +115,7 @@
         };
         handlers.body = [weak](std::string &bytes) {
             if (const auto self = weak.lock())
-                self->m_body.append(bytes);
+                self->handleBody(bytes);
         };
         handlers.ended = [weak](const attempt::ending &ending) {
             if (const auto self = weak.lock())
@@ -128,6 +132,16 @@
         m_attempt = attempt::start(m_pool, std::move(request), std::move(handlers));
     }
 
+    void handleBody(const std::string &bytes)
+    {
+        m_body.append(bytes);
+        if (m_body.size() <= m_options.maximumPageBytes)
+            return;
+        m_timeout.cancel();
+        m_attempt->cancel();
+        failed("the page has more than " + std::to_string(m_options.maximumPageBytes) + " bytes");
+    }
+
     void handleEnd(std::error_code error)
     {
         m_timeout.cancel();
@@ -150,6 +164,11 @@
         auto &endpoints = page.value().endpoints;
         m_collected.insert(m_collected.end(), std::make_move_iterator(endpoints.begin()),
                            std::make_move_iterator(endpoints.end()));
+        if (m_collected.size() > m_options.maximumEndpoints) {
+            failed("the list has more than " + std::to_string(m_options.maximumEndpoints)
+                   + " entries");
+            return;
+        }
         if (!page.value().next.empty()) {
             readPage(page.value().next);
             return;
--- a/Libraries/LibForward/event_splitter.cpp
+++ b/Libraries/LibForward/event_splitter.cpp
@@ -8,6 +8,23 @@
 
 namespace {
 
+/// A longer event is taken to have no end. Events hold a few tokens each.
+constexpr std::size_t maximumEventBytes = std::size_t{256} * 1024;
+
+/// Whether the block has a data field. Comments, which keep connections open, have none.
+bool hasData(std::string_view event)
+{
+    while (!event.empty()) {
+        if (event.starts_with("data"))
+            return true;
+        const auto end = event.find('\n');
+        if (end == std::string_view::npos)
+            break;
+        event.remove_prefix(end + 1);
+    }
+    return false;
+}
+
 /// End of the first event in the text, including its empty line; npos if it is incomplete.
 std::size_t endOfEvent(std::string_view text)
 {
@@ -43,10 +60,12 @@
         }
         if (id)
             m_lastId = id;
-        ++m_eventCount;
+        if (id || hasData(event))
+            ++m_eventCount;
         whole.append(event);
     }
     m_partialEvent.erase(0, start);
+    m_hasOversizedEvent = m_partialEvent.size() > maximumEventBytes;
     return whole;
 }
 
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -375,13 +375,24 @@
 {
     m_response = std::move(head);
     m_endpoint->lastReceived = std::chrono::steady_clock::now();
-    if (!m_service->engine || !isSuccess(m_response.status))
+    if (!isSuccess(m_response.status) || (!m_service->engine && !isStream()))
         return;
-    // Not a response of the endpoint itself.
-    if (!m_response.has(m_owner->options().names.signature) || m_response.has("Content-Encoding")) {
-        m_attempt->cancel();
-        attemptFailed("answer_unsigned", true);
-    }
+    // Not a response of the endpoint itself, or not the response to this request.
+    if (!m_response.has(m_owner->options().names.signature) || m_response.has("Content-Encoding"))
+        abandonAttempt("answer_unsigned");
+    else if (!answersThisRequest())
+        abandonAttempt("answer_without_id");
+}
+
+bool exchange::answersThisRequest() const
+{
+    return m_response.value(m_owner->options().names.requestId) == m_id;
+}
+
+void exchange::abandonAttempt(std::string_view cause)
+{
+    m_attempt->cancel();
+    attemptFailed(cause, true);
 }
 
 void exchange::handleBody(std::string &bytes)
@@ -389,36 +400,62 @@
     const auto session = m_session.lock();
     if (!session)
         return;
+    if (isStream() && isSuccess(m_response.status)) {
+        handleEventBytes(bytes, *session);
+        return;
+    }
     m_endpoint->lastReceived = std::chrono::steady_clock::now();
-    const bool streams = isStream() && isSuccess(m_response.status);
-    if (!streams && !m_streamsBody) {
+    if (!m_streamsBody) {
         m_responseBody.append(bytes);
-        const auto signature = m_owner->options().names.signature;
-        if (m_responseBody.size() <= maximumBufferedResponse || !m_response.has(signature))
+        if (m_responseBody.size() <= maximumBufferedResponse)
             return;
+        // Only a signed response may be passed on, and keeping the rest needs memory without bound.
+        if (!m_response.has(m_owner->options().names.signature) || !answersThisRequest()) {
+            abandonAttempt("answer_too_large");
+            return;
+        }
         m_streamsBody = true;
         bytes = std::move(m_responseBody);
         m_responseBody.clear();
     }
-    auto part = streams ? m_events.append(bytes) : std::move(bytes);
+    recordFirstByte(*m_endpoint);
+    recordPart();
+    passOn(bytes, *session);
+}
+
+void exchange::handleEventBytes(std::string &bytes, caller_session &session)
+{
+    const auto eventsBefore = m_events.eventCount();
+    const auto part = m_events.append(bytes);
     if (m_events.hasGap()) {
-        m_attempt->cancel();
-        attemptFailed("events_missing", true);
+        abandonAttempt("events_missing");
         return;
     }
-    if (part.empty())
+    if (m_events.hasOversizedEvent()) {
+        abandonAttempt("event_too_large");
         return;
-    recordFirstByte(*m_endpoint);
-    recordPart();
+    }
+    // Comments and incomplete events are no progress, so they do not restart the stall timer.
+    if (m_events.eventCount() > eventsBefore) {
+        m_endpoint->lastReceived = std::chrono::steady_clock::now();
+        recordFirstByte(*m_endpoint);
+        recordPart();
+        startAttemptTimer();
+    }
+    if (!part.empty())
+        passOn(part, session);
+}
+
+void exchange::passOn(const std::string &part, caller_session &session)
+{
     if (!std::exchange(m_responseStarted, true)) {
         m_owner->latency(m_service->name).observe(elapsed());
         http_head head = m_response;
         removeHopByHop(head);
-        session->beginResponse(std::move(head));
+        session.beginResponse(std::move(head));
     }
-    startAttemptTimer();
-    session->sendPart(part);
-    if (session->unsentBytes() > maximumUnsentBytes)
+    session.sendPart(part);
+    if (session.unsentBytes() > maximumUnsentBytes)
         m_attempt->pause();
 }
 
@@ -450,6 +487,13 @@
         return;
     }
     if (m_response.has(names.notRun) || m_response.status == 421) {
+        // It may be a late refusal of the request before this one, which says nothing about this
+        // one.
+        if (ending.connectionWasReused && !answersThisRequest()) {
+            releaseEndpoint(endpoint_outcome::Failed);
+            attemptFailed("answer_without_id", true);
+            return;
+        }
         --m_possibleRuns;
         releaseEndpoint(m_response.status == 421 ? endpoint_outcome::Replaced
                                                  : endpoint_outcome::Refused);
@@ -573,6 +617,11 @@
             return;
         if (self->m_attemptTimer.expiry() > std::chrono::steady_clock::now())
             return;
+        // The caller is slow, not the endpoint, whose bytes are not read meanwhile.
+        if (self->m_attempt->isPaused()) {
+            self->startAttemptTimer();
+            return;
+        }
         const auto silence = std::chrono::steady_clock::now() - self->m_endpoint->lastReceived;
         if (self->isStream() && silence < recentActivityTime) {
             self->startAttemptTimer();
@@ -617,6 +666,18 @@
     finish(0, "caller_left");
 }
 
+void exchange::handleStop()
+{
+    if (m_done)
+        return;
+    const bool ran = m_possibleRuns > 0;
+    if (m_attempt)
+        m_attempt->cancel();
+    m_attempt.reset();
+    releaseEndpoint(endpoint_outcome::Abandoned);
+    failRequest("stopping", ran);
+}
+
 /// The prompt no longer counts as waiting at the endpoint.
 void exchange::recordFirstByte(endpoint &target)
 {
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -31,6 +31,10 @@
     /// The caller closed its connection. Closes the connection to the endpoint to cancel its work.
     void handleCallerDisconnect();
 
+    /// Ends the request at the end of the grace time of a planned stop, with an answer that says
+    /// whether it was sent.
+    void handleStop();
+
     /// All bytes for the caller have been written. Resumes reading from the endpoint.
     void handleOutputDrained();
 
@@ -47,6 +51,10 @@
     void connectionOpened();
     void handleHead(http_head &head);
     void handleBody(std::string &bytes);
+    void handleEventBytes(std::string &bytes, caller_session &session);
+    void abandonAttempt(std::string_view cause);
+    bool answersThisRequest() const;
+    void passOn(const std::string &part, caller_session &session);
     void handleEnd(const attempt::ending &ending);
     void handleWholeResponse();
     void handleStreamEnd(std::error_code error);
--- a/Libraries/LibForward/forward_error.cpp
+++ b/Libraries/LibForward/forward_error.cpp
@@ -34,6 +34,8 @@
             return "the header is too large";
         case forward_error::BodyTooLarge:
             return "the body is too large";
+        case forward_error::TooManyExtraBytes:
+            return "too many bytes that are not part of an answer";
         case forward_error::ConnectTimeout:
             return "no connection within the time allowed";
         case forward_error::ConnectionClosed:
--- a/Libraries/LibForward/forward_error.h
+++ b/Libraries/LibForward/forward_error.h
@@ -16,6 +16,7 @@
     BadMessage, ///< Bytes that are not HTTP.
     HeaderTooLarge,
     BodyTooLarge,
+    TooManyExtraBytes, ///< Bytes that belong to no message body exceed the bound.
     ConnectTimeout,
     ConnectionClosed, ///< The peer closed before its message was complete.
     Cancelled,
--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -63,17 +63,35 @@
             });
             return;
         }
-        if (self->m_sessions.size() < self->m_options.maximumSessions) {
-            auto session = std::make_shared<caller_session>(self, std::move(socket));
-            self->m_sessions.insert(session);
-            session->start();
-        } else {
-            ++self->m_counters.counter("connections_refused_total");
-        }
+        self->openSession(std::move(socket));
         self->acceptNext();
     });
 }
 
+void forwarder::openSession(asio::ip::tcp::socket socket)
+{
+    if (m_sessions.size() >= m_options.maximumSessions) {
+        ++m_counters.counter("connections_refused_total");
+        return;
+    }
+    auto session = std::make_shared<caller_session>(shared_from_this(), std::move(socket));
+    m_sessions.insert(session);
+    session->start();
+}
+
+/// Closing the listener resets connections that wait in its queue, with the requests on them.
+void forwarder::acceptWaiting()
+{
+    std::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (!error)
+            openSession(std::move(socket));
+    }
+}
+
 void forwarder::startTimer()
 {
     m_timer.expires_after(tickInterval);
@@ -100,13 +118,23 @@
 
 void forwarder::closeIdle()
 {
-    std::error_code ignored;
-    m_acceptor.close(ignored);
+    if (m_acceptor.is_open()) {
+        acceptWaiting();
+        std::error_code ignored;
+        m_acceptor.close(ignored);
+    }
     const auto sessions = m_sessions;
     for (const auto &session : sessions)
         session->closeIfIdle();
 }
 
+void forwarder::endRequests()
+{
+    const auto sessions = m_sessions;
+    for (const auto &session : sessions)
+        session->endRequest();
+}
+
 void forwarder::stop()
 {
     if (std::exchange(m_stopped, true))
--- a/Libraries/LibForward/forwarder.h
+++ b/Libraries/LibForward/forwarder.h
@@ -55,8 +55,10 @@
 
     /// Persistent connections close after their next response; new ones are still accepted.
     void beginStop() { m_stopping = true; }
-    /// Closes the listener and idle connections.
+    /// Accepts the connections that already wait, then closes the listener and idle connections.
     void closeIdle();
+    /// Answers all requests in progress, at the end of the grace time.
+    void endRequests();
     void stop();
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
@@ -88,6 +90,8 @@
 
 private:
     void acceptNext();
+    void acceptWaiting();
+    void openSession(asio::ip::tcp::socket socket);
     void startTimer();
 
     asio::io_context &m_context;
--- a/Libraries/LibForward/http_reader.cpp
+++ b/Libraries/LibForward/http_reader.cpp
@@ -6,6 +6,15 @@
 
 namespace quetzalcleat::forward {
 
+namespace {
+
+/// Chunk sizes, chunk extensions and trailers may take this many bytes, and this many more for each
+/// byte of the body, as an endpoint may send chunks of a single byte.
+constexpr std::size_t maximumFramingBytes = std::size_t{64} * 1024;
+constexpr std::size_t framingBytesPerBodyByte = 16;
+
+} // namespace
+
 struct http_reader::parser
 {
     http_parser state{};
@@ -106,6 +115,8 @@
     m_head = {};
     m_bytes = 0;
     m_headerBytes = 0;
+    m_bodyBytes = 0;
+    m_framingBytes = 0;
     m_valueSeen = false;
     m_isHeadRequest = isHeadRequest;
     m_headComplete = false;
@@ -119,13 +130,20 @@
     if (m_complete || bytes.empty())
         return std::size_t{0};
     m_body = &body;
+    const std::size_t bodyBefore = body.size();
     const bool headBefore = m_headComplete;
     auto used
         = http_parser_execute(&m_parser->state, &m_parser->settings, bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&m_parser->state);
     m_bytes += used;
+    const std::size_t bodyBytes = std::min(used, body.size() - bodyBefore);
+    m_bodyBytes += bodyBytes;
     if (!headBefore)
-        m_headerBytes += used - (m_headComplete ? std::min(used, body.size()) : 0);
+        m_headerBytes += used - (m_headComplete ? bodyBytes : 0);
+    else
+        m_framingBytes += used - bodyBytes;
+    if (m_framingBytes > maximumFramingBytes + framingBytesPerBodyByte * m_bodyBytes)
+        return forward_error::TooManyExtraBytes;
     if (!headBefore && m_headerBytes > m_headerLimit)
         return forward_error::HeaderTooLarge;
     if (error == HPE_HEADER_OVERFLOW)
--- a/Libraries/LibForward/http_reader.h
+++ b/Libraries/LibForward/http_reader.h
@@ -27,7 +27,7 @@
     void restart(bool isHeadRequest = false);
 
     /// Parses up to the end of the current message and returns the number of bytes used. Body bytes
-    /// are appended to `body`. Errors: BadMessage, HeaderTooLarge.
+    /// are appended to `body`. Errors: BadMessage, HeaderTooLarge, TooManyExtraBytes.
     core::result<std::size_t> read(std::string_view bytes, std::string &body);
 
     /// The peer has closed the connection. Returns whether the message is complete.
@@ -54,6 +54,8 @@
     std::size_t m_bytes = 0;
     std::size_t m_headerBytes = 0;
     std::size_t m_headerLimit = std::size_t{64} * 1024;
+    std::size_t m_bodyBytes = 0;
+    std::size_t m_framingBytes = 0; ///< After the head and outside of the body.
     bool m_valueSeen = false;
     bool m_isHeadRequest = false;
     bool m_headComplete = false;
--- a/Libraries/LibForward/http_server.cpp
+++ b/Libraries/LibForward/http_server.cpp
@@ -1,5 +1,6 @@
 #include "LibForward/http_server.h"
 
+#include "LibCore/unexpected_error.h"
 #include "LibForward/listen.h"
 
 #include <chrono>
@@ -75,10 +76,15 @@
         }
         m_busy = true;
         m_keepAlive = m_reader.keepsConnection();
-        m_owner->m_handler(m_reader.head(), std::exchange(m_body, {}),
-                           [self = shared_from_this()](http_response response) {
-                               self->respond(std::move(response));
-                           });
+        // An unexpected error in one request ends its connection, not the process.
+        const auto failure = core::runContained([this] {
+            m_owner->m_handler(m_reader.head(), std::exchange(m_body, {}),
+                               [self = shared_from_this()](http_response response) {
+                                   self->respond(std::move(response));
+                               });
+        });
+        if (failure)
+            close();
     }
 
     void respond(http_response response)
--- a/Libraries/LibForward/upstream.cpp
+++ b/Libraries/LibForward/upstream.cpp
@@ -1,5 +1,7 @@
 #include "LibForward/upstream.h"
 
+#include "LibCore/unexpected_error.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -19,6 +21,9 @@
 constexpr int probeIdleSeconds = 1;
 constexpr int probeIntervalSeconds = 1;
 constexpr int probeCount = 2;
+/// An endpoint may send interim responses and late responses to earlier requests up to this size
+/// before its response; beyond it, its bytes are taken to have no end.
+constexpr std::size_t maximumUnrelatedBytes = std::size_t{256} * 1024;
 
 void setOption(asio::ip::tcp::socket &socket, int level, int name, int value)
 {
@@ -50,9 +55,10 @@
     const auto seconds = parseNumber(text.substr(0, text.find_first_not_of("0123456789")));
     if (!seconds)
         return options.idleTime;
-    return std::min<std::chrono::milliseconds>(options.maximumIdleTime,
-                                               std::chrono::seconds(*seconds))
-        - margin;
+    const auto longest = std::chrono::ceil<std::chrono::seconds>(options.maximumIdleTime).count();
+    const std::chrono::seconds announced(
+        std::min<std::uint64_t>(*seconds, static_cast<std::uint64_t>(longest)));
+    return std::min<std::chrono::milliseconds>(options.maximumIdleTime, announced) - margin;
 }
 
 } // namespace
@@ -243,6 +249,12 @@
 void attempt::handleBytes(std::string_view bytes)
 {
     m_receivedBytes = true;
+    if (const auto failure = core::runContained([&] { parse(bytes); }); failure && !m_done)
+        finish(failure);
+}
+
+void attempt::parse(std::string_view bytes)
+{
     while (!m_done) {
         m_body.clear();
         const auto used = m_reader.read(bytes, m_body);
@@ -251,6 +263,12 @@
             return;
         }
         bytes.remove_prefix(used.value());
+        if (!m_headHandled || m_isUnrelatedResponse)
+            m_unrelatedBytes += used.value();
+        if (m_unrelatedBytes > maximumUnrelatedBytes) {
+            finish(forward_error::TooManyExtraBytes);
+            return;
+        }
         if (m_reader.headComplete() && !m_headHandled) {
             const int status = m_reader.head().status;
             if (status / 100 != 1) {
@@ -304,9 +322,8 @@
     m_timer.cancel();
     const bool reusable = !error && m_writeDone && !m_sawUnrelatedBytes
         && m_reader.keepsConnection() && !m_reader.endsWithConnection();
-    ending result{error, m_sent,
-                  error && m_sent && !m_receivedBytes && m_connection
-                      && m_connection->wasUsedBefore};
+    const bool wasReused = m_connection && m_connection->wasUsedBefore;
+    ending result{error, m_sent, error && m_sent && !m_receivedBytes && wasReused, wasReused};
     if (m_connection) {
         if (reusable) {
             m_pool->release(m_connection, m_idleTime);
--- a/Libraries/LibForward/upstream.h
+++ b/Libraries/LibForward/upstream.h
@@ -85,6 +85,9 @@
         std::error_code error; ///< No error if the response is complete.
         bool wasSent = false; ///< Whether a byte of the request may have reached the endpoint.
         bool reusedConnectionFailed = false; ///< Before any response byte.
+        /// The connection carried a request before, so a response that does not repeat the
+        /// identifier may belong to that one.
+        bool connectionWasReused = false;
     };
 
     struct handlers
@@ -115,6 +118,7 @@
     /// Stops reading from the endpoint while the caller is slow.
     void pause() { m_paused = true; }
     void resume();
+    bool isPaused() const { return m_paused; }
 
 private:
     attempt(std::shared_ptr<connection_pool> pool, request content, handlers handlers);
@@ -123,6 +127,7 @@
     void send();
     void read();
     void handleBytes(std::string_view bytes);
+    void parse(std::string_view bytes);
     void handleClosed(std::error_code error);
     void finish(std::error_code error);
 
@@ -135,6 +140,7 @@
     std::string m_buffer;
     std::string m_body;
     std::chrono::milliseconds m_idleTime{0}; ///< Of the connection, as announced by the endpoint.
+    std::size_t m_unrelatedBytes = 0; ///< Of interim responses and of those to other requests.
     bool m_headHandled = false;
     bool m_writeDone = false;
     bool m_receivedBytes = false;
--- a/Tests/Forward/scripted_socket.cpp
+++ b/Tests/Forward/scripted_socket.cpp
@@ -1,5 +1,6 @@
 #include "scripted_socket.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -62,16 +63,26 @@
     return scripted_socket(descriptor);
 }
 
-void scripted_socket::send(const std::string &bytes) const
+bool scripted_socket::send(const std::string &bytes) const
 {
     std::size_t sent = 0;
     while (sent < bytes.size()) {
         const auto count
             = ::send(m_descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
         if (count <= 0)
-            return;
+            return false;
         sent += static_cast<std::size_t>(count);
     }
+    return true;
+}
+
+std::size_t scripted_socket::sendUntilClosed(const std::string &first, const std::string &next,
+                                             std::size_t limit) const
+{
+    std::size_t sent = 0;
+    for (const std::string *bytes = &first; sent < limit && send(*bytes); bytes = &next)
+        sent += bytes->size();
+    return std::min(sent, limit);
 }
 
 bool scripted_socket::readMore()
@@ -119,6 +130,11 @@
     return std::exchange(m_input, {});
 }
 
+bool scripted_socket::hasBytes(std::chrono::milliseconds time) const
+{
+    return !m_input.empty() || waitReadable(m_descriptor, time);
+}
+
 bool scripted_socket::waitForClose()
 {
     std::array<char, 1> byte{};
--- a/Tests/Forward/scripted_socket.h
+++ b/Tests/Forward/scripted_socket.h
@@ -21,7 +21,12 @@
     static scripted_socket connectTo(std::uint16_t port);
 
     bool isOpen() const { return m_descriptor >= 0; }
-    void send(const std::string &bytes) const;
+    /// Returns whether all bytes were sent.
+    bool send(const std::string &bytes) const;
+    /// Sends `first` and then `next` again and again. Returns the number of bytes that were sent
+    /// before the peer closed, or `limit` if it did not close before.
+    std::size_t sendUntilClosed(const std::string &first, const std::string &next,
+                                std::size_t limit) const;
 
     /// Reads up to and including `end`, or until the peer closes. Returns what was read.
     std::string readUntil(const std::string &end);
@@ -29,6 +34,8 @@
     std::string readMessage();
     /// Reads all bytes until the peer closes.
     std::string readAll();
+    /// Whether bytes, or the end of the connection, arrive within the time.
+    bool hasBytes(std::chrono::milliseconds time) const;
     /// Whether the peer closes without sending anything.
     bool waitForClose();
 
--- /dev/null
+++ b/Tests/Forward/test_stop_under_load.cpp
@@ -0,0 +1,86 @@
+#include "forwarder_fixture.h"
+
+namespace quetzalcleat::forward::test {
+
+namespace {
+
+/// Below the queue length of the listeners.
+constexpr int callers = 12;
+
+} // namespace
+
+/// Guards against requests that arrived just before the listener closes, on connections that the
+/// host has not accepted yet, and are reset without an answer.
+TEST_F(forwarder_test, StopServesConnectionsThatWaitToBeAccepted)
+{
+    setEndpoints({"one"});
+    std::vector<scripted_socket> waiting;
+    inLoop([&] {
+        m_forwarder->beginStop();
+        // The loop is busy, so these wait in the queue of the listener.
+        for (int index = 0; index < callers; ++index)
+            waiting.push_back(call("GET", "/read/a", "X-Time-Left-Ms: 15000\r\n"));
+        m_forwarder->closeIdle();
+    });
+    std::vector<scripted_socket> endpoints;
+    for (int index = 0; index < callers; ++index) {
+        auto endpoint = acceptAny();
+        ASSERT_TRUE(endpoint.isOpen()) << index;
+        endpoint.readMessage();
+        endpoint.send(signedResponse("whole"));
+        endpoints.push_back(std::move(endpoint));
+    }
+    for (auto &caller : waiting)
+        EXPECT_TRUE(caller.readMessage().ends_with("whole"));
+}
+
+/// Guards against a request on an open connection that the host has received but not read yet when
+/// it closes idle connections.
+TEST_F(forwarder_test, StopServesRequestsThatWaitToBeRead)
+{
+    setEndpoints({"one"});
+    std::vector<scripted_socket> open;
+    for (int index = 0; index < callers; ++index) {
+        open.push_back(call("GET", "/read/a"));
+        auto endpoint = m_endpoints[0].accept();
+        endpoint.readMessage();
+        endpoint.send(signedResponse("first"));
+        endpoint.close();
+        open.back().readMessage();
+    }
+    inLoop([&] {
+        m_forwarder->beginStop();
+        for (auto &caller : open)
+            caller.send(request("GET", "/read/b", "X-Time-Left-Ms: 15000\r\n"));
+        m_forwarder->closeIdle();
+    });
+    std::vector<scripted_socket> endpoints;
+    for (int index = 0; index < callers; ++index) {
+        auto endpoint = acceptAny();
+        ASSERT_TRUE(endpoint.isOpen()) << index;
+        endpoint.readMessage();
+        endpoint.send(signedResponse("whole"));
+        endpoints.push_back(std::move(endpoint));
+    }
+    for (auto &caller : open)
+        EXPECT_TRUE(caller.readMessage().ends_with("whole"));
+}
+
+/// Guards against requests that are cut without an answer at the end of the grace time: what was
+/// not sent is refused as not run, what was sent gets an answer that promises nothing.
+TEST_F(forwarder_test, EndOfTheGraceTimeAnswersEveryRequest)
+{
+    m_confirmationAge = 1'000'000;
+    auto waiting
+        = call("GET", "/keyed/a", "X-Time-Left-Ms: 15000\r\nAuthorization: Bearer secret\r\n");
+    auto sent = call("POST", "/book/a", "X-Time-Left-Ms: 15000\r\n", "order");
+    auto endpoint = acceptAny();
+    endpoint.readMessage();
+    inLoop([this] { m_forwarder->beginStop(); });
+    inLoop([this] { m_forwarder->endRequests(); });
+    EXPECT_TRUE(waiting.readMessage().starts_with("HTTP/1.1 503"));
+    EXPECT_TRUE(sent.readMessage().starts_with("HTTP/1.1 502"));
+    EXPECT_TRUE(endpoint.waitForClose());
+}
+
+} // namespace quetzalcleat::forward::test
