LibPeer, LibFleet: Answer waiting hosts as soon as there is a leader

From the logs of all hosts (untouched code): processes start at 35.9 to 36.3 s, a leader at 36.89 s, documents in force at 36.88 to 37.11 s, confirmations only at 37.1 to 37.4 s, as each host waited for its next request; the leader read the list at 37.48 s, at its next interval.

Ruled out: shorter request intervals, whose cost grows with the hosts.

configuration_fleet.NewLeaderAnswersHostsThatWait has a host that asks only once; it fails on the old code by its time limit and passes here. test_peer_configuration passed whole.

--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -155,6 +155,12 @@
             return self && self->m_service->isConfirmed();
         });
         m_listReader->start();
+        // The hosts wait for the list after a failure of all of them.
+        m_service->onConfirming([weak] {
+            const auto self = weak.lock();
+            if (self && !self->m_stopped)
+                self->m_listReader->readNow();
+        });
     }
 
     void startTimer()
--- a/Libraries/LibForward/endpoint_list_reader.h
+++ b/Libraries/LibForward/endpoint_list_reader.h
@@ -77,6 +77,15 @@
             scheduleRead();
     }
 
+    /// Reads the list without waiting for the interval.
+    void readNow()
+    {
+        if (m_stopped || m_attempt)
+            return;
+        m_timer.cancel();
+        start();
+    }
+
     void stop()
     {
         m_stopped = true;
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -139,6 +139,10 @@
     std::optional<state::configuration> confirmedConfiguration() const;
     std::string leaderHost() const { return confirmationStatus().leader; }
     void transferLeadership();
+    void onConfirming(std::function<void()> handler)
+    {
+        m_confirmingHandlers.push_back(std::move(handler));
+    }
     void setCatalogue(std::shared_ptr<const endpoint_catalogue> catalogue)
     {
         m_catalogue = std::move(catalogue);
@@ -147,6 +151,12 @@
     bool isVoter() const { return m_core && status().members.isVoter(m_store.identity().self); }
 
 private:
+    struct unconfirmed_request
+    {
+        configuration_lease_request request;
+        core::instant receivedAt;
+    };
+
     using ready_pointer = std::shared_ptr<consensus::ready>;
 
     consensus::raft_status status() const { return m_core->status(); }
@@ -174,6 +184,10 @@
     void handleShareRequest(const std::string &host, const share_request &request);
     void handleConfigurationLeaseRequest(const std::string &host,
                                          const configuration_lease_request &request);
+    void answerUnconfirmedRequests(core::instant now);
+    bool answerConfigurationLeaseRequest(const std::string &host,
+                                         const configuration_lease_request &request,
+                                         core::instant now);
     configuration_lease_answer configurationLeaseAnswer() const;
     void pushConfiguration();
     struct voter_liveness
@@ -219,6 +233,10 @@
     std::optional<share_allocator> m_shares; ///< Of the term in which this host leads.
     consensus::term_number m_sharesTerm = 0;
     core::instant m_lastPeriodicTasks;
+    /// Last requests that could not be confirmed, by host. Without their loads.
+    std::map<std::string, unconfirmed_request> m_unconfirmedRequests;
+    bool m_wasConfirmed = false;
+    std::vector<std::function<void()>> m_confirmingHandlers;
     std::optional<core::instant> m_leaderSince;
     consensus::term_number m_leaderTerm = 0;
     bool m_stopped = false;
@@ -284,6 +302,7 @@
         self->m_core->tick(now);
         self->runPeriodicTasks(now);
         self->processReadies();
+        self->answerUnconfirmedRequests(now);
         self->startTimer();
     });
 }
@@ -707,6 +726,38 @@
     const auto now = currentTime();
     if (!m_loads.record(host, request.loads, now))
         return;
+    if (!answerConfigurationLeaseRequest(host, request, now)) {
+        auto known = request;
+        known.loads.clear();
+        m_unconfirmedRequests[host] = {std::move(known), now};
+    }
+}
+
+/// Answers waiting hosts as soon as this host can confirm the configuration, without waiting for
+/// their next requests: after a failure of all hosts, their callers wait for it.
+void control_service::implementation::answerUnconfirmedRequests(core::instant now)
+{
+    const bool confirmed = isConfirmed();
+    const bool begins = confirmed && !m_wasConfirmed;
+    m_wasConfirmed = confirmed;
+    if (!confirmed) {
+        std::erase_if(m_unconfirmedRequests, [&](const auto &entry) {
+            return now - entry.second.receivedAt > load_aggregator::reportLifetime;
+        });
+        return;
+    }
+    if (begins) {
+        for (const auto &handler : m_confirmingHandlers)
+            handler();
+    }
+    for (const auto &[host, waiting] : std::exchange(m_unconfirmedRequests, {}))
+        (void)answerConfigurationLeaseRequest(host, waiting.request, now);
+}
+
+/// Returns whether the answer confirms the configuration.
+bool control_service::implementation::answerConfigurationLeaseRequest(
+    const std::string &host, const configuration_lease_request &request, core::instant now)
+{
     auto answer = configurationLeaseAnswer();
     m_distributor.answer(answer, host, request.revision, now);
     answer.sequence = request.sequence;
@@ -719,6 +770,7 @@
     // If sending fails, the host asks again.
     if (m_network->send(host, answer) && answer.endpoints.isComplete)
         m_listTransfers.recordSent(host, now);
+    return answer.confirmed;
 }
 
 configuration_lease_answer control_service::implementation::configurationLeaseAnswer() const
@@ -869,6 +921,11 @@
     return m_implementation->voterHosts();
 }
 
+void control_service::onConfirming(std::function<void()> handler)
+{
+    m_implementation->onConfirming(std::move(handler));
+}
+
 void control_service::setCatalogue(std::shared_ptr<const endpoint_catalogue> catalogue)
 {
     m_implementation->setCatalogue(std::move(catalogue));
--- a/Libraries/LibPeer/control_service.h
+++ b/Libraries/LibPeer/control_service.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <filesystem>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -72,6 +73,9 @@
     /// Sets the list of endpoints that is sent to hosts with their leases.
     void setCatalogue(std::shared_ptr<const endpoint_catalogue> catalogue);
 
+    /// Calls the handler whenever this host begins to confirm configurations as the leader.
+    void onConfirming(std::function<void()> handler);
+
     /// Transfers leadership to the voter that has most of the log, if this host leads.
     void transferLeadership();
 
--- a/Tests/Peer/addressed_fleet.h
+++ b/Tests/Peer/addressed_fleet.h
@@ -104,7 +104,7 @@
 
     void removeData(const std::string &ip) { std::filesystem::remove_all(m_folder / ip); }
 
-    void startEntry(const std::string &ip)
+    void startEntry(const std::string &ip, const configuration_lease_options &options = {})
     {
         auto &host = entries[ip];
         host.network = startNetwork(ip, host.counters, false, seeds);
@@ -112,7 +112,7 @@
         handlers.changed = [&host](const state::configuration &newest) {
             host.versions.push_back(std::stoull(newest.document));
         };
-        host.lease = configuration_lease::create(host.network, seeds, {}, std::move(handlers));
+        host.lease = configuration_lease::create(host.network, seeds, options, std::move(handlers));
         host.lease->start();
         host.network->start();
     }
--- a/Tests/Peer/test_configuration_lease.cpp
+++ b/Tests/Peer/test_configuration_lease.cpp
@@ -60,6 +60,26 @@
     EXPECT_TRUE(until([&] { return entry().lease->age() < std::chrono::milliseconds(600); }));
 }
 
+/// Guards against hosts that wait for their next request to learn that there is a leader again:
+/// after a failure of all hosts, every caller waits with them.
+TEST_F(configuration_fleet, NewLeaderAnswersHostsThatWait)
+{
+    EXPECT_EQ(write(4), write_outcome::Accepted);
+    for (const auto &seed : seeds)
+        stopControl(seed);
+    for (const auto &seed : seeds)
+        startControl(seed, false);
+    // Asks once, before there is a leader, and not again during the test.
+    configuration_lease_options options;
+    options.interval = std::chrono::hours(1);
+    options.maximumInterval = options.interval;
+    startEntry("127.0.1.21", options);
+    const auto &waiting = entries.at("127.0.1.21");
+    EXPECT_TRUE(until(
+        [&] { return !waiting.versions.empty() && waiting.lease->age() < std::chrono::hours(1); }));
+    EXPECT_EQ(waiting.versions.back(), 4U);
+}
+
 /// Guards against a confirmation by hosts that cannot know the newest configuration: without a
 /// majority no lease is renewed and nothing is read or accepted.
 TEST_F(configuration_fleet, MinorityConfirmsNothing)
