quetzalcleatd: Abandon a report without end

A load report, cache events or host list whose body never ended kept its poll in flight for ever, as bytes above 4 MiB were dropped without a log line and each chunk renewed the progress timeout: a leaving endpoint was never noticed again.

Names that nothing uses are removed: five errors of LibForward, one of the daemon, attempt::request::requiresNewConnection.

--- a/Libraries/LibForward/forward_error.cpp
+++ b/Libraries/LibForward/forward_error.cpp
@@ -32,24 +32,14 @@
             return "the bytes are not an HTTP message";
         case forward_error::HeaderTooLarge:
             return "the header is too large";
-        case forward_error::BodyTooLarge:
-            return "the body is too large";
         case forward_error::TooManyExtraBytes:
             return "too many bytes that are not part of an answer";
         case forward_error::ConnectTimeout:
             return "no connection within the time allowed";
         case forward_error::ConnectionClosed:
             return "the peer closed the connection early";
-        case forward_error::Cancelled:
-            return "cancelled";
-        case forward_error::TooManyConnections:
-            return "too many connections";
         case forward_error::ListenFailed:
             return "cannot listen";
-        case forward_error::NoLeader:
-            return "no leader of the replicated log is known";
-        case forward_error::Undecided:
-            return "it is not known whether the change was accepted";
         }
         return "unknown error";
     }
--- a/Libraries/LibForward/forward_error.h
+++ b/Libraries/LibForward/forward_error.h
@@ -15,15 +15,10 @@
     BadField,
     BadMessage, ///< Bytes that are not HTTP.
     HeaderTooLarge,
-    BodyTooLarge,
     TooManyExtraBytes, ///< Bytes that belong to no message body exceed the bound.
     ConnectTimeout,
     ConnectionClosed, ///< The peer closed before its message was complete.
-    Cancelled,
-    TooManyConnections,
     ListenFailed,
-    NoLeader,
-    Undecided,
 };
 
 std::error_code make_error_code(forward_error error);
--- a/Libraries/LibForward/upstream.cpp
+++ b/Libraries/LibForward/upstream.cpp
@@ -157,8 +157,7 @@
 {
     std::shared_ptr<attempt> self(
         new attempt(std::move(pool), std::move(content), std::move(handlers)));
-    if (!self->m_request.requiresNewConnection)
-        self->m_connection = self->m_pool->acquire(self->m_request.key);
+    self->m_connection = self->m_pool->acquire(self->m_request.key);
     if (self->m_connection)
         self->send();
     else
--- a/Libraries/LibForward/upstream.h
+++ b/Libraries/LibForward/upstream.h
@@ -106,7 +106,6 @@
         std::string identifier; ///< Value of `identifierHeader` that the response must repeat.
         std::string identifierHeader;
         bool isHeadRequest = false;
-        bool requiresNewConnection = false;
     };
 
     static std::shared_ptr<attempt> start(std::shared_ptr<connection_pool> pool, request content,
--- a/Services/quetzalcleatd/daemon_error.cpp
+++ b/Services/quetzalcleatd/daemon_error.cpp
@@ -26,8 +26,6 @@
             return "stream ended before its last event";
         case daemon_error::EndpointRefused:
             return "endpoint answered with an error status";
-        case daemon_error::AnswerTooLarge:
-            return "answer is larger than allowed";
         }
         return "unknown error";
     }
--- a/Services/quetzalcleatd/daemon_error.h
+++ b/Services/quetzalcleatd/daemon_error.h
@@ -12,7 +12,6 @@
     WrongIndex, ///< A token is missing or repeated.
     UnfinishedStream, ///< The stream ended before its last event.
     EndpointRefused, ///< The endpoint responded with an error status.
-    AnswerTooLarge,
 };
 
 const std::error_category &daemonCategory();
--- a/Services/quetzalcleatd/endpoint_observer.cpp
+++ b/Services/quetzalcleatd/endpoint_observer.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace quetzalcleat::daemon {
 
@@ -13,6 +14,7 @@
 
 using nlohmann::json;
 
+/// A larger report is taken to have no end.
 constexpr std::size_t maximumReportBytes = 4 * 1024 * 1024;
 constexpr std::chrono::milliseconds maximumReportAge{60000};
 
@@ -206,24 +208,40 @@
     request.address = address;
     request.target = target;
     request.timeouts = m_options.timeouts;
-    m_environment.endpoints.start(
+    state.transfer = m_environment.endpoints.start(
         std::move(request),
         {.onHead
          = [collected](const http::response_head &head) { collected->status = head.status; },
          .onBody =
-             [collected](std::string_view chunk) {
-                 if (collected->body.size() + chunk.size() <= maximumReportBytes)
-                     collected->body.append(chunk);
+             [self = shared_from_this(), key, collected](std::string_view chunk) {
+                 collected->body.append(chunk);
+                 if (collected->body.size() > maximumReportBytes)
+                     self->abandon(key);
              },
          .onEnd =
              [self = shared_from_this(), key, collected,
               onReport = std::move(onReport)](const http::transfer_result &end) {
-                 self->m_polls[key].inFlight = false;
+                 auto &poll = self->m_polls[key];
+                 poll.inFlight = false;
+                 poll.transfer.reset();
                  if (!end.error && collected->status == 200 && !self->m_stopped)
                      onReport(collected->body);
              }});
 }
 
+/// Without it, an answer that goes on keeps the next poll from starting.
+void endpoint_observer::abandon(const std::string &key)
+{
+    auto &state = m_polls[key];
+    if (!state.inFlight)
+        return;
+    state.inFlight = false;
+    if (const auto transfer = std::exchange(state.transfer, nullptr))
+        transfer->cancel();
+    m_environment.log.warning("report of " + key + " has more than "
+                              + std::to_string(maximumReportBytes) + " bytes; abandoned");
+}
+
 void endpoint_observer::onLoad(const std::string &name, std::string_view body)
 {
     const auto content = json::parse(body, nullptr, false);
--- a/Services/quetzalcleatd/endpoint_observer.h
+++ b/Services/quetzalcleatd/endpoint_observer.h
@@ -39,6 +39,7 @@
     struct poll
     {
         bool inFlight = false;
+        std::shared_ptr<http::endpoint_transfer> transfer; ///< While in flight.
         std::uint64_t incarnation = 0;
         std::uint64_t cacheSequence = 0;
     };
@@ -51,6 +52,7 @@
     void pollPlatform();
     void fetch(const std::string &key, const core::socket_address &address,
                const std::string &target, body_handler onReport);
+    void abandon(const std::string &key);
     void onLoad(const std::string &name, std::string_view body);
     void onCacheEvents(const std::string &name, std::string_view body);
     void onHosts(std::string_view body);
--- a/Tests/Daemon/test_operator.cpp
+++ b/Tests/Daemon/test_operator.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace quetzalcleat::tests {
 
 using nlohmann::json;
@@ -89,6 +91,38 @@
     EXPECT_EQ(live.calls().size(), 20U);
 }
 
+// Guards against a host list without end that keeps the host from ever reading it again, so that it
+// never learns that an endpoint is leaving.
+TEST_F(operator_test, ReadsTheHostListAgainAfterOneWithoutEnd)
+{
+    addEngine();
+    bool isFirst = true;
+    const auto flood = [](const std::shared_ptr<fake_connection> &connection) {
+        const auto again = [](const auto &self, const auto &target) -> void {
+            if (!target->isClosed())
+                target->sendThen(chunk(std::string(64 * 1024, ' ')),
+                                 [self, target] { self(self, target); });
+        };
+        again(again, connection);
+    };
+    fake_server platform(m_context, [&](const auto &connection, const auto &) {
+        if (std::exchange(isFirst, false)) {
+            connection->send(chunkedHead(200, "application/json"));
+            flood(connection);
+            return;
+        }
+        connection->send(completeResponse(200, R"({"hosts":[{"name":"e0","state":"leaving"}]})"));
+    });
+    m_options.observer.interval = std::chrono::milliseconds(10);
+    m_options.observer.platformAddress = platform.address().text();
+    startDaemon();
+    await([&] {
+        const auto view = m_daemon->dump().endpoints;
+        return !view.empty() && view[0].state == policy::endpoint_state::Leaving;
+    });
+    EXPECT_FALSE(isFirst);
+}
+
 // Guards against dumps, explanations and metrics that are missing or wrong.
 TEST_F(operator_test, ServesDumpExplanationAndMetrics)
 {
