--- a/Tests/Forward/test_endless_bytes.cpp
+++ b/Tests/Forward/test_endless_bytes.cpp
@@ -3,6 +3,11 @@
 
 #include <rapidcheck/gtest.h>
 
+#include <ostream>
+#include <string>
+#include <utility>
+#include <vector>
+
 namespace quetzalcleat::forward::test {
 
 namespace {
@@ -22,9 +27,9 @@
     std::string next;
 };
 
-void PrintTo(const endless_case &entry, std::ostream *stream)
+std::ostream &operator<<(std::ostream &stream, const endless_case &entry)
 {
-    *stream << entry.name;
+    return stream << entry.name;
 }
 
 std::vector<endless_case> endlessCases()
--- a/Tests/Forward/test_slow_peers.cpp
+++ b/Tests/Forward/test_slow_peers.cpp
@@ -31,6 +31,7 @@
     std::this_thread::sleep_for(pause);
     // All at once, as each connection is closed a second after its last byte.
     std::vector<std::future<std::size_t>> received;
+    received.reserve(slow.size());
     for (auto &caller : slow)
         received.push_back(std::async(std::launch::async, [&] { return caller.readAll().size(); }));
     for (std::size_t index = 1; index <= sizes; ++index)
