LibForward: Keep one bound of unsent bytes and one way to drop an attempt

Found by reading the whole change again; behaviour stays as it was. - The bound of bytes that wait for a slow caller stood in exchange.cpp and, new, in caller_session.cpp. The session has it and answers isCongested(). - handleStop repeated what handleDeadline and handleCallerDisconnect do to the attempt; all three call dropAttempt(). - event_splitter stored whether its incomplete event is too large; it follows from it. - attemptFailed releases the endpoint, so one release before it did nothing. - Two tests of a planned stop shared their second half; the assertions are the same.

--- a/Libraries/LibForward/caller_session.cpp
+++ b/Libraries/LibForward/caller_session.cpp
@@ -17,8 +17,6 @@
 constexpr std::size_t readBytes = std::size_t{16} * 1024;
 /// Bytes of pipelined requests that are read while a request is in progress.
 constexpr std::size_t maximumPipelinedBytes = std::size_t{64} * 1024;
-/// A further pipelined request is not started while more bytes than this wait for a slow caller.
-constexpr std::size_t maximumUnsentBytes = std::size_t{256} * 1024;
 /// Buffers passed to one write.
 constexpr std::size_t maximumWriteBuffers = 32;
 /// During a planned stop, a connection that has just been accepted is kept open this long for its
@@ -92,7 +90,7 @@
 {
     while (!m_closed && !m_input.empty() && (m_phase == phase::Idle || m_phase == phase::Reading)) {
         if (m_phase == phase::Idle) {
-            if (m_unsentBytes > maximumUnsentBytes)
+            if (isCongested())
                 return;
             m_phase = phase::Reading;
             m_hadRequest = true;
--- a/Libraries/LibForward/caller_session.h
+++ b/Libraries/LibForward/caller_session.h
@@ -40,9 +40,12 @@
     /// Closes the connection without ending the response, so that it does not look complete.
     void abortResponse();
 
-    std::size_t unsentBytes() const { return m_unsentBytes; }
+    /// Whether so much waits for a slow caller that no more should be produced for it.
+    bool isCongested() const { return m_unsentBytes > maximumUnsentBytes; }
 
 private:
+    static constexpr std::size_t maximumUnsentBytes = std::size_t{256} * 1024;
+
     enum class phase { Idle, Reading, Busy, Closing };
 
     void read();
--- a/Libraries/LibForward/event_splitter.cpp
+++ b/Libraries/LibForward/event_splitter.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// A longer event is taken to have no end. Events hold a few tokens each.
+/// Bound of an incomplete event. Events hold a few tokens each.
 constexpr std::size_t maximumEventBytes = std::size_t{256} * 1024;
 
 /// Whether the block has a data field. Comments, which keep connections open, have none.
@@ -65,10 +65,14 @@
         whole.append(event);
     }
     m_partialEvent.erase(0, start);
-    m_hasOversizedEvent = m_partialEvent.size() > maximumEventBytes;
     return whole;
 }
 
+bool event_splitter::hasOversizedEvent() const
+{
+    return m_partialEvent.size() > maximumEventBytes;
+}
+
 std::optional<std::uint64_t> event_splitter::idOf(std::string_view event)
 {
     while (!event.empty()) {
--- a/Libraries/LibForward/event_splitter.h
+++ b/Libraries/LibForward/event_splitter.h
@@ -13,21 +13,17 @@
 {
 public:
     /// Adds received bytes and returns all events that are now complete. Drops events with an id
-    /// not above the last one. An id that leaves a gap sets `hasGap` and stops the splitting; an
-    /// incomplete event beyond the bound of its size sets `hasOversizedEvent`.
+    /// not above the last one. An id that leaves a gap sets `hasGap` and stops the splitting.
     std::string append(std::string_view bytes);
 
     /// To be called before the stream is resumed from another endpoint.
-    void discardPartialEvent()
-    {
-        m_partialEvent.clear();
-        m_hasOversizedEvent = false;
-    }
+    void discardPartialEvent() { m_partialEvent.clear(); }
 
     std::optional<std::uint64_t> lastId() const { return m_lastId; }
     bool hasGap() const { return m_hasGap; }
     bool hasPartialEvent() const { return !m_partialEvent.empty(); }
-    bool hasOversizedEvent() const { return m_hasOversizedEvent; }
+    /// Whether the incomplete event is so large that it is taken to have no end.
+    bool hasOversizedEvent() const;
     /// Events with an id or data; comments do not count.
     std::uint64_t eventCount() const { return m_eventCount; }
 
@@ -38,7 +34,6 @@
     std::optional<std::uint64_t> m_lastId;
     std::uint64_t m_eventCount = 0;
     bool m_hasGap = false;
-    bool m_hasOversizedEvent = false;
 };
 
 } // namespace quetzalcleat::forward
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -15,8 +15,6 @@
 /// Responses of plain services up to this size are buffered completely before they are sent to the
 /// caller, so that the request can still be retried if one is truncated.
 constexpr std::size_t maximumBufferedResponse = std::size_t{256} * 1024;
-/// Reading from the endpoint pauses while more bytes than this wait for a slow caller.
-constexpr std::size_t maximumUnsentBytes = std::size_t{256} * 1024;
 /// A request with less time left is not sent to an endpoint.
 constexpr std::chrono::milliseconds minimumTimeLeft{15};
 /// Attempts sent for one request, including those that an endpoint refused.
@@ -455,7 +453,8 @@
         session.beginResponse(std::move(head));
     }
     session.sendPart(part);
-    if (session.unsentBytes() > maximumUnsentBytes)
+    // Reading goes on when the output is drained.
+    if (session.isCongested())
         m_attempt->pause();
 }
 
@@ -490,7 +489,6 @@
         // It may be a late refusal of the request before this one, which says nothing about this
         // one.
         if (ending.connectionWasReused && !answersThisRequest()) {
-            releaseEndpoint(endpoint_outcome::Failed);
             attemptFailed("answer_without_id", true);
             return;
         }
@@ -645,10 +643,7 @@
     if (m_done)
         return;
     const bool ran = m_possibleRuns > 0;
-    if (m_attempt)
-        m_attempt->cancel();
-    m_attempt.reset();
-    releaseEndpoint(endpoint_outcome::Abandoned);
+    dropAttempt();
     if (!m_responseStarted && ran)
         respondWithError(504, "Gateway Timeout", "time_is_up");
     else
@@ -659,10 +654,7 @@
 {
     if (m_done)
         return;
-    if (m_attempt)
-        m_attempt->cancel();
-    m_attempt.reset();
-    releaseEndpoint(endpoint_outcome::Abandoned);
+    dropAttempt();
     finish(0, "caller_left");
 }
 
@@ -670,12 +662,17 @@
 {
     if (m_done)
         return;
-    const bool ran = m_possibleRuns > 0;
+    dropAttempt();
+    failRequest("stopping", m_possibleRuns > 0);
+}
+
+/// Ends the attempt for a reason that is not the fault of its endpoint.
+void exchange::dropAttempt()
+{
     if (m_attempt)
         m_attempt->cancel();
     m_attempt.reset();
     releaseEndpoint(endpoint_outcome::Abandoned);
-    failRequest("stopping", ran);
 }
 
 /// The prompt no longer counts as waiting at the endpoint.
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -53,6 +53,7 @@
     void handleBody(std::string &bytes);
     void handleEventBytes(std::string &bytes, caller_session &session);
     void abandonAttempt(std::string_view cause);
+    void dropAttempt();
     bool answersThisRequest() const;
     void passOn(const std::string &part, caller_session &session);
     void handleEnd(const attempt::ending &ending);
--- a/Tests/Forward/test_stop_under_load.cpp
+++ b/Tests/Forward/test_stop_under_load.cpp
@@ -9,9 +9,29 @@
 
 } // namespace
 
+class stop_under_load_test : public forwarder_test
+{
+protected:
+    /// Answers a request of each of the callers at the endpoint.
+    void expectAllServed(std::vector<scripted_socket> &callersToServe)
+    {
+        std::vector<scripted_socket> endpoints;
+        endpoints.reserve(callersToServe.size());
+        for (std::size_t index = 0; index < callersToServe.size(); ++index) {
+            auto endpoint = acceptAny();
+            ASSERT_TRUE(endpoint.isOpen()) << index;
+            endpoint.readMessage();
+            endpoint.send(signedResponse("whole"));
+            endpoints.push_back(std::move(endpoint));
+        }
+        for (auto &caller : callersToServe)
+            EXPECT_TRUE(caller.readMessage().ends_with("whole"));
+    }
+};
+
 /// Guards against requests that arrived just before the listener closes, on connections that the
 /// host has not accepted yet, and are reset without an answer.
-TEST_F(forwarder_test, StopServesConnectionsThatWaitToBeAccepted)
+TEST_F(stop_under_load_test, StopServesConnectionsThatWaitToBeAccepted)
 {
     setEndpoints({"one"});
     std::vector<scripted_socket> waiting;
@@ -22,21 +42,12 @@
             waiting.push_back(call("GET", "/read/a", "X-Time-Left-Ms: 15000\r\n"));
         m_forwarder->closeIdle();
     });
-    std::vector<scripted_socket> endpoints;
-    for (int index = 0; index < callers; ++index) {
-        auto endpoint = acceptAny();
-        ASSERT_TRUE(endpoint.isOpen()) << index;
-        endpoint.readMessage();
-        endpoint.send(signedResponse("whole"));
-        endpoints.push_back(std::move(endpoint));
-    }
-    for (auto &caller : waiting)
-        EXPECT_TRUE(caller.readMessage().ends_with("whole"));
+    expectAllServed(waiting);
 }
 
 /// Guards against a request on an open connection that the host has received but not read yet when
 /// it closes idle connections.
-TEST_F(forwarder_test, StopServesRequestsThatWaitToBeRead)
+TEST_F(stop_under_load_test, StopServesRequestsThatWaitToBeRead)
 {
     setEndpoints({"one"});
     std::vector<scripted_socket> open;
@@ -54,21 +65,12 @@
             caller.send(request("GET", "/read/b", "X-Time-Left-Ms: 15000\r\n"));
         m_forwarder->closeIdle();
     });
-    std::vector<scripted_socket> endpoints;
-    for (int index = 0; index < callers; ++index) {
-        auto endpoint = acceptAny();
-        ASSERT_TRUE(endpoint.isOpen()) << index;
-        endpoint.readMessage();
-        endpoint.send(signedResponse("whole"));
-        endpoints.push_back(std::move(endpoint));
-    }
-    for (auto &caller : open)
-        EXPECT_TRUE(caller.readMessage().ends_with("whole"));
+    expectAllServed(open);
 }
 
 /// Guards against requests that are cut without an answer at the end of the grace time: what was
 /// not sent is refused as not run, what was sent gets an answer that promises nothing.
-TEST_F(forwarder_test, EndOfTheGraceTimeAnswersEveryRequest)
+TEST_F(stop_under_load_test, EndOfTheGraceTimeAnswersEveryRequest)
 {
     m_confirmationAge = 1'000'000;
     auto waiting
