--- a/Libraries/LibForward/caller_session.cpp
+++ b/Libraries/LibForward/caller_session.cpp
@@ -93,7 +93,7 @@
             if (isCongested())
                 return;
             m_phase = phase::Reading;
-            m_hadRequest = true;
+            ++m_requestCount;
             m_headChecked = false;
             m_reader.restart();
             m_body.clear();
@@ -149,7 +149,8 @@
     m_keepAlive = m_reader.keepsConnection();
     m_isHeadRequest = m_reader.head().method == "HEAD";
     m_exchange = std::make_shared<exchange>(m_owner, shared_from_this(), std::move(m_reader.head()),
-                                            std::move(m_body), m_requestStart);
+                                            std::move(m_body),
+                                            request_arrival{m_requestStart, m_requestCount});
     m_body.clear();
     m_exchange->start();
 }
@@ -346,8 +347,8 @@
     std::error_code ignored;
     if (m_socket.available(ignored) > 0)
         return;
-    const bool awaitsFirstRequest
-        = !m_hadRequest && std::chrono::steady_clock::now() - m_requestStart < firstRequestTime;
+    const bool awaitsFirstRequest = m_requestCount == 0
+        && std::chrono::steady_clock::now() - m_requestStart < firstRequestTime;
     if (!awaitsFirstRequest)
         close();
 }
--- a/Libraries/LibForward/caller_session.h
+++ b/Libraries/LibForward/caller_session.h
@@ -3,6 +3,7 @@
 #include "LibForward/forwarder.h"
 #include "LibForward/http_reader.h"
 
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <string>
@@ -78,7 +79,7 @@
     std::shared_ptr<exchange> m_exchange;
     core::instant m_requestStart;
     phase m_phase = phase::Idle;
-    bool m_hadRequest = false; ///< Since the connection was accepted.
+    std::uint64_t m_requestCount = 0; ///< Since the connection was accepted.
     bool m_headChecked = false;
     bool m_reading = false;
     bool m_writing = false;
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -84,9 +84,10 @@
 } // namespace
 
 exchange::exchange(std::shared_ptr<forwarder> owner, std::weak_ptr<caller_session> session,
-                   http_head request, std::string body, core::instant arrived)
+                   http_head request, std::string body, request_arrival arrival)
     : m_owner(std::move(owner)), m_session(std::move(session)), m_request(std::move(request)),
-      m_body(std::move(body)), m_arrived(arrived), m_deadlineTimer(m_owner->context()),
+      m_body(std::move(body)), m_arrived(arrival.at),
+      m_numberOnConnection(arrival.numberOnConnection), m_deadlineTimer(m_owner->context()),
       m_attemptTimer(m_owner->context()), m_routes(m_owner->routes())
 {
     m_owner->requestStarted();
@@ -763,6 +764,8 @@
          {"rank", number(m_priority)},
          {"endpoint", m_tried.empty() ? std::string("-") : m_tried.back()->listed.incarnation},
          {"attempts_sent", number(m_sentAttempts)},
+         {"connection_request", number(static_cast<std::int64_t>(m_numberOnConnection))},
+         {"arrived_after_stop_ms", arrivedAfterStop()},
          {"elapsed_ms", number(elapsed().count())},
          {"events", number(static_cast<std::int64_t>(m_events.eventCount()))},
          {"first_part_ms", number(m_timeToFirstPart.count())},
@@ -775,6 +778,16 @@
           number(std::min<std::int64_t>(m_owner->confirmationAge().count(), 999'999))}});
 }
 
+/// Time from the start of a planned stop to the arrival, or "-" if the request arrived before.
+std::string exchange::arrivedAfterStop() const
+{
+    const auto stopStart = m_owner->stopStart();
+    if (!stopStart || m_arrived < *stopStart)
+        return "-";
+    return number(
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_arrived - *stopStart).count());
+}
+
 std::chrono::milliseconds exchange::timeLeft() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -4,6 +4,7 @@
 #include "LibForward/forwarder.h"
 #include "LibForward/http_head.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -15,12 +16,19 @@
 
 class caller_session;
 
+/// When and where a request arrived.
+struct request_arrival
+{
+    core::instant at;
+    std::uint64_t numberOnConnection = 1; ///< 1 for the first request of its connection.
+};
+
 /// One request of a caller, from its arrival to the end of the response, with all its attempts.
 class exchange : public std::enable_shared_from_this<exchange>
 {
 public:
     exchange(std::shared_ptr<forwarder> owner, std::weak_ptr<caller_session> session,
-             http_head request, std::string body, core::instant arrived);
+             http_head request, std::string body, request_arrival arrival);
     ~exchange();
 
     exchange(const exchange &) = delete;
@@ -71,6 +79,7 @@
                           std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0));
     void failRequest(std::string_view cause, bool mayHaveRun);
     void finish(int status, std::string_view cause);
+    std::string arrivedAfterStop() const;
     std::chrono::milliseconds timeLeft() const;
     std::chrono::milliseconds elapsed() const;
     std::chrono::milliseconds retryAfter() const;
@@ -81,6 +90,7 @@
     http_head m_request;
     std::string m_body;
     core::instant m_arrived;
+    std::uint64_t m_numberOnConnection;
     core::instant m_deadline; ///< The earlier of the caller's deadline and the route's.
     asio::steady_timer m_deadlineTimer;
     asio::steady_timer m_attemptTimer;
--- a/Libraries/LibForward/forwarder.h
+++ b/Libraries/LibForward/forwarder.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -54,7 +55,7 @@
     void setEndpoints(const std::vector<listed_endpoint> &list);
 
     /// Persistent connections close after their next response; new ones are still accepted.
-    void beginStop() { m_stopping = true; }
+    void beginStop() { m_stopStart = std::chrono::steady_clock::now(); }
     /// Accepts the connections that already wait, then closes the listener and idle connections.
     void closeIdle();
     /// Answers all requests in progress, at the end of the grace time.
@@ -62,7 +63,8 @@
     void stop();
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
-    bool isStopping() const { return m_stopping; }
+    bool isStopping() const { return m_stopStart.has_value(); }
+    std::optional<core::instant> stopStart() const { return m_stopStart; }
     bool hasConfirmedConfiguration() const
     {
         return m_confirmationAge() <= m_options.confirmationLifetime;
@@ -109,7 +111,7 @@
     std::map<std::string, core::latency_histogram> m_latencies;
     std::size_t m_requests = 0;
     std::size_t m_waitingRequests = 0; ///< Requests that wait for a configuration.
-    bool m_stopping = false;
+    std::optional<core::instant> m_stopStart; ///< Of a planned stop.
     bool m_stopped = false;
 };
 
