Tests/Forward: Show a request taken on a kept connection during a stop

What callers saw: a request that was taken seconds after SIGTERM and was broken off at the end of the grace time.

--- a/Tests/Forward/test_stop_under_load.cpp
+++ b/Tests/Forward/test_stop_under_load.cpp
@@ -85,4 +85,26 @@
     EXPECT_TRUE(endpoint.waitForClose());
 }
 
+/// Guards against a request that is taken long after the start of a planned stop, on a connection
+/// whose stream was in progress then, and is cut at the end of the grace time.
+TEST_F(stop_under_load_test, StreamThatEndsDuringAStopIsTheLastOfItsConnection)
+{
+    setEndpoints({"one"});
+    auto caller = call("GET", "/stream/a", "X-Time-Left-Ms: 15000\r\n");
+    auto endpoint = acceptAny();
+    endpoint.readMessage();
+    endpoint.send(streamHead() + chunk(event(1)));
+    caller.readUntil(event(1) + "\r\n");
+    inLoop([this] {
+        m_forwarder->beginStop();
+        m_forwarder->closeIdle();
+    });
+    endpoint.send(chunk(event(2)) + "0\r\n\r\n");
+    endpoint.close();
+    EXPECT_TRUE(caller.readUntil("0\r\n\r\n").ends_with("0\r\n\r\n"));
+    caller.send(request("GET", "/stream/b", "X-Time-Left-Ms: 15000\r\n"));
+    EXPECT_FALSE(anyConnection(std::chrono::milliseconds(500)));
+    EXPECT_TRUE(caller.waitForClose());
+}
+
 } // namespace quetzalcleat::forward::test
