LibForward: Take no request during a stop that would outlast it

Cause: only the listener and idle connections were closed after the notice of 2.6 s. A request could still start on a connection whose stream had begun before SIGTERM (its head does not say Connection: close), on one that was accepted last and waited for its first request, and with a body that was complete late; whatever its deadline, it was forwarded, and ended 7.6 s after SIGTERM. Class of fault: a decision about the future (close) was bound to a response that had been sent before the decision was taken. Evidence: stop_under_load_test.StreamThatEndsDuringAStopIsTheLastOfItsConnection failed on: the request reached the endpoint. Change: one question is asked where a request is admitted: after the notice it is taken only if its deadline comes before the end of the stop, else it is refused as not run, with a Retry-After that sends it to another host. A connection that becomes idle after the notice is closed at once. It works for all three ways, as all of them pass exchange::admit. Three more cases: ConnectionClosesWithTheStreamThatEndsDuringAStop, RequestThatWouldOutlastTheStopIsRefusedAsNotRun, RequestThatEndsBeforeTheStopIsServed.

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -69,7 +69,7 @@
 
     void setSeeds(std::vector<std::string> seeds) { m_lease->setSeeds(std::move(seeds)); }
 
-    void beginStop() { m_forwarder->beginStop(); }
+    void beginStop(forward::stop_times times) { m_forwarder->beginStop(times); }
 
     /// Closes idle connections. Returns whether none is open: on one without a request in progress,
     /// a request may be arriving or a response may be on its way to a slow caller.
--- a/Libraries/LibFleet/node_process.h
+++ b/Libraries/LibFleet/node_process.h
@@ -84,6 +84,8 @@
     /// Time to accept connections after readiness is withdrawn: two failed checks of a load
     /// balancer that checks once a second, and its own delay.
     static constexpr std::chrono::milliseconds balancerNotice{2600};
+    /// Time to read the requests that wait on connections when the listener closes.
+    static constexpr std::chrono::milliseconds arrivalTime{300};
     /// Part of the grace time that is reserved for closing.
     static constexpr std::chrono::milliseconds stopMargin{400};
     static constexpr std::chrono::milliseconds tick{100};
@@ -217,7 +219,7 @@
         m_stopSince = std::chrono::steady_clock::now();
         m_log->write("stopping", {});
         if (m_entry)
-            m_entry->beginStop();
+            m_entry->beginStop({*m_stopSince + balancerNotice + arrivalTime, stopEnd()});
         if (m_control)
             m_control->beginStop();
     }
@@ -241,10 +243,13 @@
         });
     }
 
+    /// When the requests in progress are ended.
+    core::instant stopEnd() const { return *m_stopSince + m_settings.graceTime - stopMargin; }
+
     bool mayExit(core::instant now)
     {
         const auto since = now - *m_stopSince;
-        if (since >= m_settings.graceTime - stopMargin) {
+        if (now >= stopEnd()) {
             // The answers are written before the next call.
             if (!m_entry || std::exchange(m_requestsEnded, true))
                 return true;
--- a/Libraries/LibForward/caller_session.cpp
+++ b/Libraries/LibForward/caller_session.cpp
@@ -239,6 +239,8 @@
         if (self->m_closed)
             return;
         self->processContained();
+        if (self->m_owner->isLeaving())
+            self->closeIfIdle();
         self->read();
     });
 }
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -33,6 +33,8 @@
 /// Bounds of Retry-After; callers wait for at most a third of the time they have left.
 constexpr std::chrono::milliseconds minimumRetryAfter{300};
 constexpr std::chrono::milliseconds maximumRetryAfter{1500};
+/// Retry-After of a request that another host can take at once.
+constexpr std::chrono::milliseconds otherHostRetryAfter{20};
 /// Longest wait for a configuration, as a share of the time that the caller waits. Callers retry
 /// within a third of that time, so a caller that is refused after the wait can still retry.
 constexpr double configurationWaitShare = 0.3;
@@ -128,6 +130,11 @@
     if (!authorise())
         return;
     readDeadline();
+    // Another host can serve it to its end.
+    if (!m_owner->canServeUntil(m_deadline)) {
+        respondWithError(503, "Service Unavailable", "stopping", otherHostRetryAfter);
+        return;
+    }
     if (!m_hasPromptSize)
         readPromptSize();
     if (!chooseService()) {
--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -116,6 +116,22 @@
     return found->second;
 }
 
+void forwarder::beginStop(stop_times times)
+{
+    m_stopStart = std::chrono::steady_clock::now();
+    m_stopTimes = times;
+}
+
+bool forwarder::isLeaving() const
+{
+    return isStopping() && std::chrono::steady_clock::now() >= m_stopTimes.noticeEnd;
+}
+
+bool forwarder::canServeUntil(core::instant deadline) const
+{
+    return !isLeaving() || deadline <= m_stopTimes.end;
+}
+
 void forwarder::closeIdle()
 {
     if (m_acceptor.is_open()) {
--- a/Libraries/LibForward/forwarder.h
+++ b/Libraries/LibForward/forwarder.h
@@ -37,6 +37,13 @@
     std::size_t maximumSessions = 2500;
 };
 
+/// Times of a planned stop.
+struct stop_times
+{
+    core::instant noticeEnd; ///< Requests that arrive before it are taken, as always.
+    core::instant end; ///< Requests in progress are ended.
+};
+
 /// Accepts callers and forwards their requests to endpoints.
 ///
 /// Used only on the thread of the event loop.
@@ -54,8 +61,9 @@
     void setRoutes(std::shared_ptr<const route_table> routes) { m_routes = std::move(routes); }
     void setEndpoints(const std::vector<listed_endpoint> &list);
 
-    /// Persistent connections close after their next response; new ones are still accepted.
-    void beginStop() { m_stopStart = std::chrono::steady_clock::now(); }
+    /// Persistent connections close after their next response; new ones are still accepted. After
+    /// the notice, only requests are taken that end before the stop does.
+    void beginStop(stop_times times);
     /// Accepts the connections that already wait, then closes the listener and idle connections.
     void closeIdle();
     /// Answers all requests in progress, at the end of the grace time.
@@ -64,6 +72,10 @@
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
     bool isStopping() const { return m_stopStart.has_value(); }
+    /// Whether a stop is in progress and callers have had their notice.
+    bool isLeaving() const;
+    /// Whether a planned stop leaves a request that starts now the time until its deadline.
+    bool canServeUntil(core::instant deadline) const;
     std::optional<core::instant> stopStart() const { return m_stopStart; }
     bool hasConfirmedConfiguration() const
     {
@@ -112,6 +124,7 @@
     std::size_t m_requests = 0;
     std::size_t m_waitingRequests = 0; ///< Requests that wait for a configuration.
     std::optional<core::instant> m_stopStart; ///< Of a planned stop.
+    stop_times m_stopTimes;
     bool m_stopped = false;
 };
 
--- a/Tests/Forward/forwarder_fixture.h
+++ b/Tests/Forward/forwarder_fixture.h
@@ -99,6 +99,13 @@
         m_forwarder->setEndpoints(list);
     }
 
+    /// Begins a stop of which callers have had no notice yet.
+    void beginStop()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        m_forwarder->beginStop({now + std::chrono::minutes(1), now + std::chrono::minutes(2)});
+    }
+
     /// Runs a function on the thread of the forwarder and waits for it.
     template <typename Function>
     void inLoop(Function function)
--- a/Tests/Forward/test_forwarding.cpp
+++ b/Tests/Forward/test_forwarding.cpp
@@ -358,7 +358,7 @@
     auto caller = call("GET", "/read/a");
     auto endpoint = acceptAny();
     endpoint.readMessage();
-    inLoop([this] { m_forwarder->beginStop(); });
+    inLoop([this] { beginStop(); });
     endpoint.send(signedResponse("whole"));
     const auto response = caller.readMessage();
     EXPECT_TRUE(contains(response, "Connection: close\r\n"));
--- a/Tests/Forward/test_stop_under_load.cpp
+++ b/Tests/Forward/test_stop_under_load.cpp
@@ -12,6 +12,16 @@
 class stop_under_load_test : public forwarder_test
 {
 protected:
+    /// Time from the notice to the end of a stop.
+    static constexpr std::chrono::milliseconds restOfStop{5000};
+
+    /// Begins a stop of which callers have had their notice.
+    void beginStopAfterNotice()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        m_forwarder->beginStop({now, now + restOfStop});
+    }
+
     /// Answers a request of each of the callers at the endpoint.
     void expectAllServed(std::vector<scripted_socket> &callersToServe)
     {
@@ -36,7 +46,7 @@
     setEndpoints({"one"});
     std::vector<scripted_socket> waiting;
     inLoop([&] {
-        m_forwarder->beginStop();
+        beginStop();
         // The loop is busy, so these wait in the queue of the listener.
         for (int index = 0; index < callers; ++index)
             waiting.push_back(call("GET", "/read/a", "X-Time-Left-Ms: 15000\r\n"));
@@ -60,7 +70,7 @@
         open.back().readMessage();
     }
     inLoop([&] {
-        m_forwarder->beginStop();
+        beginStop();
         for (auto &caller : open)
             caller.send(request("GET", "/read/b", "X-Time-Left-Ms: 15000\r\n"));
         m_forwarder->closeIdle();
@@ -78,7 +88,7 @@
     auto sent = call("POST", "/book/a", "X-Time-Left-Ms: 15000\r\n", "order");
     auto endpoint = acceptAny();
     endpoint.readMessage();
-    inLoop([this] { m_forwarder->beginStop(); });
+    inLoop([this] { beginStop(); });
     inLoop([this] { m_forwarder->endRequests(); });
     EXPECT_TRUE(waiting.readMessage().starts_with("HTTP/1.1 503"));
     EXPECT_TRUE(sent.readMessage().starts_with("HTTP/1.1 502"));
@@ -96,7 +106,7 @@
     endpoint.send(streamHead() + chunk(event(1)));
     caller.readUntil(event(1) + "\r\n");
     inLoop([this] {
-        m_forwarder->beginStop();
+        beginStopAfterNotice();
         m_forwarder->closeIdle();
     });
     endpoint.send(chunk(event(2)) + "0\r\n\r\n");
@@ -104,7 +114,64 @@
     EXPECT_TRUE(caller.readUntil("0\r\n\r\n").ends_with("0\r\n\r\n"));
     caller.send(request("GET", "/stream/b", "X-Time-Left-Ms: 15000\r\n"));
     EXPECT_FALSE(anyConnection(std::chrono::milliseconds(500)));
+    // The request may cross the close.
+    const auto answer = caller.readAll();
+    EXPECT_TRUE(answer.empty() || answer.starts_with("HTTP/1.1 503")) << answer;
+}
+
+/// Guards against a connection that stays open after its last response during a stop.
+TEST_F(stop_under_load_test, ConnectionClosesWithTheStreamThatEndsDuringAStop)
+{
+    setEndpoints({"one"});
+    auto caller = call("GET", "/stream/a", "X-Time-Left-Ms: 15000\r\n");
+    auto endpoint = acceptAny();
+    endpoint.readMessage();
+    endpoint.send(streamHead() + chunk(event(1)));
+    caller.readUntil(event(1) + "\r\n");
+    inLoop([this] { beginStopAfterNotice(); });
+    endpoint.send(chunk(event(2)) + "0\r\n\r\n");
+    EXPECT_TRUE(caller.readUntil("0\r\n\r\n").ends_with("0\r\n\r\n"));
     EXPECT_TRUE(caller.waitForClose());
 }
 
+/// Guards against a request that is taken when the end of the stop is nearer than its deadline, and
+/// is cut then. Another host can serve it.
+TEST_F(stop_under_load_test, RequestThatWouldOutlastTheStopIsRefusedAsNotRun)
+{
+    auto fresh = scripted_socket::connectTo(m_port);
+    auto slow = scripted_socket::connectTo(m_port);
+    const auto order = request("POST", "/book/a", "X-Time-Left-Ms: 15000\r\n", "order");
+    slow.send(order.substr(0, order.size() - 1));
+    inLoop([] {});
+    inLoop([this] {
+        beginStopAfterNotice();
+        m_forwarder->closeIdle();
+    });
+    fresh.send(request("GET", "/stream/a", "X-Time-Left-Ms: 15000\r\n"));
+    slow.send(order.substr(order.size() - 1));
+    for (auto *caller : {&fresh, &slow}) {
+        const auto answer = caller->readMessage();
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+        EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+        EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+    }
+    EXPECT_FALSE(anyConnection(std::chrono::milliseconds(200)));
+}
+
+/// Guards against refusing what a stopping host can still serve.
+TEST_F(stop_under_load_test, RequestThatEndsBeforeTheStopIsServed)
+{
+    setEndpoints({"one"});
+    auto fresh = scripted_socket::connectTo(m_port);
+    inLoop([this] {
+        beginStopAfterNotice();
+        m_forwarder->closeIdle();
+    });
+    fresh.send(request("GET", "/read/a", "X-Time-Left-Ms: 4000\r\n"));
+    auto endpoint = acceptAny();
+    endpoint.readMessage();
+    endpoint.send(signedResponse("whole"));
+    EXPECT_TRUE(fresh.readMessage().ends_with("whole"));
+}
+
 } // namespace quetzalcleat::forward::test
