LibForward: Close a connection once its last response is written

Cause: after the notice of a planned stop, a connection that became idle was to be closed at once, but the end of its response was still being written then, so it stayed open until the next interval (in the module test, until its idle time of 15 s). Change: one function for what follows a response, called also when its last bytes are written.

--- a/Libraries/LibForward/caller_session.cpp
+++ b/Libraries/LibForward/caller_session.cpp
@@ -238,13 +238,19 @@
     asio::post(m_owner->context(), [self = shared_from_this()] {
         if (self->m_closed)
             return;
-        self->processContained();
-        if (self->m_owner->isLeaving())
-            self->closeIfIdle();
-        self->read();
+        self->readNextRequest();
     });
 }
 
+/// Closes the connection instead if callers have had their notice of a planned stop.
+void caller_session::readNextRequest()
+{
+    processContained();
+    if (m_owner->isLeaving())
+        closeIfIdle();
+    read();
+}
+
 void caller_session::shutDown()
 {
     m_phase = phase::Closing;
@@ -308,9 +314,8 @@
     } else if (m_exchange) {
         m_exchange->handleOutputDrained();
     } else {
-        // Requests that waited for the caller to read.
-        processContained();
-        read();
+        // Requests may have waited for the caller to read.
+        readNextRequest();
     }
 }
 
--- a/Libraries/LibForward/caller_session.h
+++ b/Libraries/LibForward/caller_session.h
@@ -60,6 +60,7 @@
     void write();
     void recordWritten(std::size_t bytes);
     void responseDone();
+    void readNextRequest();
     void armTimer(std::chrono::milliseconds time);
     void handleTimeout();
     void handleDisconnect();
--- a/Tests/Forward/test_stop_under_load.cpp
+++ b/Tests/Forward/test_stop_under_load.cpp
@@ -131,6 +131,8 @@
     inLoop([this] { beginStopAfterNotice(); });
     endpoint.send(chunk(event(2)) + "0\r\n\r\n");
     EXPECT_TRUE(caller.readUntil("0\r\n\r\n").ends_with("0\r\n\r\n"));
+    // Well before the idle time of the connection.
+    EXPECT_TRUE(caller.hasBytes(std::chrono::seconds(2)));
     EXPECT_TRUE(caller.waitForClose());
 }
 
