LibForward, LibFleet: Close what the review of the stop found

What callers could see, and the cause: - a 503, 429 or 408 above 256 KiB was passed on for a request that may have run: only whole responses were checked (LongRefusalOfARequestThatMayHaveRunIsNotPassedOn); - a request that had arrived was dropped by the close after the last response: Asio had read its bytes already, so the socket held none. The cause of a refusal is refused_while_stopping; stopping is left for what was ended.

--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -51,18 +51,27 @@
         return m_server->start(*m_settings.controlAddress);
     }
 
-    /// Transfers leadership, so that a planned stop does not cost an election timeout.
-    void beginStop() { m_service->transferLeadership(); }
+    /// Transfers leadership, so that a planned stop does not cost an election timeout. This is
+    /// repeated until the stop: another host may be transferring its leadership to this one.
+    void beginStop()
+    {
+        m_stopping = true;
+        m_service->transferLeadership();
+    }
+
+    /// Whether operators wait for the outcome of a write.
+    bool hasPendingWrites() const { return m_writer->hasPendingWrites(); }
 
     void stop()
     {
         m_stopped = true;
         m_timer.cancel();
+        // Before the server, which passes the outcomes on.
+        m_writer->stop();
         m_server->stop();
         if (m_listReader)
             m_listReader->stop();
         m_pool->closeAll();
-        m_writer->stop();
         m_service->stop();
     }
 
@@ -177,6 +186,8 @@
             if (error || !self || self->m_stopped)
                 return;
             self->logLeaderChange();
+            if (self->m_stopping)
+                self->m_service->transferLeadership();
             self->m_log.flush();
             self->startTimer();
         });
@@ -304,6 +315,7 @@
     std::shared_ptr<forward::endpoint_list_reader<Dialect>> m_listReader;
     std::shared_ptr<peer::endpoint_catalogue> m_catalogue;
     std::string m_lastLeader;
+    bool m_stopping = false; ///< A planned stop is in progress.
     bool m_stopped = false;
 };
 
--- a/Libraries/LibFleet/node_process.h
+++ b/Libraries/LibFleet/node_process.h
@@ -88,6 +88,8 @@
     static constexpr std::chrono::milliseconds arrivalTime{300};
     /// Part of the grace time that is reserved for closing.
     static constexpr std::chrono::milliseconds stopMargin{400};
+    /// Part of it in which slow callers still get the ends of their answers.
+    static constexpr std::chrono::milliseconds lastWriteTime{200};
     static constexpr std::chrono::milliseconds tick{100};
     static constexpr std::chrono::milliseconds settingsInterval{1000};
     /// Time allowed for a control host to transfer its leadership.
@@ -250,13 +252,13 @@
     {
         const auto since = now - *m_stopSince;
         if (now >= stopEnd()) {
-            // The answers are written before the next call.
-            if (!m_entry || std::exchange(m_requestsEnded, true))
-                return true;
-            m_entry->endRequests();
-            return false;
+            if (m_entry && !std::exchange(m_requestsEnded, true)) {
+                m_entry->endRequests();
+                return false;
+            }
+            return !m_entry || m_entry->drained() || now >= stopEnd() + lastWriteTime;
         }
-        if (m_control && since < leadershipTransferTime)
+        if (m_control && (since < leadershipTransferTime || m_control->hasPendingWrites()))
             return false;
         if (!m_entry)
             return true;
--- a/Libraries/LibForward/caller_session.cpp
+++ b/Libraries/LibForward/caller_session.cpp
@@ -38,6 +38,7 @@
 {
     std::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
     m_buffer.resize(readBytes);
     m_requestStart = std::chrono::steady_clock::now();
     armTimer(limits().idleTimeout);
@@ -56,25 +57,38 @@
         || (m_phase == phase::Busy && m_input.size() >= maximumPipelinedBytes))
         return;
     m_reading = true;
-    m_socket.async_read_some(asio::buffer(m_buffer),
-                             [self = shared_from_this()](std::error_code error, std::size_t bytes) {
-                                 self->m_reading = false;
-                                 if (self->m_closed)
-                                     return;
-                                 if (error) {
-                                     self->handleDisconnect();
-                                     return;
-                                 }
-                                 if (self->m_phase != phase::Closing) {
-                                     if (self->m_input.empty() && self->m_phase == phase::Idle)
-                                         self->m_requestStart = std::chrono::steady_clock::now();
-                                     self->m_input.append(self->m_buffer.data(), bytes);
-                                     self->processContained();
-                                 } else if ((self->m_lingerBytes += bytes) > maximumLingerBytes) {
-                                     self->close();
-                                 }
-                                 self->read();
-                             });
+    // Bytes are read in the handler and not before it, so that closeIfIdle() sees those that have
+    // arrived.
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](std::error_code error) {
+                            self->m_reading = false;
+                            if (!self->m_closed)
+                                self->handleReadable(error);
+                        });
+}
+
+void caller_session::handleReadable(std::error_code error)
+{
+    std::size_t bytes = 0;
+    if (!error)
+        bytes = m_socket.read_some(asio::buffer(m_buffer), error);
+    if (error == asio::error::would_block) {
+        read();
+        return;
+    }
+    if (error) {
+        handleDisconnect();
+        return;
+    }
+    if (m_phase != phase::Closing) {
+        if (m_input.empty() && m_phase == phase::Idle)
+            m_requestStart = std::chrono::steady_clock::now();
+        m_input.append(m_buffer.data(), bytes);
+        processContained();
+    } else if ((m_lingerBytes += bytes) > maximumLingerBytes) {
+        close();
+    }
+    read();
 }
 
 /// An unexpected error in one request ends its connection, not the process.
@@ -138,7 +152,12 @@
         return;
     }
     armTimer(limits().idleTimeout);
-    if (!m_reader.complete() && equalsIgnoringCase(head.value("Expect"), "100-continue"))
+    const bool awaitsConsent
+        = !m_reader.complete() && equalsIgnoringCase(head.value("Expect"), "100-continue");
+    // Spares the caller the transmission of a body that another host is to get.
+    if (awaitsConsent && m_owner->isNoticeOver())
+        refuse(503, "Service Unavailable");
+    else if (awaitsConsent)
         queue("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
@@ -242,11 +261,12 @@
     });
 }
 
-/// Closes the connection instead if callers have had their notice of a planned stop.
+/// Processes a request that has arrived already. If there is none and callers have had the time to
+/// notice a planned stop, closes the connection.
 void caller_session::readNextRequest()
 {
     processContained();
-    if (m_owner->isLeaving())
+    if (m_owner->isNoticeOver())
         closeIfIdle();
     read();
 }
@@ -364,8 +384,12 @@
 {
     if (const auto current = m_exchange)
         current->handleStop();
-    else if (m_phase != phase::Closing)
-        close();
+    else if (m_phase == phase::Reading)
+        refuse(503, "Service Unavailable");
+    else if (m_phase == phase::Idle && !m_output.empty())
+        shutDown();
+    else
+        closeIfIdle();
 }
 
 void caller_session::close()
--- a/Libraries/LibForward/caller_session.h
+++ b/Libraries/LibForward/caller_session.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <system_error>
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -26,7 +27,8 @@
 
     /// Closes the connection unless a request has arrived, is being read or is in progress.
     void closeIfIdle();
-    /// Ends a request in progress at the end of the grace time of a planned stop.
+    /// Ends a request in progress at the end of the grace time of a planned stop. A response that
+    /// is being written to a slow caller goes on.
     void endRequest();
     void close();
 
@@ -50,6 +52,7 @@
     enum class phase { Idle, Reading, Busy, Closing };
 
     void read();
+    void handleReadable(std::error_code error);
     void process();
     void processContained();
     caller_limits limits() const;
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -136,9 +136,9 @@
     if (!authorise())
         return;
     readDeadline();
-    // Another host can serve it to its end.
-    if (!m_owner->canServeUntil(m_deadline)) {
-        respondWithError(503, "Service Unavailable", "stopping", otherHostRetryAfter);
+    // Another host has the time to serve it to its end.
+    if (!m_owner->acceptsDeadline(m_deadline)) {
+        respondWithError(503, "Service Unavailable", "refused_while_stopping", otherHostRetryAfter);
         return;
     }
     if (!m_hasPromptSize)
@@ -424,7 +424,8 @@
         // Only a signed response may be passed on, and keeping the rest needs memory without bound.
         // Nor is a failure part of the stream that another endpoint began.
         if (!m_response.has(m_owner->options().names.signature) || !answersThisRequest()
-            || m_responseStarted) {
+            || m_responseStarted
+            || (promisesNotRun(m_response.status) && !m_route->isRetrySafe())) {
             abandonAttempt("answer_too_large");
             return;
         }
--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "LibForward/caller_session.h"
 #include "LibForward/listen.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -119,26 +120,31 @@
 void forwarder::beginStop(stop_times times)
 {
     m_stopStart = std::chrono::steady_clock::now();
-    m_stopTimes = times;
+    m_stopTimes = {std::min(times.noticeEnd, times.end), times.end};
 }
 
-bool forwarder::isLeaving() const
+bool forwarder::isNoticeOver() const
 {
     return isStopping() && std::chrono::steady_clock::now() >= m_stopTimes.noticeEnd;
 }
 
-bool forwarder::canServeUntil(core::instant deadline) const
+bool forwarder::acceptsDeadline(core::instant deadline) const
 {
-    return !isLeaving() || deadline <= m_stopTimes.end;
+    return !isNoticeOver() || deadline <= m_stopTimes.end;
+}
+
+void forwarder::closeListener()
+{
+    if (!m_acceptor.is_open())
+        return;
+    acceptWaiting();
+    std::error_code ignored;
+    m_acceptor.close(ignored);
 }
 
 void forwarder::closeIdle()
 {
-    if (m_acceptor.is_open()) {
-        acceptWaiting();
-        std::error_code ignored;
-        m_acceptor.close(ignored);
-    }
+    closeListener();
     const auto sessions = m_sessions;
     for (const auto &session : sessions)
         session->closeIfIdle();
@@ -146,6 +152,7 @@
 
 void forwarder::endRequests()
 {
+    closeListener();
     const auto sessions = m_sessions;
     for (const auto &session : sessions)
         session->endRequest();
--- a/Libraries/LibForward/forwarder.h
+++ b/Libraries/LibForward/forwarder.h
@@ -40,7 +40,7 @@
 /// Times of a planned stop.
 struct stop_times
 {
-    core::instant noticeEnd; ///< Requests that arrive before it are taken, as always.
+    core::instant noticeEnd; ///< Until then every request is taken, whatever its deadline.
     core::instant end; ///< Requests in progress are ended.
 };
 
@@ -66,16 +66,18 @@
     void beginStop(stop_times times);
     /// Accepts the connections that already wait, then closes the listener and idle connections.
     void closeIdle();
-    /// Answers all requests in progress, at the end of the grace time.
+    /// Answers all requests in progress, at the end of the grace time. Answers that are being
+    /// written go on.
     void endRequests();
     void stop();
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
     bool isStopping() const { return m_stopStart.has_value(); }
-    /// Whether a stop is in progress and callers have had their notice.
-    bool isLeaving() const;
-    /// Whether a planned stop leaves a request that starts now the time until its deadline.
-    bool canServeUntil(core::instant deadline) const;
+    /// Whether a stop is in progress and callers have had the time to notice it.
+    bool isNoticeOver() const;
+    /// Whether a request with this deadline is taken now. After the notice of a stop, its deadline
+    /// has to come before the end of the stop.
+    bool acceptsDeadline(core::instant deadline) const;
     std::optional<core::instant> stopStart() const { return m_stopStart; }
     bool hasConfirmedConfiguration() const
     {
@@ -105,6 +107,7 @@
 private:
     void acceptNext();
     void acceptWaiting();
+    void closeListener();
     void openSession(asio::ip::tcp::socket socket);
     void startTimer();
 
--- a/Libraries/LibPeer/configuration_writer.h
+++ b/Libraries/LibPeer/configuration_writer.h
@@ -37,6 +37,7 @@
                                                         version_reader versionOf);
 
     void write(std::string document, std::uint64_t version, handler done);
+    bool hasPendingWrites() const { return !m_writes.empty(); }
     void stop();
 
 private:
--- a/Tests/Forward/test_broken_streams.cpp
+++ b/Tests/Forward/test_broken_streams.cpp
@@ -37,6 +37,7 @@
         auto second = breakOff(caller);
         second.send(answer);
         second.close();
+        EXPECT_TRUE(caller.hasBytes(std::chrono::seconds(2))) << "the connection stays open";
         return caller.readAll();
     }
 };
@@ -126,6 +127,19 @@
     }
 }
 
+/// As below, for a response that is passed on in parts.
+TEST_F(broken_stream_test, LongRefusalOfARequestThatMayHaveRunIsNotPassedOn)
+{
+    constexpr std::size_t longRefusal = std::size_t{300} * 1024;
+    setEndpoints({"one"});
+    auto order = call("POST", "/book/a", {}, "order");
+    auto endpoint = acceptAny();
+    endpoint.readMessage();
+    endpoint.send("HTTP/1.1 503 Full\r\nX-Request-Id: r1\r\nX-Signature: s\r\nContent-Length: "
+                  + std::to_string(longRefusal) + "\r\n\r\n" + std::string(longRefusal, 'e'));
+    EXPECT_TRUE(order.readMessage().starts_with("HTTP/1.1 502"));
+}
+
 /// Guards against a promise to the caller that its endpoint has not made.
 TEST_F(broken_stream_test, RefusalOfARequestThatMayHaveRunIsNotPassedOn)
 {
--- a/Tests/Forward/test_stop_under_load.cpp
+++ b/Tests/Forward/test_stop_under_load.cpp
@@ -12,6 +12,8 @@
 class stop_under_load_test : public forwarder_test
 {
 protected:
+    scripted_socket m_lastCaller;
+
     /// Time from the notice to the end of a stop.
     static constexpr std::chrono::milliseconds restOfStop{5000};
 
@@ -115,6 +117,7 @@
     caller.send(request("GET", "/stream/b", "X-Time-Left-Ms: 15000\r\n"));
     EXPECT_FALSE(anyConnection(std::chrono::milliseconds(500)));
     // The request may cross the close.
+    EXPECT_TRUE(caller.hasBytes(std::chrono::seconds(2))) << "the connection stays open";
     const auto answer = caller.readAll();
     EXPECT_TRUE(answer.empty() || answer.starts_with("HTTP/1.1 503")) << answer;
 }
@@ -144,7 +147,8 @@
     auto slow = scripted_socket::connectTo(m_port);
     const auto order = request("POST", "/book/a", "X-Time-Left-Ms: 15000\r\n", "order");
     slow.send(order.substr(0, order.size() - 1));
-    inLoop([] {});
+    // Both are accepted, and the head of the order is read.
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
     inLoop([this] {
         beginStopAfterNotice();
         m_forwarder->closeIdle();
@@ -176,4 +180,69 @@
     EXPECT_TRUE(fresh.readMessage().ends_with("whole"));
 }
 
+/// Guards against a body that is sent to a host which refuses the request once it has arrived.
+TEST_F(stop_under_load_test, BodyIsNotAskedForAfterTheNotice)
+{
+    inLoop([this] { beginStopAfterNotice(); });
+    auto caller = call("POST", "/book/a",
+                       "X-Time-Left-Ms: 15000\r\nExpect: 100-continue\r\n"
+                       "Content-Length: 5\r\n");
+    EXPECT_TRUE(caller.readMessage().starts_with("HTTP/1.1 503"));
+}
+
+/// Guards against a request that is taken when all requests have been ended already, in a grace
+/// time that is shorter than the notice.
+TEST_F(stop_under_load_test, NoRequestIsTakenAfterTheEnd)
+{
+    inLoop([this] {
+        const auto now = std::chrono::steady_clock::now();
+        m_forwarder->beginStop({now + std::chrono::minutes(1), now});
+        // Waits in the queue of the listener.
+        m_lastCaller = call("GET", "/stream/a", "X-Time-Left-Ms: 15000\r\n");
+        m_forwarder->endRequests();
+    });
+    EXPECT_TRUE(m_lastCaller.readMessage().starts_with("HTTP/1.1 503"));
+    EXPECT_FALSE(anyConnection(std::chrono::milliseconds(200)));
+}
+
+/// Guards against a whole answer that is cut at the end of the grace time because its caller reads
+/// slowly. Its end waits in the host only if its size is just above what the sockets hold, which
+/// depends on the machine, so many sizes are tried.
+TEST_F(stop_under_load_test, EndOfTheGraceTimeCutsNoAnswerToASlowCaller)
+{
+    constexpr std::size_t step = std::size_t{96} * 1024;
+    constexpr std::size_t maximumSizes = 100;
+    constexpr std::chrono::milliseconds timeToEnd{300};
+    setEndpoints({"one"});
+    std::vector<scripted_socket> slow;
+    std::vector<scripted_socket> endpoints;
+    std::vector<std::thread> senders;
+    bool isHeld = true;
+    for (std::size_t index = 1; isHeld && index <= maximumSizes; ++index) {
+        slow.push_back(call("GET", "/read/a"));
+        auto endpoint = m_endpoints[0].accept();
+        endpoint.readMessage();
+        auto response = signedResponse(std::string(index * step, 'b'));
+        response.insert(response.find("Content-Length"), "Connection: close\r\n");
+        senders.emplace_back([endpoint = std::move(endpoint), response = std::move(response)] {
+            endpoint.send(response);
+        });
+        const auto end = std::chrono::steady_clock::now() + timeToEnd;
+        do {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            inLoop([&] { isHeld = m_forwarder->requestsInProgress() == 0; });
+        } while (!isHeld && std::chrono::steady_clock::now() < end);
+    }
+    inLoop([this] {
+        beginStopAfterNotice();
+        m_forwarder->endRequests();
+    });
+    // The host does not have all of the last answer.
+    for (std::size_t index = 1; index < slow.size(); ++index)
+        EXPECT_GT(slow[index - 1].readAll().size(), index * step) << index;
+    EXPECT_FALSE(isHeld);
+    for (auto &sender : senders)
+        sender.join();
+}
+
 } // namespace quetzalcleat::forward::test
