--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -138,19 +138,14 @@
     /// Starts reading the platform's list of endpoints, which the leader does for all hosts.
     void startList(const std::weak_ptr<control_node> &weak)
     {
-        // All hosts wait for the list that the leader reads, so it asks again soon.
         constexpr std::chrono::milliseconds interval{500};
-        constexpr std::chrono::milliseconds limitedDelay{150};
-        constexpr std::chrono::milliseconds longestDelay{300};
         m_catalogue = std::make_shared<peer::endpoint_catalogue>(m_network->incarnation());
         m_service->setCatalogue(m_catalogue);
         if (m_settings.endpointListAddress.port == 0)
             return;
         forward::endpoint_list_reader_options list;
         list.address = m_settings.endpointListAddress;
-        list.schedule.interval = interval;
-        list.schedule.limitedDelay = limitedDelay;
-        list.schedule.longestDelay = longestDelay;
+        list.interval = interval;
         m_listReader = std::make_shared<forward::endpoint_list_reader<Dialect>>(
             m_pool, m_log, list, [weak](const std::vector<forward::listed_endpoint> &endpoints) {
                 const auto self = weak.lock();
--- a/Libraries/LibForward/endpoint_list_reader.h
+++ b/Libraries/LibForward/endpoint_list_reader.h
@@ -3,13 +3,11 @@
 #include "LibForward/endpoint_table.h"
 #include "LibForward/event_log.h"
 #include "LibForward/upstream.h"
-#include "LibPolicy/list_read_schedule.h"
 
 #include <chrono>
 #include <concepts>
 #include <functional>
 #include <memory>
-#include <random>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -42,7 +40,7 @@
 struct endpoint_list_reader_options
 {
     core::socket_address address;
-    policy::list_read_options schedule;
+    std::chrono::milliseconds interval{1000};
     /// For one page. The platform normally responds within a few ms.
     std::chrono::milliseconds timeout{1500};
     /// Of one page; a larger one is taken to have no end. An entry takes about 300 bytes.
@@ -61,12 +59,11 @@
     endpoint_list_reader(std::shared_ptr<connection_pool> pool, event_log &log,
                          endpoint_list_reader_options options, handler changed)
         : m_pool(std::move(pool)), m_log(log), m_options(std::move(options)),
-          m_changed(std::move(changed)), m_schedule(m_options.schedule), m_timer(m_pool->context()),
-          m_timeout(m_pool->context())
+          m_changed(std::move(changed)), m_timer(m_pool->context()), m_timeout(m_pool->context())
     {
     }
 
-    /// Checked before each page of the list; the read is skipped or given up if false.
+    /// Checked before each read of the list; the read is skipped if false.
     void setReadCondition(std::function<bool()> condition)
     {
         m_readCondition = std::move(condition);
@@ -74,13 +71,10 @@
 
     void start()
     {
-        if (!mayRead()) {
-            scheduleRead(m_schedule.interval());
-            return;
-        }
-        m_collected.clear();
-        m_schedule.handleStart(std::chrono::steady_clock::now());
-        readPage({});
+        if (!m_readCondition || m_readCondition())
+            readPage({});
+        else
+            scheduleRead();
     }
 
     /// Reads the list without waiting for the interval.
@@ -103,16 +97,15 @@
         m_readCondition = {};
     }
 
-    void setInterval(std::chrono::milliseconds interval) { m_schedule.setInterval(interval); }
+    void setInterval(std::chrono::milliseconds interval) { m_options.interval = interval; }
 
     bool hasRead() const { return m_hasRead; }
 
 private:
-    bool mayRead() const { return !m_readCondition || m_readCondition(); }
-
     void readPage(const std::string &token)
     {
-        m_token = token;
+        if (token.empty())
+            m_collected.clear();
         m_body.clear();
         m_status = 0;
         attempt::request request;
@@ -186,47 +179,29 @@
             return;
         }
         if (!page.value().next.empty()) {
-            if (mayRead())
-                readPage(page.value().next);
-            else
-                scheduleRead(m_schedule.interval());
+            readPage(page.value().next);
             return;
         }
         if (!std::exchange(m_hasRead, true) || std::exchange(m_failing, false))
             m_log.write("list_read", {{"endpoints", std::to_string(m_collected.size())}});
-        m_schedule.handleWholeList();
         m_changed(m_collected);
-        scheduleRead(m_schedule.interval());
+        scheduleRead();
     }
 
     void failed(const std::string &cause)
     {
-        constexpr int tooManyRequests = 429;
         m_attempt.reset();
-        const auto failure = m_status == tooManyRequests
-            ? policy::list_read_schedule::page_failure::Limited
-            : policy::list_read_schedule::page_failure::Other;
-        const auto next = m_schedule.handleFailure(failure, m_uniform(m_random),
-                                                   std::chrono::steady_clock::now());
         if (!std::exchange(m_failing, true))
-            m_log.write("list_read_failed",
-                        {{"cause", cause},
-                         {"endpoints_read", std::to_string(m_collected.size())},
-                         {"retry_ms", std::to_string(next.delay.count())}});
-        scheduleRead(next.delay, next.resumes);
+            m_log.write("list_read_failed", {{"cause", cause}});
+        scheduleRead();
     }
 
-    /// Resumes with the page that failed, or reads from the first one.
-    void scheduleRead(std::chrono::milliseconds delay, bool resumes = false)
+    void scheduleRead()
     {
-        m_timer.expires_after(delay);
-        m_timer.async_wait([weak = this->weak_from_this(), resumes](std::error_code error) {
+        m_timer.expires_after(m_options.interval);
+        m_timer.async_wait([weak = this->weak_from_this()](std::error_code error) {
             const auto self = weak.lock();
-            if (error || !self || self->m_stopped)
-                return;
-            if (resumes && self->mayRead())
-                self->readPage(self->m_token);
-            else
+            if (!error && self && !self->m_stopped)
                 self->start();
         });
     }
@@ -235,15 +210,11 @@
     event_log &m_log;
     endpoint_list_reader_options m_options;
     handler m_changed;
-    policy::list_read_schedule m_schedule;
-    std::mt19937_64 m_random{std::random_device{}()};
-    std::uniform_real_distribution<double> m_uniform{0, 1};
     std::function<bool()> m_readCondition;
     asio::steady_timer m_timer;
     asio::steady_timer m_timeout;
     std::shared_ptr<attempt> m_attempt;
     std::vector<listed_endpoint> m_collected;
-    std::string m_token; ///< Of the page being read; empty for the first one.
     std::string m_body;
     std::size_t m_skipped = 0;
     int m_status = 0;
