LibForward: Obey what endpoints say of themselves in their answers

Only the endpoint list and an answer of another incarnation told this path that an endpoint is leaving, and a Retry-After of an endpoint was not read. Both signals now go through policy::endpoint_notices, which placement asks, and which is asked again directly before the write: a request whose connection was still being opened is placed again. Callers wait in the host if the earliest wait ends inside their objective; else they get 503 with a Retry-After that follows from it. Answers that do not name their request are not obeyed. Ruled out: reading the flag of the list in placement, a second copy of the decision.

An endpoint that the list shows first stays out of use at once, as before: the list does not tell since when it is leaving.

The two assertions on listed_endpoint::isLeaving in test_placement now ask the table that placement asks, and expect that the endpoint cannot be used at all.

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -99,17 +99,20 @@
     std::string dump() const
     {
         const auto now = std::chrono::steady_clock::now();
+        const auto &notices = m_forwarder->endpoints().notices();
         const auto version = m_forwarder->routes() ? m_forwarder->routes()->content().version : 0;
         std::string text = "entry version=" + std::to_string(version)
             + " revision=" + std::to_string(m_lease->revision()) + " leader=" + m_lease->leader()
             + " lease_age_ms="
             + std::to_string(std::min<std::int64_t>(m_lease->age().count(), 999'999))
             + " requests=" + std::to_string(m_forwarder->requestsInProgress())
-            + " callers=" + std::to_string(m_forwarder->sessions()) + '\n';
+            + " callers=" + std::to_string(m_forwarder->sessions())
+            + " waiting=" + std::to_string(m_forwarder->waitingRequests())
+            + " leaving=" + std::to_string(notices.leavingCount())
+            + " held_off=" + std::to_string(notices.heldOffCount(now)) + '\n';
         for (const auto &[incarnation, target] : m_forwarder->endpoints().all())
             text += "endpoint incarnation=" + incarnation + " service=" + target->listed.service
-                + " address=" + target->listed.address.text()
-                + " leaving=" + (target->listed.isLeaving ? "yes" : "no")
+                + " address=" + target->listed.address.text() + noticeText(incarnation, now)
                 + " running=" + std::to_string(target->running)
                 + " running_elsewhere=" + std::to_string(target->runningByOtherHosts)
                 + " failure_percent=" + std::to_string(static_cast<int>(target->failureShare * 100))
@@ -118,6 +121,24 @@
     }
 
 private:
+    std::string noticeText(const std::string &incarnation, core::instant now) const
+    {
+        const auto age = [now](core::instant since) {
+            return std::to_string(
+                std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
+        };
+        const auto &notices = m_forwarder->endpoints().notices();
+        std::string text = " leaving=no";
+        if (const auto leaving = notices.leaving(incarnation))
+            text = " leaving=yes leaving_source=" + std::string(policy::toString(leaving->source))
+                + " leaving_ms=" + age(leaving->since);
+        if (const auto wait = notices.wait(incarnation, now))
+            text += " held_off_ms="
+                + std::to_string(
+                        std::chrono::ceil<std::chrono::milliseconds>(wait->until - now).count());
+        return text;
+    }
+
     forward::forwarder_options forwarderOptions() const
     {
         // Share of the revocation time for which a confirmation is valid; the rest covers requests
@@ -135,6 +156,7 @@
         options.retries.window = m_settings.retryWindow;
         options.retries.additionalRetries = m_settings.additionalRetries;
         options.retries.additionalRetriesShare = 0.02;
+        options.notices.drainTime = m_settings.drainTime;
         options.confirmationLifetime = std::chrono::milliseconds(static_cast<std::int64_t>(
             static_cast<double>(m_settings.revocationTime.count()) * confirmationLifetimeShare));
         // Two descriptors per session: the caller and the endpoint of its request.
--- a/Libraries/LibFleet/node_settings.h
+++ b/Libraries/LibFleet/node_settings.h
@@ -36,6 +36,8 @@
 
     std::chrono::milliseconds graceTime{8000}; ///< Between SIGTERM and SIGKILL.
     std::chrono::milliseconds revocationTime{5000}; ///< Until a removed key is refused everywhere.
+    /// After an endpoint says that it leaves, it may be sent requests for this long.
+    std::chrono::milliseconds drainTime{4000};
     double retryRatio = 0.2;
     std::chrono::milliseconds retryWindow{10'000};
     double additionalRetries = 0; ///< Per window on top of the ratio, over all hosts.
--- a/Libraries/LibForward/endpoint_table.cpp
+++ b/Libraries/LibForward/endpoint_table.cpp
@@ -29,10 +29,12 @@
 constexpr double maximumReportedShare = 0.4;
 /// An endpoint that this host received bytes from within this time is not ejected by loss reports.
 constexpr std::chrono::milliseconds recentContact{500};
+/// Age of a list when it arrives by way of a control host, at most.
+constexpr std::chrono::milliseconds listDelay{2500};
 
 } // namespace
 
-void endpoint_table::update(const std::vector<listed_endpoint> &list)
+void endpoint_table::update(const std::vector<listed_endpoint> &list, core::instant now)
 {
     std::set<std::string_view> named;
     for (const auto &entry : list) {
@@ -40,14 +42,19 @@
         auto &known = m_endpoints[entry.incarnation];
         if (!known) {
             known = std::make_shared<endpoint>();
-            known->listed = entry;
             m_services[entry.service].push_back(known);
-            continue;
         }
-        const bool leaving = known->listed.isLeaving || entry.isLeaving;
         known->listed = entry;
-        known->listed.isLeaving = leaving;
         known->isUnlisted = false;
+        if (!entry.isLeaving) {
+            known->listedAsStaying = now;
+            continue;
+        }
+        // An endpoint that was never listed otherwise may have been leaving for long.
+        const auto since = known->listedAsStaying ? *known->listedAsStaying - listDelay
+                                                  : now - m_notices.limits().drainTime;
+        m_notices.reportLeaving(entry.incarnation, {since, policy::notice_source::EndpointList, {}},
+                                now);
     }
     for (auto &[incarnation, known] : m_endpoints)
         known->isUnlisted = !named.contains(incarnation);
@@ -74,7 +81,8 @@
     const bool wasProbing = target.isProbing;
     target.isProbing = false;
     if (outcome == endpoint_outcome::Replaced) {
-        target.listed.isLeaving = true;
+        m_notices.reportLeaving(target.listed.incarnation,
+                                {now, policy::notice_source::OtherIncarnation, {}}, now);
         target.lostAt = now;
     }
     if (outcome == endpoint_outcome::Abandoned || outcome == endpoint_outcome::Refused
--- a/Libraries/LibForward/endpoint_table.h
+++ b/Libraries/LibForward/endpoint_table.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/settings.h"
 #include "LibCore/time.h"
+#include "LibPolicy/endpoint_notices.h"
 
 #include <chrono>
 #include <cstdint>
@@ -39,7 +40,7 @@
     core::socket_address address;
     std::string dataCentre;
     std::uint32_t slots = 0; ///< Requests that can run concurrently.
-    bool isLeaving = false;
+    bool isLeaving = false; ///< As the list says; endpoint_notices decides.
 };
 
 /// One incarnation of an endpoint with the state that this host keeps for it.
@@ -47,6 +48,7 @@
 {
     listed_endpoint listed;
     bool isUnlisted = false; ///< Not in the newest list.
+    std::optional<core::instant> listedAsStaying; ///< When a list last said that it is not leaving.
 
     std::uint32_t running = 0; ///< Attempts by this host in progress.
     std::uint64_t waitingTokens = 0; ///< Sent by this host, prefill not finished.
@@ -85,8 +87,10 @@
 public:
     using endpoint_pointer = std::shared_ptr<endpoint>;
 
+    explicit endpoint_table(policy::notice_limits limits = {}) : m_notices(limits) { }
+
     /// Replaces the list. An incarnation that was once leaving stays so.
-    void update(const std::vector<listed_endpoint> &list);
+    void update(const std::vector<listed_endpoint> &list, core::instant now);
 
     /// All endpoints of a service, including those that are leaving or no longer listed.
     const std::vector<endpoint_pointer> &ofService(std::string_view service) const;
@@ -101,10 +105,15 @@
     /// Whether this host should report to others that it lost the endpoint.
     static bool shouldReportLoss(const endpoint &target, core::instant now);
 
+    /// What the endpoints say of themselves, by incarnation.
+    policy::endpoint_notices &notices() { return m_notices; }
+    const policy::endpoint_notices &notices() const { return m_notices; }
+
     std::size_t size() const { return m_endpoints.size(); }
     const std::map<std::string, endpoint_pointer> &all() const { return m_endpoints; }
 
 private:
+    policy::endpoint_notices m_notices;
     std::map<std::string, endpoint_pointer> m_endpoints; ///< By incarnation.
     std::map<std::string, std::vector<endpoint_pointer>, std::less<>> m_services;
 };
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -41,6 +41,8 @@
 /// About the time to elect a new leader after all hosts have failed.
 constexpr std::chrono::milliseconds maximumConfigurationWait{2000};
 constexpr std::chrono::milliseconds configurationPollInterval{40};
+/// Span over which callers return after the end of the wait that all endpoints have asked for.
+constexpr std::chrono::milliseconds returnSpan{1000};
 /// Requests that may wait on one host at the same time; each keeps its body in memory.
 constexpr std::size_t maximumWaitingRequests = 400;
 
@@ -322,18 +324,23 @@
                                                                 : engine_pool::LongPrompt;
     request.affinity = m_service->engine ? m_affinity : 0;
     request.objective = m_route->latencyObjective;
-    request.excluded = m_tried;
+    request.excluded = m_excluded;
     request.isConnected = [this, now](const endpoint &target) {
         return m_owner->pool()->hasIdle(target.connectionKey(), now);
     };
     const auto choice
         = chooseEndpoint(m_owner->endpoints(), request, m_owner->options().placement, now);
     if (!choice.chosen) {
-        failRequest("no_endpoint", m_possibleRuns > 0);
+        if (!choice.heldOffUntil)
+            failRequest("no_endpoint", m_possibleRuns > 0);
+        else if (!hold(choice))
+            failRequest("endpoints_held_off", m_possibleRuns > 0);
         return;
     }
+    m_written = m_owner->endpoints().notices().tryWrite(choice.chosen->listed.incarnation, now);
     m_endpoint = choice.chosen;
     m_tried.push_back(m_endpoint);
+    m_excluded.push_back(m_endpoint);
     m_expectedWait = choice.expectedWait;
     m_uncachedTokens = choice.uncachedTokens;
     m_awaitsFirstByte = true;
@@ -344,6 +351,11 @@
         for (const auto &part : m_size.parts)
             m_endpoint->partSentTimes[part.id] = now;
     }
+    startAttempt(left);
+}
+
+void exchange::startAttempt(std::chrono::milliseconds left)
+{
     attempt::request content;
     content.address = m_endpoint->listed.address;
     content.key = m_endpoint->connectionKey();
@@ -356,6 +368,15 @@
     m_events.discardPartialEvent();
     const std::weak_ptr<exchange> weak = weak_from_this();
     attempt::handlers handlers;
+    handlers.mayWrite = [weak] {
+        const auto self = weak.lock();
+        return !self || self->mayWrite();
+    };
+    handlers.interim = [weak](const http_head &head) {
+        if (const auto self = weak.lock(); self && self->m_endpoint)
+            self->m_owner->notices().readAnswer(*self->m_endpoint, head, self->m_id,
+                                                std::chrono::steady_clock::now());
+    };
     handlers.sent = [weak] {
         if (const auto self = weak.lock())
             self->connectionOpened();
@@ -376,6 +397,71 @@
     m_attempt = attempt::start(m_owner->pool(), std::move(content), std::move(handlers));
 }
 
+/// Keeps the request in this host until an endpoint takes requests, if that is soon enough.
+bool exchange::hold(const placement_choice &choice)
+{
+    const auto latest
+        = std::min(m_arrived + m_route->latencyObjective, m_deadline - minimumTimeLeft);
+    if (!choice.heldOffUntil || *choice.heldOffUntil >= latest)
+        return false;
+    if (!m_isWaiting && m_owner->waitingRequests() >= maximumWaitingRequests)
+        return false;
+    if (!std::exchange(m_isWaiting, true))
+        m_owner->waitStarted();
+    m_isHeld = true;
+    m_owner->heldRequests().add(shared_from_this(), std::min(choice.nextUse, latest));
+    return true;
+}
+
+void exchange::resumeHeld()
+{
+    if (m_done || !std::exchange(m_isHeld, false))
+        return;
+    tryEndpoint();
+    if (!m_isHeld && std::exchange(m_isWaiting, false))
+        m_owner->waitEnded();
+}
+
+bool exchange::isBefore(const exchange &other) const
+{
+    return m_priority != other.m_priority ? m_priority < other.m_priority
+                                          : m_arrived < other.m_arrived;
+}
+
+bool exchange::mayWrite() const
+{
+    return m_endpoint && m_written
+        && m_owner->endpoints().notices().mayStillWrite(m_endpoint->listed.incarnation, *m_written,
+                                                        std::chrono::steady_clock::now());
+}
+
+/// The endpoint said that it leaves or wants no request while the connection was opened.
+void exchange::handleWithdrawal()
+{
+    m_owner->log().write("attempt_withdrawn",
+                         {{"id", m_id}, {"endpoint", m_endpoint->listed.incarnation}});
+    ++m_owner->counters().counter("attempts_withdrawn_total", "service=\"" + m_service->name + '"');
+    releaseEndpoint(endpoint_outcome::Abandoned);
+    m_tried.pop_back();
+    m_excluded.pop_back();
+    m_attempt.reset();
+    tryEndpoint();
+}
+
+/// To be called after the notices of the answer have been read.
+void exchange::recordAnswer(int status)
+{
+    const auto written = std::exchange(m_written, std::nullopt);
+    if (!written)
+        return;
+    auto &notices = m_owner->endpoints().notices();
+    const auto &incarnation = m_endpoint->listed.incarnation;
+    const bool wasRefused = status / 100 == 5 || status == 429;
+    if (wasRefused ? notices.recordLoss(incarnation, *written)
+                   : notices.recordAnswer(incarnation, *written))
+        m_owner->heldRequests().resume();
+}
+
 void exchange::connectionOpened()
 {
     ++m_sentAttempts;
@@ -387,6 +473,8 @@
 {
     m_response = std::move(head);
     m_endpoint->lastReceived = std::chrono::steady_clock::now();
+    m_owner->notices().readAnswer(*m_endpoint, m_response, m_id, m_endpoint->lastReceived);
+    recordAnswer(m_response.status);
     if (!isSuccess(m_response.status) || (!m_service->engine && !isStream()))
         return;
     // Not a response of the endpoint itself, or not the response to this request.
@@ -486,6 +574,10 @@
         return;
     m_attemptTimer.cancel();
     const auto &names = m_owner->options().names;
+    if (ending.wasWithdrawn) {
+        handleWithdrawal();
+        return;
+    }
     if (!ending.wasSent) {
         releaseEndpoint(endpoint_outcome::Unreachable);
         attemptFailed("unreachable", false);
@@ -508,6 +600,10 @@
     }
     if (m_response.has(names.notRun) || m_response.status == 421) {
         --m_possibleRuns;
+        // The table of notices keeps it from being used until the end of the wait.
+        if (m_owner->endpoints().notices().wait(m_endpoint->listed.incarnation,
+                                                std::chrono::steady_clock::now()))
+            m_excluded.pop_back();
         releaseEndpoint(m_response.status == 421 ? endpoint_outcome::Replaced
                                                  : endpoint_outcome::Refused);
         attemptFailed("refused: " + number(m_response.status), false);
@@ -725,6 +821,8 @@
     if (!target)
         return;
     --target->running;
+    if (const auto written = std::exchange(m_written, std::nullopt))
+        m_owner->endpoints().notices().recordLoss(target->listed.incarnation, *written);
     recordFirstByte(*target);
     const bool wasEjected = target->ejectedUntil > std::chrono::steady_clock::now();
     m_owner->endpoints().recordOutcome(*target, outcome, std::chrono::steady_clock::now());
@@ -812,6 +910,21 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(m_arrived - *stopStart).count());
 }
 
+/// Time until the first endpoint of the service takes requests; empty if one does now.
+std::optional<std::chrono::milliseconds> exchange::allHeldOffFor() const
+{
+    if (m_service == nullptr)
+        return std::nullopt;
+    const auto now = std::chrono::steady_clock::now();
+    placement_request request;
+    request.target = m_service;
+    const auto choice
+        = chooseEndpoint(m_owner->endpoints(), request, m_owner->options().placement, now);
+    if (choice.chosen || !choice.heldOffUntil)
+        return std::nullopt;
+    return std::chrono::ceil<std::chrono::milliseconds>(*choice.heldOffUntil - now);
+}
+
 std::chrono::milliseconds exchange::timeLeft() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -826,6 +939,10 @@
 
 std::chrono::milliseconds exchange::retryAfter() const
 {
+    if (const auto wait = allHeldOffFor())
+        return *wait
+            + std::chrono::milliseconds(static_cast<std::int64_t>(
+                core::hash64(m_id) % static_cast<std::uint64_t>(returnSpan.count())));
     // Spread by request id, so that callers refused at the same time do not retry at the same time.
     const auto span = static_cast<std::uint64_t>((maximumRetryAfter - minimumRetryAfter).count());
     return minimumRetryAfter
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +44,12 @@
     /// whether it was sent.
     void handleStop();
 
+    /// Places the request again after it was held because no endpoint took requests.
+    void resumeHeld();
+
+    /// Whether this request is placed before the other one if both are held.
+    bool isBefore(const exchange &other) const;
+
     /// All bytes for the caller have been written. Resumes reading from the endpoint.
     void handleOutputDrained();
 
@@ -56,7 +63,12 @@
     std::string requestText(const endpoint &target, std::chrono::milliseconds left) const;
 
     void tryEndpoint();
+    void startAttempt(std::chrono::milliseconds left);
+    bool hold(const placement_choice &choice);
+    bool mayWrite() const;
     void connectionOpened();
+    void handleWithdrawal();
+    void recordAnswer(int status);
     void handleHead(http_head &head);
     void handleBody(std::string &bytes);
     void handleEventBytes(std::string &bytes, caller_session &session);
@@ -83,6 +95,7 @@
     std::chrono::milliseconds timeLeft() const;
     std::chrono::milliseconds elapsed() const;
     std::chrono::milliseconds retryAfter() const;
+    std::optional<std::chrono::milliseconds> allHeldOffFor() const;
     bool isStream() const { return m_route->kind == request_kind::Stream; }
 
     std::shared_ptr<forwarder> m_owner;
@@ -108,6 +121,9 @@
     std::shared_ptr<attempt> m_attempt;
     endpoint_table::endpoint_pointer m_endpoint; ///< Of the attempt in progress.
     std::vector<endpoint_table::endpoint_pointer> m_tried;
+    /// Of those tried, the ones that did not ask for a wait; they are not tried again.
+    std::vector<endpoint_table::endpoint_pointer> m_excluded;
+    std::optional<policy::written_request> m_written; ///< Of the attempt, until it is answered.
     std::uint64_t m_uncachedTokens = 0; ///< Prompt tokens counted as waiting at the endpoint.
     std::chrono::microseconds m_expectedWait{0};
     bool m_awaitsFirstByte = false;
@@ -123,7 +139,8 @@
     std::chrono::milliseconds m_longestPause{0}; ///< Between two parts of the response.
     core::instant m_lastPartTime;
     bool m_streamsBody = false; ///< The body is too long to buffer and is passed on as it arrives.
-    bool m_isWaiting = false; ///< For a configuration; counted in `m_owner`.
+    bool m_isWaiting = false; ///< For a configuration or endpoint; counted in `m_owner`.
+    bool m_isHeld = false; ///< No endpoint takes requests now.
     bool m_done = false;
 };
 
--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -24,7 +24,8 @@
     : m_context(context), m_counters(counters), m_log(log), m_options(std::move(options)),
       m_confirmationAge(std::move(confirmationAge)), m_acceptor(context), m_timer(context),
       m_pool(std::make_shared<connection_pool>(context, m_options.upstream)),
-      m_retryBudget(m_options.retries)
+      m_endpoints(m_options.notices), m_notices(m_endpoints, counters, log, m_options.names),
+      m_heldRequests(context), m_retryBudget(m_options.retries)
 {
 }
 
@@ -43,7 +44,10 @@
 
 void forwarder::setEndpoints(const std::vector<listed_endpoint> &list)
 {
-    m_endpoints.update(list);
+    const auto now = std::chrono::steady_clock::now();
+    m_endpoints.update(list, now);
+    m_notices.update(now);
+    m_heldRequests.resume();
 }
 
 void forwarder::acceptNext()
@@ -98,7 +102,9 @@
     m_timer.async_wait([self = shared_from_this()](std::error_code error) {
         if (error || self->m_stopped)
             return;
-        self->m_pool->closeIdle(std::chrono::steady_clock::now());
+        const auto now = std::chrono::steady_clock::now();
+        self->m_pool->closeIdle(now);
+        self->m_notices.update(now);
         self->m_log.flush();
         self->startTimer();
     });
@@ -162,6 +168,7 @@
     for (const auto &session : sessions)
         session->close();
     m_pool->closeAll();
+    m_heldRequests.stop();
     m_log.flush();
 }
 
--- a/Libraries/LibForward/forwarder.h
+++ b/Libraries/LibForward/forwarder.h
@@ -4,6 +4,8 @@
 #include "LibCore/latency_histogram.h"
 #include "LibForward/endpoint_table.h"
 #include "LibForward/event_log.h"
+#include "LibForward/held_requests.h"
+#include "LibForward/notice_recorder.h"
 #include "LibForward/placement.h"
 #include "LibForward/retry_budget.h"
 #include "LibForward/route_table.h"
@@ -32,6 +34,7 @@
     placement_options placement;
     retry_limits retries;
     upstream_options upstream;
+    policy::notice_limits notices;
     /// Requests with keys are refused if the last confirmation of the configuration is older.
     std::chrono::milliseconds confirmationLifetime{4000};
     std::size_t maximumSessions = 2500;
@@ -87,6 +90,8 @@
 
     const std::shared_ptr<const route_table> &routes() const { return m_routes; }
     endpoint_table &endpoints() { return m_endpoints; }
+    notice_recorder &notices() { return m_notices; }
+    held_requests &heldRequests() { return m_heldRequests; }
     retry_budget &retryBudget() { return m_retryBudget; }
     const std::shared_ptr<connection_pool> &pool() const { return m_pool; }
     const forwarder_options &options() const { return m_options; }
@@ -118,11 +123,13 @@
     std::shared_ptr<connection_pool> m_pool;
     std::shared_ptr<const route_table> m_routes;
     endpoint_table m_endpoints;
+    notice_recorder m_notices;
+    held_requests m_heldRequests;
     retry_budget m_retryBudget;
     std::set<std::shared_ptr<caller_session>> m_sessions;
     std::map<std::string, core::latency_histogram> m_latencies;
     std::size_t m_requests = 0;
-    std::size_t m_waitingRequests = 0; ///< Requests that wait for a configuration.
+    std::size_t m_waitingRequests = 0; ///< Requests that wait for a configuration or an endpoint.
     std::optional<core::instant> m_stopStart; ///< Of a planned stop.
     stop_times m_stopTimes;
     bool m_stopped = false;
--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -57,13 +57,15 @@
 /// hosts agree without communication and adding or removing an engine changes few members.
 std::vector<const endpoint *>
 lowLatencyEngines(const std::vector<endpoint_table::endpoint_pointer> &all,
-                  const placement_options &options, std::uint32_t slots)
+                  const policy::endpoint_notices &notices, const placement_options &options,
+                  std::uint32_t slots, core::instant now)
 {
     const auto share = options.lowLatencyShare
         * std::sqrt(options.lowLatencyShareSlots / std::max(static_cast<double>(slots), 1.0));
     std::map<std::string, std::vector<std::pair<std::uint64_t, const endpoint *>>> regions;
     for (const auto &entry : all) {
-        if (entry->listed.isLeaving || entry->isUnlisted)
+        if (entry->isUnlisted
+            || notices.use(entry->listed.incarnation, now) != policy::endpoint_use::Free)
             continue;
         const auto region = options.regions.find(entry->listed.dataCentre);
         regions[region == options.regions.end() ? entry->listed.dataCentre : region->second]
@@ -162,21 +164,36 @@
 {
     std::vector<const endpoint *> lowLatency;
     if (request.pool != engine_pool::Any)
-        lowLatency = lowLatencyEngines(endpoints.ofService(request.target->name), options,
-                                       request.target->engine ? request.target->engine->slots : 0);
+        lowLatency = lowLatencyEngines(
+            endpoints.ofService(request.target->name), endpoints.notices(), options,
+            request.target->engine ? request.target->engine->slots : 0, now);
+    placement_choice choice;
     std::vector<candidate> candidates;
+    std::vector<candidate> leaving;
     for (const auto &entry : endpoints.ofService(request.target->name)) {
         const bool tried = std::find(request.excluded.begin(), request.excluded.end(), entry)
             != request.excluded.end();
-        if (entry->listed.isLeaving || entry->isUnlisted || tried)
+        const auto use = endpoints.notices().use(entry->listed.incarnation, now);
+        if (use == policy::endpoint_use::Gone || entry->isUnlisted || tried)
+            continue;
+        if (use == policy::endpoint_use::HeldOff) {
+            const auto wait = endpoints.notices().wait(entry->listed.incarnation, now);
+            const auto end = wait ? wait->until : now;
+            const auto next = endpoints.notices().nextUse(entry->listed.incarnation, now);
+            choice.nextUse = choice.heldOffUntil ? std::min(choice.nextUse, next) : next;
+            choice.heldOffUntil = std::min(choice.heldOffUntil.value_or(end), end);
             continue;
+        }
         const bool isLowLatency
             = std::find(lowLatency.begin(), lowLatency.end(), entry.get()) != lowLatency.end();
         const auto weight = request.affinity == 0
             ? 0
             : rendezvousWeight(request.affinity, entry->listed.incarnation);
-        candidates.push_back({entry, weight, isLowLatency});
+        (use == policy::endpoint_use::Free ? candidates : leaving)
+            .push_back({entry, weight, isLowLatency});
     }
+    if (candidates.empty())
+        candidates = std::move(leaving);
     std::uint64_t bestWeight = 0;
     std::uint64_t secondWeight = 0;
     for (const auto &entry : candidates) {
@@ -199,7 +216,6 @@
         ? missedObjectiveRerouteFactor
         : defaultFactor;
     const auto otherFactor = furtherEngineRerouteFactor * defaultFactor;
-    placement_choice choice;
     auto bestCost = std::chrono::microseconds::max();
     for (const auto &entry : candidates) {
         const auto &target = *entry.target;
@@ -228,7 +244,7 @@
             cost += roundTripTo(target, options) + connectionSetupCost;
         if (cost < bestCost) {
             bestCost = cost;
-            choice = {entry.target, wait, uncached};
+            choice = {entry.target, wait, uncached, {}, {}};
         }
     }
     return choice;
--- a/Libraries/LibForward/placement.h
+++ b/Libraries/LibForward/placement.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,10 @@
     endpoint_table::endpoint_pointer chosen; ///< Null if no endpoint can be used.
     std::chrono::microseconds expectedWait{0}; ///< Predicted time to the first token.
     std::uint64_t uncachedTokens = 0; ///< Prompt tokens not expected in its cache.
+    /// If none can be used: the earliest end of a wait, and the latest time at which an endpoint
+    /// takes the next request. They differ while requests return one after another.
+    std::optional<core::instant> heldOffUntil;
+    core::instant nextUse;
 };
 
 /// Chooses the endpoint with the lowest predicted time to the first token. The prediction adds up
--- a/Libraries/LibForward/upstream.cpp
+++ b/Libraries/LibForward/upstream.cpp
@@ -198,6 +198,10 @@
 
 void attempt::send()
 {
+    if (m_handlers.mayWrite && !m_handlers.mayWrite()) {
+        withdraw();
+        return;
+    }
     m_sent = true;
     if (m_handlers.sent)
         m_handlers.sent();
@@ -214,6 +218,23 @@
     read();
 }
 
+/// Ends the attempt later, because the caller of start() has no pointer to it yet.
+void attempt::withdraw()
+{
+    asio::post(m_pool->context(), [self = shared_from_this()] {
+        if (self->m_done)
+            return;
+        self->m_done = true;
+        self->m_timer.cancel();
+        std::error_code ignored;
+        self->m_connection->socket.close(ignored);
+        auto handlers = std::exchange(self->m_handlers, {});
+        ending result;
+        result.wasWithdrawn = true;
+        handlers.ended(result);
+    });
+}
+
 void attempt::resume()
 {
     if (!m_paused)
@@ -270,7 +291,10 @@
         }
         if (m_reader.headComplete() && !m_headHandled) {
             const int status = m_reader.head().status;
-            if (status / 100 != 1) {
+            if (status / 100 == 1) {
+                if (m_reader.complete() && m_handlers.interim)
+                    m_handlers.interim(m_reader.head());
+            } else {
                 // Before the call of the handler, which may move the headers away.
                 m_idleTime = announcedIdleTime(m_reader.head(), m_pool->options());
                 const auto identifier = m_reader.head().value(m_request.identifierHeader);
--- a/Libraries/LibForward/upstream.h
+++ b/Libraries/LibForward/upstream.h
@@ -85,11 +85,14 @@
         std::error_code error; ///< No error if the response is complete.
         bool wasSent = false; ///< Whether a byte of the request may have reached the endpoint.
         bool reusedConnectionFailed = false; ///< Before any response byte.
+        bool wasWithdrawn = false; ///< By `mayWrite`, before a byte was written.
     };
 
     struct handlers
     {
+        std::function<bool()> mayWrite; ///< Asked directly before the write.
         std::function<void()> sent; ///< The connection is open and the write has begun.
+        std::function<void(const http_head &)> interim; ///< Of a response with a status 1xx.
         std::function<void(http_head &)> head;
         std::function<void(std::string &)> body; ///< May move the bytes away.
         std::function<void(const ending &)> ended;
@@ -121,6 +124,7 @@
 
     void connect();
     void send();
+    void withdraw();
     void read();
     void handleBytes(std::string_view bytes);
     void parse(std::string_view bytes);
--- a/Libraries/LibForward/wire_names.h
+++ b/Libraries/LibForward/wire_names.h
@@ -14,6 +14,7 @@
     std::string timeLeft = "X-Time-Left-Ms"; ///< How long the sender waits, in ms.
     std::string expectedIncarnation = "X-Endpoint-Incarnation";
     std::string notRun = "X-Not-Run"; ///< Present if the request was not run.
+    std::string leaving = "X-Endpoint-Leaving"; ///< "1" in all answers of a leaving endpoint.
     std::string signature = "X-Signature"; ///< Signature of an endpoint for its response.
     std::string account = "X-Client-Account";
     std::string enginePriority = "X-Priority"; ///< 0 is the most urgent.
--- a/Libraries/LibPolicy/endpoint_notices.cpp
+++ b/Libraries/LibPolicy/endpoint_notices.cpp
@@ -88,6 +88,8 @@
     notice.request.resize(std::min(notice.request.size(), maximumRequestIdLength));
     entry.drainStart = notice.since;
     entry.leaving = std::move(notice);
+    if (m_newLeaves.size() < m_limits.maximumRecords)
+        m_newLeaves.push_back(incarnation);
     return true;
 }
 
@@ -115,7 +117,7 @@
     if (found == m_records.end())
         return endpoint_use::Free;
     const auto &entry = found->second;
-    if (entry.hasEnded || (entry.leaving && now >= drainEnd(entry)))
+    if (isGone(entry, now))
         return endpoint_use::Gone;
     if (nextUse(entry, now) > now)
         return endpoint_use::HeldOff;
@@ -172,24 +174,40 @@
     auto &entry = found->second;
     ++entry.unanswered;
     entry.lastWritten = now;
-    return written_request{entry.waits};
+    return written_request{entry.waits, entry.leaving.has_value()};
 }
 
-void endpoint_notices::recordAnswer(const std::string &incarnation, written_request request)
+bool endpoint_notices::mayStillWrite(const std::string &incarnation, written_request request,
+                                     core::instant now) const
+{
+    const auto found = m_records.find(incarnation);
+    if (found == m_records.end())
+        return true;
+    const auto &entry = found->second;
+    return entry.waits == request.waits && entry.leaving.has_value() == request.isLastResort
+        && !isGone(entry, now);
+}
+
+bool endpoint_notices::recordAnswer(const std::string &incarnation, written_request request)
 {
     auto *entry = find(incarnation, request);
     if (entry == nullptr)
-        return;
+        return false;
     --entry->unanswered;
+    const bool isReturning = entry->wait.has_value();
     // Doubles the number within the time of an answer.
     if (++entry->allowed > m_limits.returnedRequests && entry->waitEndTaken)
         entry->wait.reset();
+    return isReturning;
 }
 
-void endpoint_notices::recordLoss(const std::string &incarnation, written_request request)
+bool endpoint_notices::recordLoss(const std::string &incarnation, written_request request)
 {
-    if (auto *entry = find(incarnation, request))
-        --entry->unanswered;
+    auto *entry = find(incarnation, request);
+    if (entry == nullptr)
+        return false;
+    --entry->unanswered;
+    return entry->wait.has_value();
 }
 
 /// Null if the endpoint has asked for a wait since the request was written.
@@ -203,6 +221,16 @@
     return &found->second;
 }
 
+std::vector<endpoint_notices::new_leave> endpoint_notices::takeNewLeaves()
+{
+    std::vector<new_leave> leaves;
+    for (auto &incarnation : std::exchange(m_newLeaves, {})) {
+        if (auto notice = leaving(incarnation))
+            leaves.push_back({std::move(incarnation), std::move(*notice)});
+    }
+    return leaves;
+}
+
 std::vector<endpoint_notices::ended_wait> endpoint_notices::takeEndedWaits(core::instant now)
 {
     std::vector<ended_wait> ended;
@@ -277,10 +305,13 @@
     });
 }
 
-core::instant endpoint_notices::drainEnd(const record &entry) const
+bool endpoint_notices::isGone(const record &entry, core::instant now) const
 {
-    return entry.drainStart
-        + std::max(m_limits.drainTime - m_limits.drainMargin, std::chrono::milliseconds(0));
+    if (!entry.leaving)
+        return false;
+    return entry.hasEnded || entry.leaving->source == notice_source::EndpointList
+        || now >= entry.drainStart
+            + std::max(m_limits.drainTime - m_limits.drainMargin, std::chrono::milliseconds(0));
 }
 
 } // namespace quetzalcleat::policy
--- a/Libraries/LibPolicy/endpoint_notices.h
+++ b/Libraries/LibPolicy/endpoint_notices.h
@@ -28,7 +28,9 @@
 /// Whether an endpoint may be sent a request.
 enum class endpoint_use {
     Free,
-    LastResort, ///< It is leaving and takes requests only if no other endpoint can.
+    /// It is leaving and takes requests only if no other endpoint can. Not if the endpoint list
+    /// said so first, as it does not tell since when.
+    LastResort,
     HeldOff, ///< It wants no request yet.
     Gone, ///< It is leaving and must not be sent anything anymore.
 };
@@ -95,6 +97,7 @@
 struct written_request
 {
     std::uint64_t waits = 0; ///< Of its endpoint, before it was written.
+    bool isLastResort = false; ///< Its endpoint was leaving.
 };
 
 /// What endpoints say of themselves: that they are leaving, and that they want no request for some
@@ -132,12 +135,26 @@
     /// When an endpoint that is held off takes the next request at the latest, if it says no more.
     core::instant nextUse(const std::string &incarnation, core::instant now) const;
 
-    /// To be called directly before a request is written. Empty if it must not be written.
+    /// To be called when a request is placed at the endpoint. Empty if it must not be written.
     std::optional<written_request> tryWrite(const std::string &incarnation, core::instant now);
+    /// Whether a request that was placed before may still be written. To be called directly before
+    /// the write, as notices may arrive while a connection is opened.
+    bool mayStillWrite(const std::string &incarnation, written_request request,
+                       core::instant now) const;
     /// The answer to a written request began. To be called once, after the notices of the answer.
-    void recordAnswer(const std::string &incarnation, written_request request);
-    /// A written request ended without an answer.
-    void recordLoss(const std::string &incarnation, written_request request);
+    /// Returns whether more requests may return after a wait.
+    bool recordAnswer(const std::string &incarnation, written_request request);
+    /// A written request ended without an answer, or was refused. Returns whether another request
+    /// may follow it after a wait.
+    bool recordLoss(const std::string &incarnation, written_request request);
+
+    struct new_leave
+    {
+        std::string incarnation;
+        leaving_notice notice;
+    };
+    /// First notices of leaving that were not returned before.
+    std::vector<new_leave> takeNewLeaves();
 
     /// A wait that has ended and was not returned before, with its endpoint.
     struct ended_wait
@@ -179,12 +196,13 @@
 
     record &recordOf(const std::string &incarnation, core::instant now);
     void forgetOldest();
-    core::instant drainEnd(const record &entry) const;
+    bool isGone(const record &entry, core::instant now) const;
     core::instant nextUse(const record &entry, core::instant now) const;
     record *find(const std::string &incarnation, written_request request);
 
     notice_limits m_limits;
     std::map<std::string, record> m_records;
+    std::vector<std::string> m_newLeaves; ///< Incarnations; bounded by maximumRecords.
 };
 
 } // namespace quetzalcleat::policy
--- a/Tests/Forward/forwarder_fixture.h
+++ b/Tests/Forward/forwarder_fixture.h
@@ -75,6 +75,7 @@
         options.retries.additionalRetries = 100;
         options.retries.additionalRetriesShare = 1;
         options.upstream = m_upstream;
+        options.notices = m_notices;
         m_forwarder = std::make_shared<forwarder>(m_context, m_counters, m_log, options, [this] {
             return std::chrono::milliseconds(m_confirmationAge.load());
         });
@@ -179,6 +180,7 @@
     core::counter_registry m_counters;
     event_log m_log;
     upstream_options m_upstream;
+    policy::notice_limits m_notices;
     std::atomic<int> m_confirmationAge{0};
     std::shared_ptr<forwarder> m_forwarder;
     std::array<scripted_listener, 2> m_endpoints;
--- a/Tests/Forward/test_placement.cpp
+++ b/Tests/Forward/test_placement.cpp
@@ -31,7 +31,7 @@
                             "dc" + std::to_string(index % 3),
                             64,
                             false});
-        table.update(list);
+        table.update(list, start);
     }
 
     placement_choice choose(const generation_size &size, engine_pool pool,
@@ -219,7 +219,7 @@
     const auto size = shortQuestion(5);
     fleet.list[0].isLeaving = true;
     fleet.list.pop_back();
-    fleet.table.update(fleet.list);
+    fleet.table.update(fleet.list, start);
     const auto only = fleet.choose(size, engine_pool::Any).chosen;
     ASSERT_TRUE(only);
     EXPECT_EQ(only->listed.incarnation, "engine-1");
@@ -237,10 +237,10 @@
 {
     engine_fleet fleet(2);
     fleet.list[0].isLeaving = true;
-    fleet.table.update(fleet.list);
+    fleet.table.update(fleet.list, start);
     fleet.list[0].isLeaving = false;
-    fleet.table.update(fleet.list);
-    EXPECT_TRUE(fleet.table.all().at("engine-0")->listed.isLeaving);
+    fleet.table.update(fleet.list, start);
+    EXPECT_EQ(fleet.table.notices().use("engine-0", start), policy::endpoint_use::Gone);
 }
 
 /// Guards against a failing endpoint that keeps getting requests because it is listed as ready, and
@@ -286,7 +286,7 @@
 TEST(endpoint_table, LostEndpointsAreReportedToOtherHosts)
 {
     endpoint_table table;
-    table.update({{"i1", "s", {"10.0.0.1", 80}, "dc", 6, false}});
+    table.update({{"i1", "s", {"10.0.0.1", 80}, "dc", 6, false}}, start);
     auto &target = *table.ofService("s").front();
     EXPECT_FALSE(endpoint_table::shouldReportLoss(target, start));
     table.recordOutcome(target, endpoint_outcome::Unreachable, start);
@@ -296,7 +296,8 @@
     endpoint_table other;
     other.update({{"i1", "s", {"10.0.0.1", 80}, "dc", 6, false},
                   {"i2", "s", {"10.0.0.2", 80}, "dc", 6, false},
-                  {"i3", "s", {"10.0.0.3", 80}, "dc", 6, false}});
+                  {"i3", "s", {"10.0.0.3", 80}, "dc", 6, false}},
+                 start);
     auto &reported = *other.ofService("s").front();
     other.applyLossReports({{"i1", 1}}, start);
     EXPECT_LE(reported.ejectedUntil, start);
@@ -315,13 +316,13 @@
 TEST(endpoint_table, ReplacedIncarnationIsNotUsedAgain)
 {
     endpoint_table table;
-    table.update({{"i1", "s", {"10.0.0.1", 80}, "dc", 6, false}});
+    table.update({{"i1", "s", {"10.0.0.1", 80}, "dc", 6, false}}, start);
     auto &target = *table.ofService("s").front();
     table.recordOutcome(target, endpoint_outcome::Replaced, start);
-    EXPECT_TRUE(target.listed.isLeaving);
+    EXPECT_EQ(table.notices().use("i1", start), policy::endpoint_use::Gone);
     EXPECT_TRUE(endpoint_table::shouldReportLoss(target, start));
-    table.update({{"i2", "s", {"10.0.0.1", 80}, "dc", 6, false}});
+    table.update({{"i2", "s", {"10.0.0.1", 80}, "dc", 6, false}}, start);
     ASSERT_EQ(table.ofService("s").size(), 1U);
-    EXPECT_FALSE(table.ofService("s").front()->listed.isLeaving);
+    EXPECT_EQ(table.notices().use("i2", start), policy::endpoint_use::Free);
     EXPECT_EQ(table.ofService("s").front()->failureShare, 0);
 }
--- a/Tests/Platform/test_platform_dialect.cpp
+++ b/Tests/Platform/test_platform_dialect.cpp
@@ -114,6 +114,7 @@
 machines = 2
 [contract-params]
 grace-s = 8
+drain-ms = 4500
 revoke-ms = 5000
 retry-slack = 58
 [cloud-api]
@@ -126,6 +127,7 @@
     EXPECT_EQ(settings.value().peerPort, 7340);
     EXPECT_EQ(settings.value().tolerableDiskLosses, 2U);
     EXPECT_EQ(settings.value().graceTime, std::chrono::seconds(8));
+    EXPECT_EQ(settings.value().drainTime, std::chrono::milliseconds(4500));
     EXPECT_EQ(settings.value().additionalRetries, 58);
     EXPECT_TRUE(settings.value().bootstrapsCluster);
     EXPECT_FALSE(settings.value().controlAddress);
--- a/Tests/Policy/test_endpoint_notices.cpp
+++ b/Tests/Policy/test_endpoint_notices.cpp
@@ -82,7 +82,8 @@
         case step::action::Write: {
             const auto written = notices.tryWrite(name, now);
             const bool isPastDrain = !own.leaves.empty()
-                && now >= own.leaves.front().first + limits.drainTime - limits.drainMargin;
+                && (own.leaves.front().second == notice_source::EndpointList
+                    || now >= own.leaves.front().first + limits.drainTime - limits.drainMargin);
             const bool hasEnded
                 = std::any_of(own.leaves.begin(), own.leaves.end(), [](const auto &leave) {
                       return leave.second == notice_source::OtherIncarnation;
@@ -184,7 +185,7 @@
 TEST(endpoint_notices, ALateNoticeCountsFromItsStart)
 {
     endpoint_notices notices;
-    notices.reportLeaving("a", notice(start - 3000ms, notice_source::EndpointList), start);
+    notices.reportLeaving("a", notice(start - 3000ms), start);
     EXPECT_EQ(notices.use("a", start + 499ms), endpoint_use::LastResort);
     EXPECT_EQ(notices.use("a", start + 500ms), endpoint_use::Gone);
     notices.reportLeaving("b", notice(start), start);
@@ -237,3 +238,20 @@
     }
     EXPECT_EQ(notices.wait("n99", start)->request.size(), endpoint_notices::maximumRequestIdLength);
 }
+
+// Guards against a request that is written after a notice which arrived while its connection was
+// opened, and against one that never finds a place at the only endpoint.
+TEST(endpoint_notices, ANoticeWithdrawsPlacedRequests)
+{
+    endpoint_notices notices;
+    const auto first = *notices.tryWrite("a", start);
+    const auto second = *notices.tryWrite("b", start);
+    EXPECT_TRUE(notices.mayStillWrite("a", first, start));
+    notices.reportLeaving("a", notice(start), start);
+    notices.reportWait("b", 100ms, "r", start);
+    EXPECT_FALSE(notices.mayStillWrite("a", first, start));
+    const auto again = *notices.tryWrite("a", start);
+    EXPECT_TRUE(notices.mayStillWrite("a", again, start + 3499ms));
+    EXPECT_FALSE(notices.mayStillWrite("a", again, start + 3500ms));
+    EXPECT_FALSE(notices.mayStillWrite("b", second, start + 100ms));
+}
