LibForward: Split the admission of a request off the exchange

What a request asks for by its head and the configuration needs no state of the exchange; it is now request_admission, whose functions return what they find. No change of behaviour is intended.

--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -46,11 +46,6 @@
 /// Requests that may wait on one host at the same time; each keeps its body in memory.
 constexpr std::size_t maximumWaitingRequests = 400;
 
-std::string_view withoutPort(std::string_view host)
-{
-    return host.substr(0, host.find(':'));
-}
-
 std::string seconds(std::chrono::milliseconds time)
 {
     std::array<char, 32> text{};
@@ -124,8 +119,8 @@
         waitForConfiguration("no_configuration");
         return;
     }
-    const auto host = withoutPort(m_request.value("Host"));
-    m_route = m_routes->find(host, m_request.path());
+    const request_admission admission(m_request, m_owner->options().names);
+    m_route = admission.findRoute(*m_routes);
     if (m_route == nullptr) {
         // A host whose configuration may be outdated cannot know that there is no such route.
         if (m_owner->hasConfirmedConfiguration())
@@ -135,17 +130,21 @@
         return;
     }
     m_priority = m_route->priority;
-    if (!authorise())
+    if (!authorise(admission))
         return;
-    readDeadline();
+    m_deadline = admission.deadline(m_arrived, *m_route);
     // Another host can serve it to its end.
     if (!m_owner->canServeUntil(m_deadline)) {
         respondWithError(503, "Service Unavailable", "stopping", otherHostRetryAfter);
         return;
     }
-    if (!m_hasPromptSize)
-        readPromptSize();
-    if (!chooseService()) {
+    if (auto prompt = admission.promptSize()) {
+        m_hasPromptSize = true;
+        m_size = std::move(prompt->size);
+        m_affinity = m_route->sharesPrefixes ? prompt->sharedParts : 0;
+    }
+    m_service = admission.chooseService(*m_routes, *m_route);
+    if (m_service == nullptr) {
         respondWithError(503, "Service Unavailable", "no_service", minimumRetryAfter);
         return;
     }
@@ -185,7 +184,7 @@
     });
 }
 
-bool exchange::authorise()
+bool exchange::authorise(const request_admission &admission)
 {
     if (!m_routes->content().requiresKeys || m_route->isPublic)
         return true;
@@ -193,10 +192,7 @@
         waitForConfiguration("configuration_not_confirmed");
         return false;
     }
-    constexpr std::string_view scheme = "Bearer ";
-    const auto value = m_request.value("Authorization");
-    if (value.size() > scheme.size() && equalsIgnoringCase(value.substr(0, scheme.size()), scheme))
-        m_account = m_routes->findAccount(value.substr(scheme.size()));
+    m_account = admission.findAccount(*m_routes);
     if (m_account == nullptr) {
         respondWithError(401, "Unauthorized", "unknown_key");
         return false;
@@ -205,75 +201,6 @@
     return true;
 }
 
-void exchange::readDeadline()
-{
-    const auto left = parseNumber(m_request.value(m_owner->options().names.timeLeft));
-    constexpr std::chrono::hours longest{24};
-    core::instant callerDeadline = m_arrived + longest;
-    if (left)
-        callerDeadline = std::min(callerDeadline,
-                                  m_arrived
-                                      + std::chrono::milliseconds(std::min<std::uint64_t>(
-                                          *left, std::chrono::milliseconds(longest).count())));
-    m_deadline = std::min(callerDeadline, m_arrived + m_route->timeout);
-}
-
-void exchange::readPromptSize()
-{
-    const auto &names = m_owner->options().names;
-    const std::string_view counts = m_request.value(names.promptSize);
-    const auto comma = counts.find(',');
-    const auto prompt = parseNumber(counts.substr(0, comma));
-    if (!prompt)
-        return;
-    m_hasPromptSize = true;
-    m_size.promptTokens = static_cast<std::uint32_t>(*prompt);
-    if (comma != std::string_view::npos)
-        m_size.outputTokens
-            = static_cast<std::uint32_t>(parseNumber(counts.substr(comma + 1)).value_or(0));
-    m_size.expectedOutputTokens = static_cast<std::uint32_t>(
-        parseNumber(m_request.value(names.lengthEstimate)).value_or(m_size.outputTokens));
-    auto rest = std::string_view(m_request.value(names.promptParts));
-    std::string shared;
-    while (!rest.empty()) {
-        const auto end = rest.find(',');
-        const auto entry = rest.substr(0, end);
-        const auto colon = entry.find(':');
-        prompt_part part;
-        const auto identifier = entry.substr(0, colon);
-        std::from_chars(identifier.data(), identifier.data() + identifier.size(), part.id, 16);
-        if (colon != std::string_view::npos)
-            part.tokens
-                = static_cast<std::uint32_t>(parseNumber(entry.substr(colon + 1)).value_or(0));
-        m_size.parts.push_back(part);
-        if (end == std::string_view::npos)
-            break;
-        // The last part is specific to this request or its session; the parts before it are shared.
-        shared = identifier;
-        rest.remove_prefix(end + 1);
-    }
-    if (m_route->sharesPrefixes && !shared.empty())
-        m_affinity = core::hash64(shared) | 1U;
-}
-
-bool exchange::chooseService()
-{
-    std::uint64_t total = 0;
-    for (const auto &target : m_route->services)
-        total += target.weight;
-    if (total == 0)
-        return false;
-    auto bucket = core::hash64(m_id) % total;
-    for (const auto &target : m_route->services) {
-        if (bucket < target.weight) {
-            m_service = m_routes->findService(target.service);
-            return m_service != nullptr;
-        }
-        bucket -= target.weight;
-    }
-    return false;
-}
-
 std::string exchange::requestText(const endpoint &target, std::chrono::milliseconds left) const
 {
     const auto &names = m_owner->options().names;
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -3,6 +3,7 @@
 #include "LibForward/event_splitter.h"
 #include "LibForward/forwarder.h"
 #include "LibForward/http_head.h"
+#include "LibForward/request_admission.h"
 
 #include <cstdint>
 #include <memory>
@@ -56,10 +57,7 @@
 private:
     void admit();
     void waitForConfiguration(std::string_view cause);
-    bool authorise();
-    void readDeadline();
-    void readPromptSize();
-    bool chooseService();
+    bool authorise(const request_admission &admission);
     std::string requestText(const endpoint &target, std::chrono::milliseconds left) const;
 
     void tryEndpoint();
