--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -41,14 +41,11 @@
 /// About the time to elect a new leader after all hosts have failed.
 constexpr std::chrono::milliseconds maximumConfigurationWait{2000};
 constexpr std::chrono::milliseconds configurationPollInterval{40};
+/// Span over which callers return after the end of the wait that all endpoints have asked for.
+constexpr std::chrono::milliseconds returnSpan{1000};
 /// Requests that may wait on one host at the same time; each keeps its body in memory.
 constexpr std::size_t maximumWaitingRequests = 400;
 
-std::string_view withoutPort(std::string_view host)
-{
-    return host.substr(0, host.find(':'));
-}
-
 std::string seconds(std::chrono::milliseconds time)
 {
     std::array<char, 32> text{};
@@ -122,8 +119,8 @@
         waitForConfiguration("no_configuration");
         return;
     }
-    const auto host = withoutPort(m_request.value("Host"));
-    m_route = m_routes->find(host, m_request.path());
+    const request_admission admission(m_request, m_owner->options().names);
+    m_route = admission.findRoute(*m_routes);
     if (m_route == nullptr) {
         // A host whose configuration may be outdated cannot know that there is no such route.
         if (m_owner->hasConfirmedConfiguration())
@@ -133,17 +130,21 @@
         return;
     }
     m_priority = m_route->priority;
-    if (!authorise())
+    if (!authorise(admission))
         return;
-    readDeadline();
+    m_deadline = admission.deadline(m_arrived, *m_route);
     // Another host has the time to serve it to its end.
     if (!m_owner->acceptsDeadline(m_deadline)) {
         respondWithError(503, "Service Unavailable", "refused_while_stopping", otherHostRetryAfter);
         return;
     }
-    if (!m_hasPromptSize)
-        readPromptSize();
-    if (!chooseService()) {
+    if (auto prompt = admission.promptSize()) {
+        m_hasPromptSize = true;
+        m_size = std::move(prompt->size);
+        m_affinity = m_route->sharesPrefixes ? prompt->sharedParts : 0;
+    }
+    m_service = admission.chooseService(*m_routes, *m_route);
+    if (m_service == nullptr) {
         respondWithError(503, "Service Unavailable", "no_service", minimumRetryAfter);
         return;
     }
@@ -183,7 +184,7 @@
     });
 }
 
-bool exchange::authorise()
+bool exchange::authorise(const request_admission &admission)
 {
     if (!m_routes->content().requiresKeys || m_route->isPublic)
         return true;
@@ -191,10 +192,7 @@
         waitForConfiguration("configuration_not_confirmed");
         return false;
     }
-    constexpr std::string_view scheme = "Bearer ";
-    const auto value = m_request.value("Authorization");
-    if (value.size() > scheme.size() && equalsIgnoringCase(value.substr(0, scheme.size()), scheme))
-        m_account = m_routes->findAccount(value.substr(scheme.size()));
+    m_account = admission.findAccount(*m_routes);
     if (m_account == nullptr) {
         respondWithError(401, "Unauthorized", "unknown_key");
         return false;
@@ -203,75 +201,6 @@
     return true;
 }
 
-void exchange::readDeadline()
-{
-    const auto left = parseNumber(m_request.value(m_owner->options().names.timeLeft));
-    constexpr std::chrono::hours longest{24};
-    core::instant callerDeadline = m_arrived + longest;
-    if (left)
-        callerDeadline = std::min(callerDeadline,
-                                  m_arrived
-                                      + std::chrono::milliseconds(std::min<std::uint64_t>(
-                                          *left, std::chrono::milliseconds(longest).count())));
-    m_deadline = std::min(callerDeadline, m_arrived + m_route->timeout);
-}
-
-void exchange::readPromptSize()
-{
-    const auto &names = m_owner->options().names;
-    const std::string_view counts = m_request.value(names.promptSize);
-    const auto comma = counts.find(',');
-    const auto prompt = parseNumber(counts.substr(0, comma));
-    if (!prompt)
-        return;
-    m_hasPromptSize = true;
-    m_size.promptTokens = static_cast<std::uint32_t>(*prompt);
-    if (comma != std::string_view::npos)
-        m_size.outputTokens
-            = static_cast<std::uint32_t>(parseNumber(counts.substr(comma + 1)).value_or(0));
-    m_size.expectedOutputTokens = static_cast<std::uint32_t>(
-        parseNumber(m_request.value(names.lengthEstimate)).value_or(m_size.outputTokens));
-    auto rest = std::string_view(m_request.value(names.promptParts));
-    std::string shared;
-    while (!rest.empty()) {
-        const auto end = rest.find(',');
-        const auto entry = rest.substr(0, end);
-        const auto colon = entry.find(':');
-        prompt_part part;
-        const auto identifier = entry.substr(0, colon);
-        std::from_chars(identifier.data(), identifier.data() + identifier.size(), part.id, 16);
-        if (colon != std::string_view::npos)
-            part.tokens
-                = static_cast<std::uint32_t>(parseNumber(entry.substr(colon + 1)).value_or(0));
-        m_size.parts.push_back(part);
-        if (end == std::string_view::npos)
-            break;
-        // The last part is specific to this request or its session; the parts before it are shared.
-        shared = identifier;
-        rest.remove_prefix(end + 1);
-    }
-    if (m_route->sharesPrefixes && !shared.empty())
-        m_affinity = core::hash64(shared) | 1U;
-}
-
-bool exchange::chooseService()
-{
-    std::uint64_t total = 0;
-    for (const auto &target : m_route->services)
-        total += target.weight;
-    if (total == 0)
-        return false;
-    auto bucket = core::hash64(m_id) % total;
-    for (const auto &target : m_route->services) {
-        if (bucket < target.weight) {
-            m_service = m_routes->findService(target.service);
-            return m_service != nullptr;
-        }
-        bucket -= target.weight;
-    }
-    return false;
-}
-
 std::string exchange::requestText(const endpoint &target, std::chrono::milliseconds left) const
 {
     const auto &names = m_owner->options().names;
@@ -322,18 +251,23 @@
                                                                 : engine_pool::LongPrompt;
     request.affinity = m_service->engine ? m_affinity : 0;
     request.objective = m_route->latencyObjective;
-    request.excluded = m_tried;
+    request.excluded = m_excluded;
     request.isConnected = [this, now](const endpoint &target) {
         return m_owner->pool()->hasIdle(target.connectionKey(), now);
     };
     const auto choice
         = chooseEndpoint(m_owner->endpoints(), request, m_owner->options().placement, now);
     if (!choice.chosen) {
-        failRequest("no_endpoint", m_possibleRuns > 0);
+        if (!choice.heldOffUntil)
+            failRequest("no_endpoint", m_possibleRuns > 0);
+        else if (!hold(choice))
+            failRequest("endpoints_held_off", m_possibleRuns > 0);
         return;
     }
+    m_written = m_owner->endpoints().notices().tryWrite(choice.chosen->listed.incarnation, now);
     m_endpoint = choice.chosen;
     m_tried.push_back(m_endpoint);
+    m_excluded.push_back(m_endpoint);
     m_expectedWait = choice.expectedWait;
     m_uncachedTokens = choice.uncachedTokens;
     m_awaitsFirstByte = true;
@@ -344,6 +278,11 @@
         for (const auto &part : m_size.parts)
             m_endpoint->partSentTimes[part.id] = now;
     }
+    startAttempt(left);
+}
+
+void exchange::startAttempt(std::chrono::milliseconds left)
+{
     attempt::request content;
     content.address = m_endpoint->listed.address;
     content.key = m_endpoint->connectionKey();
@@ -356,6 +295,15 @@
     m_events.discardPartialEvent();
     const std::weak_ptr<exchange> weak = weak_from_this();
     attempt::handlers handlers;
+    handlers.mayWrite = [weak] {
+        const auto self = weak.lock();
+        return !self || self->mayWrite();
+    };
+    handlers.interim = [weak](const http_head &head) {
+        if (const auto self = weak.lock(); self && self->m_endpoint)
+            self->m_owner->notices().readAnswer(*self->m_endpoint, head, self->m_id,
+                                                std::chrono::steady_clock::now());
+    };
     handlers.sent = [weak] {
         if (const auto self = weak.lock())
             self->connectionOpened();
@@ -376,6 +324,71 @@
     m_attempt = attempt::start(m_owner->pool(), std::move(content), std::move(handlers));
 }
 
+/// Keeps the request in this host until an endpoint takes requests, if that is soon enough.
+bool exchange::hold(const placement_choice &choice)
+{
+    const auto latest
+        = std::min(m_arrived + m_route->latencyObjective, m_deadline - minimumTimeLeft);
+    if (!choice.heldOffUntil || *choice.heldOffUntil >= latest)
+        return false;
+    if (!m_isWaiting && m_owner->waitingRequests() >= maximumWaitingRequests)
+        return false;
+    if (!std::exchange(m_isWaiting, true))
+        m_owner->waitStarted();
+    m_isHeld = true;
+    m_owner->heldRequests().add(shared_from_this(), std::min(choice.nextUse, latest));
+    return true;
+}
+
+void exchange::resumeHeld()
+{
+    if (m_done || !std::exchange(m_isHeld, false))
+        return;
+    tryEndpoint();
+    if (!m_isHeld && std::exchange(m_isWaiting, false))
+        m_owner->waitEnded();
+}
+
+bool exchange::isBefore(const exchange &other) const
+{
+    return m_priority != other.m_priority ? m_priority < other.m_priority
+                                          : m_arrived < other.m_arrived;
+}
+
+bool exchange::mayWrite() const
+{
+    return m_endpoint && m_written
+        && m_owner->endpoints().notices().mayStillWrite(m_endpoint->listed.incarnation, *m_written,
+                                                        std::chrono::steady_clock::now());
+}
+
+/// The endpoint said that it leaves or wants no request while the connection was opened.
+void exchange::handleWithdrawal()
+{
+    m_owner->log().write("attempt_withdrawn",
+                         {{"id", m_id}, {"endpoint", m_endpoint->listed.incarnation}});
+    ++m_owner->counters().counter("attempts_withdrawn_total", "service=\"" + m_service->name + '"');
+    releaseEndpoint(endpoint_outcome::Abandoned);
+    m_tried.pop_back();
+    m_excluded.pop_back();
+    m_attempt.reset();
+    tryEndpoint();
+}
+
+/// To be called after the notices of the answer have been read.
+void exchange::recordAnswer(int status)
+{
+    const auto written = std::exchange(m_written, std::nullopt);
+    if (!written)
+        return;
+    auto &notices = m_owner->endpoints().notices();
+    const auto &incarnation = m_endpoint->listed.incarnation;
+    const bool wasRefused = status / 100 == 5 || status == 429;
+    if (wasRefused ? notices.recordLoss(incarnation, *written)
+                   : notices.recordAnswer(incarnation, *written))
+        m_owner->heldRequests().resume();
+}
+
 void exchange::connectionOpened()
 {
     ++m_sentAttempts;
@@ -387,6 +400,8 @@
 {
     m_response = std::move(head);
     m_endpoint->lastReceived = std::chrono::steady_clock::now();
+    m_owner->notices().readAnswer(*m_endpoint, m_response, m_id, m_endpoint->lastReceived);
+    recordAnswer(m_response.status);
     if (!isSuccess(m_response.status) || (!m_service->engine && !isStream()))
         return;
     // Not a response of the endpoint itself, or not the response to this request.
@@ -487,6 +502,10 @@
         return;
     m_attemptTimer.cancel();
     const auto &names = m_owner->options().names;
+    if (ending.wasWithdrawn) {
+        handleWithdrawal();
+        return;
+    }
     if (!ending.wasSent) {
         releaseEndpoint(endpoint_outcome::Unreachable);
         attemptFailed("unreachable", false);
@@ -509,6 +528,10 @@
     }
     if (m_response.has(names.notRun) || m_response.status == 421) {
         --m_possibleRuns;
+        // The table of notices keeps it from being used until the end of the wait.
+        if (m_owner->endpoints().notices().wait(m_endpoint->listed.incarnation,
+                                                std::chrono::steady_clock::now()))
+            m_excluded.pop_back();
         releaseEndpoint(m_response.status == 421 ? endpoint_outcome::Replaced
                                                  : endpoint_outcome::Refused);
         attemptFailed("refused: " + number(m_response.status), false);
@@ -726,6 +749,8 @@
     if (!target)
         return;
     --target->running;
+    if (const auto written = std::exchange(m_written, std::nullopt))
+        m_owner->endpoints().notices().recordLoss(target->listed.incarnation, *written);
     recordFirstByte(*target);
     const bool wasEjected = target->ejectedUntil > std::chrono::steady_clock::now();
     m_owner->endpoints().recordOutcome(*target, outcome, std::chrono::steady_clock::now());
@@ -813,6 +838,21 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(m_arrived - *stopStart).count());
 }
 
+/// Time until the first endpoint of the service takes requests; empty if one does now.
+std::optional<std::chrono::milliseconds> exchange::allHeldOffFor() const
+{
+    if (m_service == nullptr)
+        return std::nullopt;
+    const auto now = std::chrono::steady_clock::now();
+    placement_request request;
+    request.target = m_service;
+    const auto choice
+        = chooseEndpoint(m_owner->endpoints(), request, m_owner->options().placement, now);
+    if (choice.chosen || !choice.heldOffUntil)
+        return std::nullopt;
+    return std::chrono::ceil<std::chrono::milliseconds>(*choice.heldOffUntil - now);
+}
+
 std::chrono::milliseconds exchange::timeLeft() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -827,6 +867,10 @@
 
 std::chrono::milliseconds exchange::retryAfter() const
 {
+    if (const auto wait = allHeldOffFor())
+        return *wait
+            + std::chrono::milliseconds(static_cast<std::int64_t>(
+                core::hash64(m_id) % static_cast<std::uint64_t>(returnSpan.count())));
     // Spread by request id, so that callers refused at the same time do not retry at the same time.
     const auto span = static_cast<std::uint64_t>((maximumRetryAfter - minimumRetryAfter).count());
     return minimumRetryAfter
