quetzalcleatd: Send nothing on a claim that has run out

A keyed call waits for the decision core between the grant of its claim and its transmission. That wait runs on a clock that stands still while the machine is suspended. After 30 minutes (table_limits::runningLimit) the ledger tells other hosts that the outcome is unknown, and their callers may settle it with the service; the host that resumed then sent the call.

Ruled out: the grant itself. A verdict that a suspension made late was refused before (service_test.UsesNoGrantThatASuspensionMadeLate passed).

SendsNothingOnAClaimThatHasRunOut failed before: the service was called, and the caller got 200. The session now compares the time of the claim with the clock that counts suspended time, abandons the attempt of which nothing was sent, and answers undecided.

The clock is an option of the sessions, core::time_source, so that a test can suspend one. A second template parameter would have reached through entry and process, and the components of LibPeer that need the same are compiled in .cpp files.

Not covered: a process that resumes within the 30 minutes after a later process of the same host has registered. Only the service could refuse it.

--- a/Libraries/LibCore/time.h
+++ b/Libraries/LibCore/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 
 #include <ctime>
 
@@ -22,4 +23,8 @@
     return instant(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
+/// Reads a monotonic clock. Components whose leases must not outlive a suspension take one, so that
+/// a test can suspend them.
+using time_source = std::function<instant()>;
+
 } // namespace quetzalcleat::core
--- a/Services/quetzalcleatd/service_session.h
+++ b/Services/quetzalcleatd/service_session.h
@@ -4,6 +4,7 @@
 #include "LibHttp/caller_server.h"
 #include "LibHttp/http_error.h"
 #include "LibPeer/control_plane.h"
+#include "LibState/replicated_state.h"
 #include "quetzalcleatd/admission.h"
 #include "quetzalcleatd/claim_responses.h"
 #include "quetzalcleatd/service_call.h"
@@ -91,7 +92,10 @@
         const auto timeout = m_environment.options.claimTimeout;
         // Enforced by the session's own timer, so that a late grant is never used, whatever delayed
         // it.
-        m_claimDeadline = core::suspendAwareNow() + timeout;
+        const auto now = m_environment.options.now();
+        m_claimDeadline = now + timeout;
+        // The ledger counts from the grant, which is later.
+        m_claimEnd = now + state::table_limits::runningLimit;
         m_claimTimer.expires_after(timeout);
         m_claimTimer.async_wait([self = this->shared_from_this()](std::error_code error) {
             if (!error)
@@ -119,7 +123,7 @@
             return;
         m_claimTimer.cancel();
         // The clock of the timer does not count while the machine is suspended.
-        if (core::suspendAwareNow() >= m_claimDeadline || !verdict) {
+        if (m_environment.options.now() >= m_claimDeadline || !verdict) {
             m_control.abandonClaim(m_attempt);
             refuse(ledgerUnavailable());
             return;
@@ -177,7 +181,10 @@
             return;
         switch (decision.kind) {
         case policy::decision_kind::Dispatch:
-            send(decision);
+            if (claimHasRunOut())
+                giveUpClaim();
+            else
+                send(decision);
             return;
         case policy::decision_kind::Preempt:
             // Only a call that has not been sent can be preempted; it stays queued.
@@ -194,6 +201,19 @@
         }
     }
 
+    /// The machine may have been suspended since the grant. The ledger then tells other hosts that
+    /// the outcome is unknown, and their callers may have settled it with the service.
+    bool claimHasRunOut() const
+    {
+        return m_claimState == claim_state::Held && m_environment.options.now() >= m_claimEnd;
+    }
+
+    void giveUpClaim()
+    {
+        m_environment.decisions.cancel(m_decisionId);
+        refuse(ledgerUnavailable());
+    }
+
     void send(const policy::decision &decision)
     {
         const auto &incoming = m_exchange->request();
@@ -374,7 +394,8 @@
     std::string m_requestId;
     core::instant m_arrival;
     asio::steady_timer m_claimTimer;
-    core::instant m_claimDeadline;
+    core::instant m_claimDeadline; ///< By this time the grant must arrive.
+    core::instant m_claimEnd; ///< By this time the call must be sent.
     request_identity m_identity;
     service_call m_call;
     policy::class_id m_class;
--- a/Services/quetzalcleatd/session_environment.h
+++ b/Services/quetzalcleatd/session_environment.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/counter_registry.h"
 #include "LibCore/logger.h"
+#include "LibCore/time.h"
 #include "LibHttp/endpoint_client.h"
 #include "quetzalcleatd/dispatcher.h"
 #include "quetzalcleatd/routing_table.h"
@@ -24,6 +25,7 @@
                                     .firstByte = std::chrono::milliseconds(30000),
                                     .progress = std::chrono::milliseconds(10000)};
     std::chrono::milliseconds claimTimeout{3000};
+    core::time_source now = core::suspendAwareNow; ///< For claims; has to count suspended time.
 };
 
 /// Shared state of the sessions of a process. Outlives them.
--- a/Tests/Daemon/test_service.cpp
+++ b/Tests/Daemon/test_service.cpp
@@ -1,3 +1,5 @@
+#include "LibCore/time.h"
+#include "LibState/replicated_state.h"
 #include "daemon_fixture.h"
 
 #include <algorithm>
@@ -130,6 +132,51 @@
     EXPECT_EQ(m_serviceCalls[0].method, "GET");
 }
 
+// Guards against a call that is sent on a grant which arrived while the machine was suspended: the
+// clock of the session's timer does not count that time.
+TEST_F(service_test, UsesNoGrantThatASuspensionMadeLate)
+{
+    std::chrono::milliseconds suspended{0};
+    m_options.sessions.now = [&suspended] { return core::suspendAwareNow() + suspended; };
+    m_control.delaysClaims = true;
+    startDaemon();
+    const auto response = order("wire 7");
+    await([&] { return m_control.delayedVerdicts.size() == 1; });
+    suspended = m_options.sessions.claimTimeout;
+    m_control.delayedVerdicts[0]();
+    await(*response);
+    EXPECT_EQ(response->head.status, 503);
+    EXPECT_EQ(response->errorField("outcome"), "undecided");
+    EXPECT_TRUE(m_serviceCalls.empty());
+    ASSERT_EQ(m_control.abandoned.size(), 1U);
+    EXPECT_EQ(m_control.abandoned[0].attemptId, m_control.claims[0].attempt.attemptId);
+}
+
+// Guards against a call that is sent after its claim has run out: the machine was suspended between
+// the grant and the transmission, and the ledger tells others that the outcome is unknown.
+TEST_F(service_test, SendsNothingOnAClaimThatHasRunOut)
+{
+    std::chrono::milliseconds suspended{0};
+    m_options.sessions.now = [&suspended] { return core::suspendAwareNow() + suspended; };
+    m_control.delaysClaims = true;
+    startDaemon();
+    const auto response = order("wire 7");
+    await([&] { return m_control.delayedVerdicts.size() == 1; });
+    m_control.delayedVerdicts[0]();
+    EXPECT_TRUE(m_control.abandoned.empty());
+    suspended = state::table_limits::runningLimit;
+    await(*response);
+    EXPECT_EQ(response->head.status, 503);
+    EXPECT_EQ(response->errorField("outcome"), "undecided");
+    EXPECT_TRUE(m_serviceCalls.empty());
+    EXPECT_TRUE(m_control.finished.empty());
+    ASSERT_EQ(m_control.abandoned.size(), 1U);
+    EXPECT_EQ(m_control.abandoned[0].attemptId, m_control.claims[0].attempt.attemptId);
+    // The request gave its place at the endpoint back.
+    for (const auto &endpoint : m_daemon->dump().endpoints)
+        EXPECT_EQ(endpoint.inFlight, 0U);
+}
+
 // Guards against an outcome other than "undecided" while the ledger is unreachable.
 TEST_F(service_test, ReportsUndecidedWithoutTheLedger)
 {
