LibPeer: Let tests suspend a host

No fault was found. The four new tests fail in a copy in which the same four places read steady_clock: SuspendedHostHasNoConfirmation (age 0 ms instead of 1 h), SuspendedLeaderConfirmsNothing, SuspendedHostHasNoShare, SuspendedHostUsesNoGrant (granted instead of undecided).

share_allocator, share_holder, retry_budget and raft_core take the time from their callers and needed no change.

--- a/Libraries/LibPeer/configuration_lease.cpp
+++ b/Libraries/LibPeer/configuration_lease.cpp
@@ -29,7 +29,7 @@
 configuration_lease::configuration_lease(std::shared_ptr<peer_network> network,
                                          std::vector<std::string> seeds,
                                          configuration_lease_options options, handlers handlers)
-    : m_network(std::move(network)), m_seeds(std::move(seeds)), m_options(options),
+    : m_network(std::move(network)), m_seeds(std::move(seeds)), m_options(std::move(options)),
       m_handlers(std::move(handlers)), m_timer(m_network->context())
 {
 }
@@ -39,7 +39,7 @@
                             configuration_lease_options options, handlers handlers)
 {
     std::shared_ptr<configuration_lease> self(new configuration_lease(
-        std::move(network), std::move(seeds), options, std::move(handlers)));
+        std::move(network), std::move(seeds), std::move(options), std::move(handlers)));
     const std::weak_ptr<configuration_lease> weak = self;
     self->m_network->addReceiver([weak](const std::string &host, const message &content) {
         const auto *answer = std::get_if<configuration_lease_answer>(&content);
@@ -67,16 +67,14 @@
 {
     if (!m_confirmedAt)
         return std::chrono::milliseconds::max();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(core::suspendAwareNow()
-                                                                 - *m_confirmedAt);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_options.now() - *m_confirmedAt);
 }
 
 std::chrono::milliseconds configuration_lease::listAge() const
 {
     if (!m_listReadAt)
         return std::chrono::milliseconds::max();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(core::suspendAwareNow()
-                                                                 - *m_listReadAt);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_options.now() - *m_listReadAt);
 }
 
 void configuration_lease::startTimer()
@@ -98,7 +96,7 @@
 
 void configuration_lease::sendRequest()
 {
-    const auto now = core::suspendAwareNow();
+    const auto now = m_options.now();
     const bool searching = age() > leaderSearchDelay();
     if (m_wasConfirmed && searching) {
         m_wasConfirmed = false;
@@ -154,8 +152,8 @@
         const bool changed = m_endpoints.apply(answer.endpoints);
         if (m_endpoints.epoch() == answer.endpoints.epoch
             && m_endpoints.version() == answer.endpoints.version)
-            m_listReadAt = core::suspendAwareNow()
-                - std::chrono::milliseconds(answer.endpoints.ageMilliseconds);
+            m_listReadAt
+                = m_options.now() - std::chrono::milliseconds(answer.endpoints.ageMilliseconds);
         if (changed && m_handlers.endpoints)
             m_handlers.endpoints(m_endpoints.entries());
     }
--- a/Libraries/LibPeer/configuration_lease.h
+++ b/Libraries/LibPeer/configuration_lease.h
@@ -30,6 +30,7 @@
     std::chrono::milliseconds intervalFor(std::uint32_t hosts) const;
     /// Without a confirmation for this long, all known control hosts are asked.
     std::chrono::milliseconds leaderSearchDelay{600};
+    core::time_source now = core::suspendAwareNow; ///< Has to count suspended time.
 };
 
 /// Keeps the configuration of a host without the replicated log up to date, and tells when a leader
--- a/Libraries/LibPeer/control_client.cpp
+++ b/Libraries/LibPeer/control_client.cpp
@@ -71,13 +71,6 @@
 constexpr std::uint64_t firstIncarnationRaise = 1'000'000;
 constexpr std::uint64_t incarnationRaiseFactor = 4;
 
-/// Also counts while the machine is suspended, so that a share or the verdict of a call is not used
-/// after its time.
-core::instant currentTime()
-{
-    return core::suspendAwareNow();
-}
-
 std::string encode(state::command_body body)
 {
     state::command command;
@@ -162,6 +155,9 @@
         core::instant receivedAt;
     };
 
+    /// Also counts while the machine is suspended, so that a share or the verdict of a call is not
+    /// used after its time.
+    core::instant currentTime() const { return m_options.now(); }
     void registerHost();
     void handleRegistration(std::error_code error);
     void raiseIncarnation();
@@ -478,7 +474,7 @@
     m_tickTimer.async_wait([self = shared_from_this()](std::error_code error) {
         if (error || self->m_stopped)
             return;
-        self->tick(currentTime());
+        self->tick(self->currentTime());
         self->startTimer();
     });
 }
--- a/Libraries/LibPeer/control_client.h
+++ b/Libraries/LibPeer/control_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCore/time.h"
 #include "LibPeer/control_plane.h"
 #include "LibState/command.h"
 
@@ -28,6 +29,7 @@
     /// empty.
     std::function<std::optional<state::claim_ledger_limits>(const std::string &document)>
         readClaimLedgerLimits;
+    core::time_source now = core::suspendAwareNow; ///< Has to count suspended time.
 };
 
 /// Access to the replicated state from any host: proposes through any control host, keeps the
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -55,11 +55,6 @@
     return logger;
 }
 
-core::instant currentTime()
-{
-    return core::suspendAwareNow();
-}
-
 /// The id of an initial member of a new cluster. It is derived from the names, as the other initial
 /// members must know it before the first contact. Members that join later have random ids.
 consensus::member_id initialMemberId(const std::string &cluster, const std::string &host)
@@ -159,6 +154,7 @@
 
     using ready_pointer = std::shared_ptr<consensus::ready>;
 
+    core::instant currentTime() const { return m_options.now(); }
     consensus::raft_status status() const { return m_core->status(); }
     void receive(const std::string &host, const message &content);
     void startTimer();
@@ -298,7 +294,7 @@
     m_tickTimer.async_wait([self = shared_from_this()](std::error_code error) {
         if (error || self->m_stopped)
             return;
-        const auto now = currentTime();
+        const auto now = self->currentTime();
         self->m_core->tick(now);
         self->runPeriodicTasks(now);
         self->processReadies();
--- a/Libraries/LibPeer/control_service.h
+++ b/Libraries/LibPeer/control_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/result.h"
+#include "LibCore/time.h"
 #include "LibState/edits.h"
 
 #include <chrono>
@@ -36,6 +37,7 @@
     std::size_t minimumVoters = 0;
     /// Whether a voter that knows no leader asks to join again, in case it was removed.
     bool rejoinWithoutLeader = false;
+    core::time_source now = core::suspendAwareNow; ///< Has to count suspended time.
 };
 
 /// The replicated log and state on a control host: runs raft over the peer network, syncs on a
--- a/Tests/Peer/addressed_fleet.h
+++ b/Tests/Peer/addressed_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/hash.h"
+#include "LibCore/time.h"
 #include "LibPeer/configuration_feed.h"
 #include "LibPeer/configuration_lease.h"
 #include "LibPeer/configuration_publisher.h"
@@ -80,6 +81,7 @@
         options.rejoinWithoutLeader = true;
         options.electionTimeout = std::chrono::milliseconds(600);
         options.heartbeatInterval = std::chrono::milliseconds(120);
+        options.now = clockOf(ip);
         auto service = control_service::create(host.network, host.feed, host.publisher, options);
         ASSERT_TRUE(service) << service.error().message();
         host.service = std::move(service).value();
@@ -104,8 +106,9 @@
 
     void removeData(const std::string &ip) { std::filesystem::remove_all(m_folder / ip); }
 
-    void startEntry(const std::string &ip, const configuration_lease_options &options = {})
+    void startEntry(const std::string &ip, configuration_lease_options options = {})
     {
+        options.now = clockOf(ip);
         auto &host = entries[ip];
         host.network = startNetwork(ip, host.counters, false, seeds);
         configuration_lease::handlers handlers;
@@ -171,12 +174,20 @@
 
     bool until(const std::function<bool()> &condition) { return runUntil(context, condition); }
 
+    /// The clock of a host runs on by this much, as if its machine had been suspended that long.
+    void suspend(const std::string &ip, std::chrono::milliseconds time) { m_suspended[ip] += time; }
+
     asio::io_context context;
     std::vector<std::string> seeds{"127.0.1.1", "127.0.1.2", "127.0.1.3"};
     std::map<std::string, control_host> controls;
     std::map<std::string, entry_host> entries;
 
 private:
+    core::time_source clockOf(const std::string &ip)
+    {
+        return [&suspended = m_suspended[ip]] { return core::suspendAwareNow() + suspended; };
+    }
+
     std::shared_ptr<peer_network> startNetwork(const std::string &ip,
                                                core::counter_registry &counters, bool control,
                                                const std::vector<std::string> &peers)
@@ -201,6 +212,7 @@
 
     std::filesystem::path m_folder = std::filesystem::temp_directory_path()
         / ("quetzalcleat-fleet-" + core::sha256Hex(core::secureRandomBytes(16)).substr(0, 16));
+    std::map<std::string, std::chrono::milliseconds> m_suspended; ///< By address.
     std::uint16_t m_port = 0;
     std::uint64_t m_incarnation = 0;
 };
--- a/Tests/Peer/test_cluster.h
+++ b/Tests/Peer/test_cluster.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/hash.h"
+#include "LibCore/time.h"
 #include "LibPeer/control_runtime.h"
 #include "event_loop.h"
 #include "quetzalcleat-relay/tcp_relay.h"
@@ -31,6 +32,8 @@
         core::counter_registry counters;
         std::unique_ptr<control_runtime> runtime;
         std::vector<std::uint64_t> revisions; ///< Passed to the callback in this incarnation.
+        /// The clock of the client runs on by this much, as if the machine had been suspended.
+        std::chrono::milliseconds suspended{0};
     };
 
     ~test_cluster() override
@@ -62,12 +65,12 @@
     {
         auto &host = hosts[name];
         host.revisions.clear();
+        control_client_options client;
+        client.now = [&suspended = host.suspended] { return core::suspendAwareNow() + suspended; };
         auto runtime = control_runtime::create(context, host.settings, host.counters,
-                                               {initialise,
-                                                initialise ? "seed document" : "",
+                                               {initialise, initialise ? "seed document" : "",
                                                 incarnation == 0 ? ++m_incarnation : incarnation,
-                                                {},
-                                                snapshotEntries});
+                                                client, snapshotEntries});
         ASSERT_TRUE(runtime) << name << ": " << runtime.error().message();
         host.runtime = std::move(runtime).value();
         for (auto &[link, relay] : m_relays) {
--- a/Tests/Peer/test_configuration_lease.cpp
+++ b/Tests/Peer/test_configuration_lease.cpp
@@ -95,6 +95,42 @@
     EXPECT_FALSE(controls.at("127.0.1.3").service->confirmedConfiguration());
 }
 
+/// Guards against a host that uses a confirmation which ended while its machine was suspended, and
+/// against an answer that counts from its arrival: the request was sent before the suspension.
+TEST_F(configuration_fleet, SuspendedHostHasNoConfirmation)
+{
+    using namespace std::chrono_literals;
+    EXPECT_EQ(write(4), write_outcome::Accepted);
+    // Asks once, and not again during the test.
+    configuration_lease_options options;
+    options.interval = 100h;
+    options.maximumInterval = options.interval;
+    startEntry("127.0.1.21", options);
+    auto &late = entries.at("127.0.1.21");
+    suspend("127.0.1.21", 1h);
+    EXPECT_TRUE(until([&] { return late.lease->age() < 2h; }));
+    EXPECT_GE(late.lease->age(), 1h);
+
+    ASSERT_TRUE(until([&] { return entry().lease->age() < 600ms; }));
+    suspend("127.0.1.20", 1h);
+    EXPECT_GE(entry().lease->age(), 1h);
+    EXPECT_TRUE(until([&] { return entry().lease->age() < 600ms; }));
+}
+
+/// Guards against a leader that returns its configuration as the newest after a suspension in which
+/// another host may have been elected.
+TEST_F(configuration_fleet, SuspendedLeaderConfirmsNothing)
+{
+    using namespace std::chrono_literals;
+    EXPECT_EQ(write(4), write_outcome::Accepted);
+    const auto at = waitForLeader();
+    ASSERT_TRUE(controls.at(at).service->isConfirmed());
+    suspend(at, 600ms);
+    EXPECT_FALSE(controls.at(at).service->isConfirmed());
+    EXPECT_FALSE(controls.at(at).service->confirmedConfiguration());
+    EXPECT_EQ(newestVersion(), 4U);
+}
+
 /// Guards against a host that votes under its old identity with an empty disk, and against one that
 /// cannot rejoin after it lost its disk.
 TEST_F(configuration_fleet, WipedHostRejoinsAsANewMember)
--- a/Tests/Peer/test_control.cpp
+++ b/Tests/Peer/test_control.cpp
@@ -1,4 +1,5 @@
 #include "LibPeer/peer_error.h"
+#include "LibPeer/share_allocator.h"
 #include "LibState/state_error.h"
 #include "test_cluster.h"
 
@@ -251,6 +252,42 @@
     EXPECT_EQ(answers, 1);
 }
 
+// Guards against a grant that is used after its call has run out while the machine was suspended,
+// and against one that keeps the key locked. The time limit of the call is far longer than the
+// test, so that only the suspension can end it.
+TEST_F(control, SuspendedHostUsesNoGrant)
+{
+    startAll();
+    ASSERT_TRUE(until([&] { return allHaveRevision(1) && !client("e3").status().stale; }));
+    constexpr std::chrono::hours timeout{1};
+    for (int index = 0; index < 20; ++index) {
+        const auto key = "key-" + std::to_string(index);
+        int answers = 0;
+        client("e3").claim(request("e3", key), timeout, [&](auto verdict) {
+            ++answers;
+            EXPECT_EQ(verdict.error(), peer::peer_error::Undecided);
+        });
+        hosts["e3"].suspended += timeout;
+        ASSERT_TRUE(until([&] { return answers == 1; }));
+        EXPECT_TRUE(until([&] {
+            const auto verdict = claim(request("e1", key));
+            return verdict && verdict.value().kind == state::claim_verdict_kind::Granted;
+        }));
+        EXPECT_EQ(answers, 1);
+    }
+}
+
+// Guards against a share of a fleet-wide limit that is used after its lease has ended while the
+// machine was suspended.
+TEST_F(control, SuspendedHostHasNoShare)
+{
+    startAll();
+    ASSERT_TRUE(until([&] { return client("e1").leasedShare() > 0; }));
+    hosts["e1"].suspended += peer::share_options{}.leaseTime;
+    EXPECT_EQ(client("e1").leasedShare(), 0);
+    EXPECT_TRUE(until([&] { return client("e1").leasedShare() > 0; }));
+}
+
 // Guards against a diskless host that restarts in a data centre without a link to the others and
 // runs without a configuration, or with an older one than its peers have.
 TEST_F(control, RestartedHostInCutOffDataCentreTakesRevisionFromPeer)
