Tests/State: Let state_driver::claim fail on an error

It returned BodyMismatch for any error, so a test that expects BodyMismatch would have passed on a refused command. It throws the error now. All 25 tests of test_state pass, so none of them had hidden an error.

--- a/Tests/State/state_fixture.h
+++ b/Tests/State/state_fixture.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <string>
+#include <system_error>
 #include <variant>
 
 namespace quetzalcleat::state::test {
@@ -23,13 +24,13 @@
         return state.apply(++index, {time, std::move(body)});
     }
 
+    /// Throws the error if there is one.
     claim_verdict_kind claim(command_body body)
     {
         const auto result = apply(std::move(body));
-        const auto *verdict = std::get_if<claim_verdict>(&result.verdict);
-        // BodyMismatch stands for an error; no test expects an error from this function.
-        return result.error || verdict == nullptr ? claim_verdict_kind::BodyMismatch
-                                                  : verdict->kind;
+        if (result.error)
+            throw std::system_error(result.error);
+        return std::get<claim_verdict>(result.verdict).kind;
     }
 
     edit_verdict edited(const edit &change)
