--- a/Tests/Platform/test_platform_dialect.cpp
+++ b/Tests/Platform/test_platform_dialect.cpp
@@ -94,6 +94,31 @@
     EXPECT_FALSE(platform_dialect::readEndpointListPage("{}"));
 }
 
+/// Guards against an entry of another writer that hides the valid ones because its bytes cannot be
+/// read: text that is no UTF-8, a number out of range, a missing value.
+TEST(platform_dialect, UnreadableEntryHidesNoOther)
+{
+    const std::string good
+        = R"({"service":"s","address":"10.0.0.9:80","zone":"z","capacity":6,"state":"ready","id":"i1"})";
+    const std::string other
+        = R"({"service":"s","address":"10.0.0.8:80","zone":"z","capacity":6,"state":"ready","id":"a\"]}"})";
+    for (const std::string bad :
+         {"{\"id\":\"i2\xff\",\"service\":\"s\"}", R"({"id":"i2","capacity":1e999})", R"({"id":})",
+          R"({"id":"i2","models":[{"name":"\x"}]})", "{\"id\":\"i2\n\"}"}) {
+        SCOPED_TRACE(testing::PrintToString(bad));
+        auto text = R"({"instances":[)" + good;
+        text += "," + bad;
+        text += "," + other + R"(],"next":"p-50"})";
+        const auto page = platform_dialect::readEndpointListPage(text);
+        ASSERT_TRUE(page);
+        EXPECT_EQ(page.value().endpoints.size(), 2U);
+        EXPECT_EQ(page.value().skipped, 1U);
+        EXPECT_EQ(page.value().next, "p-50");
+        for (std::size_t size = 0; size < text.size(); ++size)
+            EXPECT_FALSE(platform_dialect::readEndpointListPage(text.substr(0, size))) << size;
+    }
+}
+
 /// Guards against a process that starts with a missing address.
 TEST(platform_dialect, ReadsSettings)
 {
