--- a/Tests/Peer/test_frames.cpp
+++ b/Tests/Peer/test_frames.cpp
@@ -75,10 +75,9 @@
     default:
         break;
     }
-    std::vector<std::string> elements;
-    const auto count = *rc::gen::inRange(0, 4);
-    for (int index = 0; index < count; ++index)
-        elements.push_back(arbitraryValue(depth - 1));
+    std::vector<std::string> elements(*rc::gen::inRange<std::size_t>(0, 4));
+    for (auto &element : elements)
+        element = arbitraryValue(depth - 1);
     return encodedList(elements);
 }
 
@@ -86,11 +85,10 @@
 std::string arbitraryValues()
 {
     constexpr std::uint64_t types = std::variant_size_v<peer::message>;
-    std::vector<std::string> elements{
-        encodedNumber(*rc::gen::inRange<std::uint64_t>(0, types + 2))};
-    const auto count = *rc::gen::inRange(0, 4);
-    for (int index = 0; index < count; ++index)
-        elements.push_back(arbitraryValue(2));
+    std::vector<std::string> elements(*rc::gen::inRange<std::size_t>(1, 5));
+    for (auto &element : elements)
+        element = arbitraryValue(2);
+    elements.front() = encodedNumber(*rc::gen::inRange<std::uint64_t>(0, types + 2));
     return encodedList(elements);
 }
 
