Utilities/explore-schedules: Count what is kept, and check what is counted

schedule_statistics::elections and matrix_cluster::m_bookingWanted were never written: removed. The counts of crashes, failed stores, emptied disks and pauses were printed only; KeepEveryGuarantee now fails if the schedules do not contain them, as for the other events.

The other members of matrix_cluster are read by a check or by the schedule.

--- a/Tests/Consensus/test_schedules.cpp
+++ b/Tests/Consensus/test_schedules.cpp
@@ -28,7 +28,11 @@
     // The schedules must contain enough of each event to test anything.
     EXPECT_GT(sums.commits, schedules * 20);
     EXPECT_GT(sums.dispatches, schedules);
+    EXPECT_GT(sums.crashes, sums.powerLosses);
     EXPECT_GT(sums.powerLosses, schedules);
+    EXPECT_GT(sums.storeFailures, schedules / 10);
+    EXPECT_GT(sums.emptiedDisks, schedules / 10);
+    EXPECT_GT(sums.pauses, schedules / 10);
     EXPECT_GT(sums.replacements, schedules / 10);
     EXPECT_GT(sums.installedSnapshots, schedules / 10);
     EXPECT_GT(sums.transfers, schedules / 20);
--- a/Tests/FaultMatrix/matrix_cluster.h
+++ b/Tests/FaultMatrix/matrix_cluster.h
@@ -197,7 +197,6 @@
     // Caller
     std::size_t m_transmissions = 0;
     core::instant m_nextBooking;
-    bool m_bookingWanted = false;
     bool m_bookingSettled = false;
     bool m_loseNextAnswer = false;
     bool m_sawNotRun = false;
--- a/Utilities/explore-schedules/simulated_cluster.cpp
+++ b/Utilities/explore-schedules/simulated_cluster.cpp
@@ -39,7 +39,6 @@
 void schedule_statistics::add(const schedule_statistics &other)
 {
     commits += other.commits;
-    elections += other.elections;
     crashes += other.crashes;
     powerLosses += other.powerLosses;
     storeFailures += other.storeFailures;
--- a/Utilities/explore-schedules/simulated_cluster.h
+++ b/Utilities/explore-schedules/simulated_cluster.h
@@ -26,7 +26,6 @@
 struct schedule_statistics
 {
     std::size_t commits = 0;
-    std::size_t elections = 0;
     std::size_t crashes = 0;
     std::size_t powerLosses = 0;
     std::size_t storeFailures = 0;
