quetzalcleatd: Take no request during a stop that would outlast it

Cause: after the notice only the listener closed. A request on a connection whose streamed response had begun before (its head does not say Connection: close), on one accepted last, or with a slow body was dispatched whatever its deadline. The end of the grace time ended the process under its requests. Change: both kinds of session ask session_environment::canServeUntil once the class, and so the deadline, is known. The listener closes once its queue is empty, at most 500 ms late. At the end of the grace time each open exchange is answered as stopping, with what is known about its outcome. Left: RESTinio gives no way to close an idle connection, so a request that is on its way when the process exits is reset.

--- a/Libraries/LibHttp/caller_server.cpp
+++ b/Libraries/LibHttp/caller_server.cpp
@@ -9,6 +9,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include <poll.h>
+
 namespace quetzalcleat::http {
 
 namespace {
@@ -179,6 +181,18 @@
         m_onDisconnect = std::move(callback);
     }
 
+    void onInterrupt(std::function<void()> callback) override
+    {
+        m_onInterrupt = std::move(callback);
+    }
+
+    void interrupt()
+    {
+        const auto callback = std::exchange(m_onInterrupt, {});
+        if (callback)
+            callback();
+    }
+
     void connectionClosed()
     {
         if (m_complete || m_callerGone)
@@ -252,6 +266,7 @@
             return;
         --m_state->openExchanges;
         m_onDisconnect = {};
+        m_onInterrupt = {};
     }
 
     std::shared_ptr<shared_state> m_state;
@@ -259,6 +274,7 @@
     caller_request m_request;
     std::optional<restinio::response_builder_t<restinio::chunked_output_t>> m_stream;
     std::function<void()> m_onDisconnect;
+    std::function<void()> m_onInterrupt;
     bool m_callerGone = false;
     bool m_complete = false;
 };
@@ -281,6 +297,9 @@
             m_server->close_sync();
     }
 
+    bool hasWaitingConnections() const;
+    void interruptExchanges();
+
     shared_state &state() { return *m_state; }
     std::uint16_t port() const { return m_port; }
 
@@ -293,6 +312,7 @@
     request_handler m_handler;
     std::shared_ptr<shared_state> m_state;
     std::unique_ptr<server> m_server;
+    asio::ip::tcp::acceptor *m_acceptor = nullptr; ///< Owned by m_server.
     std::unordered_map<std::uint64_t, std::vector<std::weak_ptr<restinio_exchange>>> m_connections;
     std::uint16_t m_port = 0;
 };
@@ -321,6 +341,7 @@
             [](auto &options) { options.set_option(asio::ip::tcp::no_delay(true)); })
         .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) {
             m_port = acceptor.local_endpoint().port();
+            m_acceptor = &acceptor;
         })
         .ip_blocker(std::make_shared<connection_limit>(
             [state = m_state, limit = m_options.maximumConnections] {
@@ -350,6 +371,26 @@
     return {};
 }
 
+bool caller_server::implementation::hasWaitingConnections() const
+{
+    if (!m_acceptor || !m_acceptor->is_open())
+        return false;
+    pollfd listener{m_acceptor->native_handle(), POLLIN, 0};
+    return poll(&listener, 1, 0) > 0 && (listener.revents & POLLIN) != 0;
+}
+
+void caller_server::implementation::interruptExchanges()
+{
+    // Completing an exchange may change the lists.
+    std::vector<std::weak_ptr<restinio_exchange>> open;
+    for (const auto &[connection, exchanges] : m_connections)
+        open.insert(open.end(), exchanges.begin(), exchanges.end());
+    for (const auto &weak : open) {
+        if (const auto exchange = weak.lock())
+            exchange->interrupt();
+    }
+}
+
 restinio::request_handling_status_t
 caller_server::implementation::handle(restinio::request_handle_t request)
 {
@@ -405,6 +446,16 @@
     m_implementation->closeListener();
 }
 
+bool caller_server::hasWaitingConnections() const
+{
+    return m_implementation->hasWaitingConnections();
+}
+
+void caller_server::interruptExchanges()
+{
+    m_implementation->interruptExchanges();
+}
+
 void caller_server::closeConnectionsAfterResponses()
 {
     m_implementation->state().closeAfterResponses = true;
--- a/Libraries/LibHttp/caller_server.h
+++ b/Libraries/LibHttp/caller_server.h
@@ -48,6 +48,10 @@
     /// Sets a callback that runs at most once, if the connection closes before the response is
     /// complete.
     virtual void onDisconnect(std::function<void()> callback) = 0;
+
+    /// Sets a callback that runs at most once, if the server ends the exchange before the response
+    /// is complete. The callback completes the response.
+    virtual void onInterrupt(std::function<void()> callback) = 0;
 };
 
 struct caller_server_options
@@ -78,9 +82,16 @@
     /// Stops listening; open connections stay open.
     void closeListener();
 
+    /// Whether the operating system has connections that the server has not accepted yet. Closing
+    /// the listener resets them.
+    bool hasWaitingConnections() const;
+
     /// Closes each connection after its next response.
     void closeConnectionsAfterResponses();
 
+    /// Runs the callback of caller_exchange::onInterrupt of each open exchange.
+    void interruptExchanges();
+
     /// The port that the server listens on.
     std::uint16_t port() const;
 
--- a/Services/quetzalcleatd/completion_session.cpp
+++ b/Services/quetzalcleatd/completion_session.cpp
@@ -57,6 +57,7 @@
     if (!parse(kind))
         return;
     m_exchange->onDisconnect([self = shared_from_this()] { self->onCallerGone(); });
+    m_exchange->onInterrupt([self = shared_from_this()] { self->onInterrupt(); });
     submit();
 }
 
@@ -84,7 +85,12 @@
         return false;
     }
     m_class = std::get<policy::class_id>(classified);
-    m_className = routing.document().classes[m_class.value].name;
+    const auto &rules = routing.document().classes[m_class.value];
+    m_className = rules.name;
+    if (!m_environment.canServeUntil(m_arrival + rules.deadline)) {
+        refuse(stoppingError(call_outcome::NotRun));
+        return false;
+    }
     return true;
 }
 
@@ -448,6 +454,16 @@
     end("caller_gone");
 }
 
+void completion_session::onInterrupt()
+{
+    if (m_phase == phase::Ended)
+        return;
+    if (m_phase != phase::New)
+        m_environment.decisions.cancel(m_decisionId);
+    cancelTransfer();
+    refuse(stoppingError(m_maybeSent ? call_outcome::Unknown : call_outcome::NotRun));
+}
+
 void completion_session::cancelTransfer()
 {
     if (!m_transfer)
@@ -475,6 +491,7 @@
 {
     m_phase = phase::Ended;
     m_exchange->onDisconnect({});
+    m_exchange->onInterrupt({});
     ++m_environment.counters.counter("quetzalcleat_requests_total",
                                      "class=\"" + m_className + "\",result=\"" + std::string(result)
                                          + '"');
--- a/Services/quetzalcleatd/completion_session.h
+++ b/Services/quetzalcleatd/completion_session.h
@@ -52,6 +52,7 @@
     void refuse(error_response error);
     void sendStreamError(const error_response &error);
     void onCallerGone();
+    void onInterrupt();
     void cancelTransfer();
     void cancelAtEngine();
     void end(std::string_view result);
--- a/Services/quetzalcleatd/error_response.cpp
+++ b/Services/quetzalcleatd/error_response.cpp
@@ -41,6 +41,8 @@
         return {503, "no_endpoint"};
     case error_type::NotReady:
         return {503, "not_ready"};
+    case error_type::Stopping:
+        return {503, "stopping"};
     case error_type::EndpointFailed:
         return {502, "endpoint_failed"};
     case error_type::EndpointRejected:
@@ -153,6 +155,12 @@
     return response;
 }
 
+error_response stoppingError(call_outcome outcome)
+{
+    return {error_type::Stopping, "the host stops before the request could complete", true, outcome,
+            std::chrono::seconds(1)};
+}
+
 error_response forKeyedCall(error_response error)
 {
     if (error.outcome == call_outcome::NotRun)
--- a/Services/quetzalcleatd/error_response.h
+++ b/Services/quetzalcleatd/error_response.h
@@ -31,6 +31,7 @@
     DeadlineExceeded,
     NoEndpoint,
     NotReady, ///< No configuration is in force yet.
+    Stopping, ///< The process stops before the request could complete.
     EndpointFailed,
     EndpointRejected, ///< The endpoint reports that the request is invalid.
     EndpointTimeout,
@@ -68,6 +69,9 @@
 /// The error for a refusal by policy::decision_core::submit().
 error_response fromRefusal(std::error_code refusal, std::chrono::milliseconds retryAfter);
 
+/// The error for a request that starts, or is still running, at the end of a planned stop.
+error_response stoppingError(call_outcome outcome);
+
 /// Changes the outcome NotRun to Undecided: only the ledger knows whether another host has run a
 /// call with the same key.
 error_response forKeyedCall(error_response error);
--- a/Services/quetzalcleatd/service_session.h
+++ b/Services/quetzalcleatd/service_session.h
@@ -40,6 +40,7 @@
         if (!parse())
             return;
         m_exchange->onDisconnect([self = this->shared_from_this()] { self->onCallerGone(); });
+        m_exchange->onInterrupt([self = this->shared_from_this()] { self->onInterrupt(); });
         if (m_nonRepeatable && !m_identity.idempotencyKey.empty())
             claim();
         else
@@ -76,7 +77,10 @@
         if (const auto *error = std::get_if<error_response>(&classified))
             return refuse(*error);
         m_class = std::get<policy::class_id>(classified);
-        m_className = routing.document().classes[m_class.value].name;
+        const auto &rules = routing.document().classes[m_class.value];
+        m_className = rules.name;
+        if (!m_environment.canServeUntil(m_arrival + rules.deadline))
+            return refuse(stoppingError(call_outcome::NotRun));
         m_nonRepeatable = routing.isNonRepeatable(m_call.service, request.method, m_call.path);
         return true;
     }
@@ -347,12 +351,37 @@
         end("caller_gone");
     }
 
+    void onInterrupt()
+    {
+        switch (m_phase) {
+        case phase::Claiming:
+            m_control.abandonClaim(m_attempt);
+            break;
+        case phase::Queued:
+            m_environment.decisions.cancel(m_decisionId);
+            break;
+        case phase::Sent:
+            m_environment.decisions.cancel(m_decisionId);
+            if (m_transfer)
+                m_transfer->cancel();
+            m_maybeSent = true;
+            break;
+        case phase::New:
+        case phase::Ended:
+            return;
+        }
+        auto error = stoppingError(outcomeWithoutResponse());
+        error.retryable = !m_maybeSent || !m_nonRepeatable;
+        refuse(std::move(error));
+    }
+
     void end(std::string_view result)
     {
         m_phase = phase::Ended;
         m_claimTimer.cancel();
         m_transfer.reset();
         m_exchange->onDisconnect({});
+        m_exchange->onInterrupt({});
         ++m_environment.counters.counter("quetzalcleat_requests_total",
                                          "class=\"" + m_className + "\",result=\""
                                              + std::string(result) + '"');
--- a/Services/quetzalcleatd/session_environment.h
+++ b/Services/quetzalcleatd/session_environment.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace quetzalcleat::daemon {
@@ -38,6 +39,11 @@
     std::string hostName;
     std::uint64_t hostIncarnation = 0; ///< Under which this process claims.
     session_options options;
+    /// End of a planned stop; set once callers have had their notice.
+    std::optional<core::instant> stopEnd = std::nullopt;
+
+    /// Whether a planned stop leaves a request the time until its deadline.
+    bool canServeUntil(core::instant deadline) const { return !stopEnd || deadline <= *stopEnd; }
 };
 
 } // namespace quetzalcleat::daemon
--- a/Services/quetzalcleatd/stop_sequence.cpp
+++ b/Services/quetzalcleatd/stop_sequence.cpp
@@ -6,6 +6,9 @@
 
 constexpr std::chrono::milliseconds checkInterval{20};
 
+/// New callers may fill the queue of the listener for as long as it is open.
+constexpr std::chrono::milliseconds maximumAcceptTime{500};
+
 } // namespace
 
 stop_sequence::stop_sequence(session_environment &environment, http::caller_server &server,
@@ -24,7 +27,7 @@
     m_phase = phase::NoticePeriod;
     m_environment.log.information(
         "stopping; still accepting requests until the balancer has noticed");
-    wait(m_noticeTime, &stop_sequence::stopAccepting);
+    wait(m_noticeTime, &stop_sequence::acceptWaiting);
 }
 
 void stop_sequence::wait(std::chrono::milliseconds time, void (stop_sequence::*next)())
@@ -36,10 +39,24 @@
     });
 }
 
+void stop_sequence::acceptWaiting()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (m_phase == phase::NoticePeriod) {
+        m_phase = phase::Accepting;
+        m_noticeEnd = now;
+    }
+    if (m_server.hasWaitingConnections() && now - m_noticeEnd < maximumAcceptTime)
+        wait(std::chrono::milliseconds(1), &stop_sequence::acceptWaiting);
+    else
+        stopAccepting();
+}
+
 void stop_sequence::stopAccepting()
 {
     m_phase = phase::Draining;
     m_drainingSince = std::chrono::steady_clock::now();
+    m_environment.stopEnd = m_drainingSince + m_graceTime;
     m_server.closeListener();
     m_server.closeConnectionsAfterResponses();
     m_environment.log.information("listener closed; requests in flight: "
@@ -73,11 +90,13 @@
 void stop_sequence::finish(bool complete)
 {
     m_phase = phase::Stopped;
+    m_environment.stopEnd = core::instant::min();
     if (complete)
         m_environment.log.information("all requests in flight are complete");
     else
         m_environment.log.error("stop grace time has expired; aborted requests: "
                                 + std::to_string(m_server.openExchanges()));
+    m_server.interruptExchanges();
     m_stopped(complete);
 }
 
--- a/Services/quetzalcleatd/stop_sequence.h
+++ b/Services/quetzalcleatd/stop_sequence.h
@@ -28,9 +28,10 @@
     bool leaving() const { return m_phase != phase::Live; }
 
 private:
-    enum class phase { Live, NoticePeriod, Draining, ClosingIdle, Stopped };
+    enum class phase { Live, NoticePeriod, Accepting, Draining, ClosingIdle, Stopped };
 
     void wait(std::chrono::milliseconds time, void (stop_sequence::*next)());
+    void acceptWaiting();
     void stopAccepting();
     void check();
     void finish(bool complete);
@@ -41,6 +42,7 @@
     std::chrono::milliseconds m_graceTime;
     std::chrono::milliseconds m_idleCloseTime;
     asio::steady_timer m_timer;
+    core::instant m_noticeEnd;
     core::instant m_drainingSince;
     core::instant m_idleSince;
     std::function<void(bool)> m_stopped;
--- a/Tests/Daemon/test_completion.cpp
+++ b/Tests/Daemon/test_completion.cpp
@@ -302,6 +302,7 @@
     }
     void finishStream() override { m_finished = true; }
     void onDisconnect(std::function<void()>) override { }
+    void onInterrupt(std::function<void()>) override { }
 
     bool completeWrite()
     {
--- a/Tests/Daemon/test_stop.cpp
+++ b/Tests/Daemon/test_stop.cpp
@@ -1,10 +1,99 @@
 #include "daemon_fixture.h"
 
+#include <asio/write.hpp>
+
 #include <algorithm>
+#include <array>
+#include <chrono>
+#include <deque>
+#include <optional>
+#include <thread>
 
 namespace quetzalcleat::tests {
 
-using stop_test = daemon_fixture;
+namespace {
+
+/// A caller that controls when its connection opens and when each byte is sent.
+class raw_caller
+{
+public:
+    raw_caller(asio::io_context &context, std::uint16_t port) : m_socket(context)
+    {
+        m_socket.connect({asio::ip::make_address("127.0.0.1"), port}, m_error);
+    }
+
+    bool isConnected() const { return !m_error; }
+
+    void send(const std::string &bytes) { asio::write(m_socket, asio::buffer(bytes), m_error); }
+
+    /// Reads in the event loop. The caller must stay where it is.
+    void read()
+    {
+        m_socket.async_read_some(asio::buffer(m_buffer),
+                                 [this](std::error_code error, std::size_t count) {
+                                     m_closed = static_cast<bool>(error);
+                                     m_received.append(m_buffer.data(), count);
+                                     if (!m_closed)
+                                         read();
+                                 });
+    }
+
+    const std::string &received() const { return m_received; }
+    bool isClosed() const { return m_closed; }
+
+private:
+    asio::ip::tcp::socket m_socket;
+    std::error_code m_error;
+    std::array<char, 4096> m_buffer{};
+    std::string m_received;
+    bool m_closed = false;
+};
+
+constexpr const char *serviceRequest = "GET /services/booking/state HTTP/1.1\r\nHost: h\r\n"
+                                       "Authorization: Bearer token-of-caller-one\r\n\r\n";
+
+} // namespace
+
+class stop_test : public daemon_fixture
+{
+protected:
+    /// Starts the daemon with a stream that has begun.
+    std::shared_ptr<caller_response> startWithStream()
+    {
+        auto &engine = addEngine();
+        engine.onCompletion = [](const engine_call &call) {
+            call.connection->send(chunkedHead(200) + fake_engine::event(call, 0, false));
+        };
+        m_options.balancerNoticeTime = std::chrono::milliseconds(1);
+        startDaemon();
+        auto response = complete("p", true);
+        await([&] { return !response->body.empty(); });
+        return response;
+    }
+
+    void beginStop()
+    {
+        m_daemon->beginStop([this](bool complete) { m_stopped = complete; });
+    }
+
+    void beginStopAndAwaitClosedListener()
+    {
+        const auto port = m_daemon->callerPort();
+        beginStop();
+        // A listener whose queue always has a connection is kept open for longer.
+        constexpr std::chrono::milliseconds interval{20};
+        auto next = std::chrono::steady_clock::now();
+        await([&] {
+            if (std::chrono::steady_clock::now() < next)
+                return false;
+            const bool closed = !raw_caller(m_context, port).isConnected();
+            next = std::chrono::steady_clock::now() + interval;
+            return closed;
+        });
+    }
+
+    std::optional<bool> m_stopped;
+};
 
 // Guards against a graceful stop that cuts off a stream, refuses callers before the balancer has
 // noticed, or never ends.
@@ -72,4 +161,143 @@
     EXPECT_FALSE(*stopped);
 }
 
+// Guards against a request that is taken long after the start of a stop and cut at its end, on a
+// connection whose stream was in progress when the stop began.
+TEST_F(stop_test, RefusesARequestThatWouldOutlastTheStop)
+{
+    const auto response = startWithStream();
+    beginStopAndAwaitClosedListener();
+    auto &engine = *m_engines[0];
+    engine.sendRest(engine.calls()[0], 1);
+    await(*response);
+    const auto next = complete("q", true);
+    await([&] { return next->ended || engine.calls().size() == 2; });
+    EXPECT_TRUE(response->endsWithDone());
+    // A closed connection is as good as a refusal.
+    if (!next->error) {
+        EXPECT_EQ(next->head.status, 503);
+        EXPECT_EQ(next->errorField("type"), "stopping");
+        EXPECT_EQ(next->errorField("outcome"), "not_run");
+        EXPECT_FALSE(next->header("Retry-After").empty());
+    }
+    EXPECT_EQ(engine.calls().size(), 1U);
+    await([&] { return m_stopped.has_value(); });
+    EXPECT_TRUE(*m_stopped);
+}
+
+// Guards against a stop that takes a request whose body ends late, or the first request of a
+// connection that was accepted last, and cuts it at its end.
+TEST_F(stop_test, RefusesLateRequestsOfAcceptedConnections)
+{
+    const auto response = startWithStream();
+    const std::string head = "POST /services/booking/orders HTTP/1.1\r\nHost: h\r\n"
+                             "Authorization: Bearer token-of-caller-one\r\n"
+                             "Content-Length: 4\r\n\r\n";
+    raw_caller slowBody(m_context, m_daemon->callerPort());
+    slowBody.send(head + "or");
+    raw_caller acceptedLast(m_context, m_daemon->callerPort());
+    slowBody.read();
+    acceptedLast.read();
+    beginStopAndAwaitClosedListener();
+    slowBody.send("de");
+    acceptedLast.send(head + "orde");
+    await([&] { return slowBody.isClosed() && acceptedLast.isClosed(); });
+    for (const auto *caller : {&slowBody, &acceptedLast}) {
+        EXPECT_TRUE(caller->received().starts_with("HTTP/1.1 503")) << caller->received();
+        EXPECT_NE(caller->received().find(R"("outcome":"not_run")"), std::string::npos);
+    }
+    EXPECT_TRUE(m_serviceCalls.empty());
+}
+
+// Guards against refusing what can still be served.
+TEST_F(stop_test, ServesARequestThatEndsBeforeTheStop)
+{
+    constexpr std::chrono::seconds longerThanTheDeadline{900};
+    m_options.stopGraceTime = longerThanTheDeadline;
+    const auto response = startWithStream();
+    raw_caller accepted(m_context, m_daemon->callerPort());
+    accepted.read();
+    beginStopAndAwaitClosedListener();
+    accepted.send(serviceRequest);
+    await([&] { return accepted.isClosed(); });
+    EXPECT_TRUE(accepted.received().starts_with("HTTP/1.1 200")) << accepted.received();
+}
+
+// Guards against connections that are reset because they wait in the queue of the listener when it
+// closes.
+TEST_F(stop_test, ServesConnectionsThatWaitToBeAccepted)
+{
+    constexpr std::size_t callers = 40; // More than the daemon accepts at once.
+    constexpr std::chrono::seconds longerThanTheDeadline{900};
+    m_options.stopGraceTime = longerThanTheDeadline;
+    const auto response = startWithStream();
+    beginStop();
+    std::deque<raw_caller> waiting;
+    for (std::size_t count = 0; count < callers; ++count) {
+        waiting.emplace_back(m_context, m_daemon->callerPort());
+        waiting.back().send(serviceRequest);
+        waiting.back().read();
+    }
+    // Past the notice: the end of it and the connections are ready in the same turn of the loop.
+    std::this_thread::sleep_for(2 * m_options.balancerNoticeTime);
+    await([&] {
+        return std::ranges::all_of(waiting, [](auto &caller) {
+            return caller.isClosed() || caller.received().ends_with("answer to ");
+        });
+    });
+    for (const auto &caller : waiting)
+        EXPECT_TRUE(caller.received().starts_with("HTTP/1.1 200")) << caller.received();
+}
+
+// Guards against requests that are cut without an answer at the end of the grace time, and against
+// an answer that promises more than is known.
+TEST_F(stop_test, EndOfTheGraceTimeAnswersEveryRequest)
+{
+    m_options.stopGraceTime = std::chrono::milliseconds(100);
+    std::size_t calls = 0;
+    m_onServiceCall = [&](const auto &, const auto &) { ++calls; };
+    const auto stream = startWithStream();
+    const auto order
+        = send("POST", "/services/booking/orders", "wire 7", {{"Idempotency-Key", "k1"}});
+    await([&] { return calls == 1; });
+    m_control.delaysClaims = true;
+    const auto claiming
+        = send("POST", "/services/booking/orders", "wire 8", {{"Idempotency-Key", "k2"}});
+    await([&] { return m_control.claims.size() == 2; });
+    beginStop();
+    await([&] { return m_stopped.has_value(); });
+    EXPECT_FALSE(*m_stopped);
+    await([&] { return stream->ended && order->ended && claiming->ended; });
+    EXPECT_FALSE(stream->error);
+    EXPECT_FALSE(stream->endsWithDone());
+    EXPECT_NE(stream->body.find(R"("outcome":"unknown")"), std::string::npos);
+    EXPECT_EQ(order->errorField("type"), "stopping");
+    EXPECT_EQ(order->errorField("outcome"), "unknown");
+    EXPECT_EQ(order->errorField("retryable"), "false");
+    EXPECT_EQ(claiming->errorField("type"), "stopping");
+    EXPECT_EQ(claiming->errorField("outcome"), "undecided");
+    ASSERT_EQ(m_control.finished.size(), 1U);
+    EXPECT_FALSE(m_control.finished[0].outcomeKnown);
+    EXPECT_EQ(m_control.abandoned.size(), 1U);
+}
+
+// Guards against a request on an idle connection that is taken while the process ends.
+TEST_F(stop_test, RefusesARequestAfterTheStopHasEnded)
+{
+    m_options.balancerNoticeTime = std::chrono::milliseconds(1);
+    startDaemon();
+    raw_caller idle(m_context, m_daemon->callerPort());
+    idle.send(serviceRequest);
+    idle.read();
+    await([&] { return idle.received().ends_with("answer to "); });
+    const auto served = idle.received().size();
+    m_daemon->skipIdleWait();
+    beginStop();
+    await([&] { return m_stopped.has_value(); });
+    idle.send(serviceRequest);
+    await([&] { return idle.isClosed(); });
+    EXPECT_TRUE(idle.received().substr(served).starts_with("HTTP/1.1 503")) << idle.received();
+    EXPECT_EQ(m_serviceCalls.size(), 1U);
+}
+
 } // namespace quetzalcleat::tests
