quetzalcleatd: End responses that have no end

What callers saw: a call to a service whose answer does not end never got one; an engine that goes on after [DONE], or whose error does not end, was read for as long as it sent. Cause: only the used part of a body was bounded; reading the rest moves the time of the last progress. Evidence: completion_test.EndsResponsesWithoutEnd and service_test.EndsAnAnswerWithoutEnd failed on at 32 and 96 MiB. Change: 64 KiB of an engine's unused bytes and 64 MiB of a service's answer, each with a log line. The outcome of such a call is unknown, and it is not sent again. 44 tests of test_daemon and 15 of test_http passed.

--- a/Services/quetzalcleatd/completion_session.cpp
+++ b/Services/quetzalcleatd/completion_session.cpp
@@ -18,6 +18,9 @@
 /// Largest text of a response that is not streamed.
 constexpr std::size_t maximumResponseBytes = 4 * 1024 * 1024;
 
+/// Bytes of a response that are not used: an error, or what follows the end of a stream.
+constexpr std::size_t maximumUnusedBytes = 64 * 1024;
+
 std::string eventText(const nlohmann::json &content)
 {
     return "data: " + content.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
@@ -171,6 +174,7 @@
     }
     m_events = http::event_parser(maximumEventBytes);
     m_engineStatus = 0;
+    m_unusedBytes = 0;
     m_firstTokenReported = false;
     m_paused = false;
     const auto self = shared_from_this();
@@ -211,8 +215,10 @@
 
 void completion_session::onBody(std::string_view chunk)
 {
-    if (m_phase != phase::Running || m_responseComplete || m_engineStatus != 200)
+    if (m_phase != phase::Running || m_responseComplete || m_engineStatus != 200) {
+        skip(chunk.size());
         return;
+    }
     const auto consumed = m_events.consume(
         chunk, [&](std::string_view data) { return m_phase == phase::Running && onEvent(data); });
     if (m_phase != phase::Running)
@@ -228,6 +234,23 @@
     }
 }
 
+void completion_session::skip(std::size_t bytes)
+{
+    m_unusedBytes += bytes;
+    if (m_unusedBytes <= maximumUnusedBytes || !m_transfer)
+        return;
+    m_transfer->cancel();
+    if (m_phase == phase::Running) {
+        onEnd({http::http_error::BodyTooLarge, true});
+        return;
+    }
+    m_environment.log.warning(m_engine.name + " sends more than "
+                                  + std::to_string(maximumUnusedBytes)
+                                  + " bytes after the end of its response; cancelled",
+                              m_requestId);
+    m_transfer.reset();
+}
+
 bool completion_session::onEvent(std::string_view data)
 {
     auto event = m_generation->accept(data);
@@ -336,8 +359,7 @@
 void completion_session::complete()
 {
     m_environment.decisions.finished(m_decisionId, policy::attempt_outcome::Completed);
-    // Not cancelled: the transfer ends by itself, and its connection can be reused.
-    m_transfer.reset();
+    // Not cancelled: the transfer should end by itself, and its connection can be reused.
     if (!m_request.stream) {
         respondWhole();
         end("completed");
@@ -366,9 +388,11 @@
 
 void completion_session::onEnd(const http::transfer_result &end)
 {
-    if (m_phase != phase::Running || !m_transfer)
+    if (!m_transfer)
         return;
     m_transfer.reset();
+    if (m_phase != phase::Running)
+        return;
     // An engine that responds with 4xx has not started to generate.
     const bool declined = m_engineStatus >= 400 && m_engineStatus < 500;
     m_maybeSent = m_maybeSent || (end.maybeSent && !declined);
--- a/Services/quetzalcleatd/completion_session.h
+++ b/Services/quetzalcleatd/completion_session.h
@@ -40,6 +40,7 @@
     void onBody(std::string_view chunk);
     void onEnd(const http::transfer_result &end);
     bool onEvent(std::string_view data);
+    void skip(std::size_t bytes);
     void relay(const generation_event &event);
     void collect(const generation_event &event);
     void flush();
@@ -76,6 +77,7 @@
     std::optional<generation_stream> m_generation;
     http::event_parser m_events;
     std::uint16_t m_engineStatus = 0;
+    std::size_t m_unusedBytes = 0; ///< Of the body of the current attempt.
     bool m_maybeSent = false;
     bool m_engineMayStillRun = false; ///< The failed attempt may go on at the engine.
     bool m_firstTokenReported = false;
--- a/Services/quetzalcleatd/service_session.h
+++ b/Services/quetzalcleatd/service_session.h
@@ -205,6 +205,7 @@
         m_phase = phase::Sent;
         m_head = {};
         m_body.clear();
+        m_bodyBytes = 0;
         if (m_claimState == claim_state::Held)
             m_claimState = claim_state::Sent;
         http::endpoint_request request;
@@ -228,6 +229,13 @@
 
     void onBody(std::string_view chunk)
     {
+        if (m_phase != phase::Sent)
+            return;
+        m_bodyBytes += chunk.size();
+        if (m_bodyBytes > endlessResponseBytes) {
+            abandonResponse();
+            return;
+        }
         // Reading continues, so that a non-repeatable call ends with a known outcome.
         if (m_body.size() + chunk.size() > maximumServiceResponseBytes)
             m_bodyTooLarge = true;
@@ -235,6 +243,20 @@
             m_body.append(chunk);
     }
 
+    void abandonResponse()
+    {
+        m_environment.log.warning("answer of " + m_endpoint.name + " has more than "
+                                      + std::to_string(endlessResponseBytes) + " bytes; abandoned",
+                                  m_requestId);
+        m_transfer->cancel();
+        m_environment.decisions.finished(m_decisionId, policy::attempt_outcome::Failed);
+        refuse({error_type::AnswerTooLarge,
+                "answer of the service has no end",
+                false,
+                call_outcome::Unknown,
+                {}});
+    }
+
     void onEnd(const http::transfer_result &end)
     {
         if (m_phase != phase::Sent)
@@ -399,6 +421,8 @@
 
     static constexpr std::size_t attemptIdBytes = 16;
     static constexpr std::size_t maximumServiceResponseBytes = 4 * 1024 * 1024;
+    /// An answer of more bytes is taken to have no end.
+    static constexpr std::size_t endlessResponseBytes = 64 * 1024 * 1024;
 
     session_environment &m_environment;
     Control &m_control;
@@ -420,6 +444,7 @@
     std::shared_ptr<http::endpoint_transfer> m_transfer;
     http::response_head m_head;
     std::string m_body;
+    std::size_t m_bodyBytes = 0;
     bool m_bodyTooLarge = false;
     bool m_maybeSent = false;
 };
--- a/Tests/Daemon/fake_server.cpp
+++ b/Tests/Daemon/fake_server.cpp
@@ -84,6 +84,15 @@
     writeNext();
 }
 
+void fake_connection::sendEndlessly(const std::string &bytes, std::size_t limit)
+{
+    if (m_endlessBytes >= limit)
+        return;
+    m_endlessBytes += bytes.size();
+    sendThen(bytes,
+             [self = shared_from_this(), bytes, limit] { self->sendEndlessly(bytes, limit); });
+}
+
 void fake_connection::close()
 {
     m_closeAfterWrites = true;
--- a/Tests/Daemon/fake_server.h
+++ b/Tests/Daemon/fake_server.h
@@ -27,6 +27,9 @@
     void send(std::string bytes);
     /// Calls back once the operating system has taken the bytes.
     void sendThen(std::string bytes, std::function<void()> sent);
+    /// Sends the bytes again and again until the connection closes or the limit is reached.
+    void sendEndlessly(const std::string &bytes, std::size_t limit);
+    std::size_t endlessBytes() const { return m_endlessBytes; }
     /// Closes the connection once all bytes have been written.
     void close();
     bool isClosed() const { return m_closed; }
@@ -41,6 +44,7 @@
     std::string m_input;
     std::string m_readBuffer;
     std::vector<std::pair<std::string, std::function<void()>>> m_output;
+    std::size_t m_endlessBytes = 0;
     bool m_writing = false;
     bool m_closeAfterWrites = false;
     bool m_closed = false;
--- a/Tests/Daemon/test_completion.cpp
+++ b/Tests/Daemon/test_completion.cpp
@@ -566,4 +566,40 @@
     }
 }
 
+// Guards against reading without end from an engine that goes on after the end of its stream, or
+// whose error has no end.
+TEST_F(completion_test, EndsResponsesWithoutEnd)
+{
+    constexpr std::size_t generousBytes = 32 * 1024 * 1024;
+    const auto padding = chunk(": " + std::string(8000, 'x') + "\n\n");
+    auto &engine = addEngine();
+    engine.onCompletion = [&](const engine_call &call) {
+        if (call.prompt == "refused") {
+            call.connection->send(chunkedHead(400));
+        } else {
+            call.connection->send(chunkedHead(200) + fake_engine::event(call, 0, true)
+                                  + fake_engine::done());
+        }
+        call.connection->sendEndlessly(padding, generousBytes);
+    };
+    startDaemon();
+    const auto whole = complete("p", true);
+    await(*whole);
+    EXPECT_TRUE(whole->endsWithDone());
+    const auto refused = complete("refused", true);
+    await([&] {
+        return engine.calls().size() == 2
+            && std::ranges::all_of(engine.calls(), [](const engine_call &call) {
+                   return call.connection->isClosed()
+                       || call.connection->endlessBytes() >= generousBytes;
+               });
+    });
+    for (const auto &call : engine.calls())
+        EXPECT_LT(call.connection->endlessBytes(), generousBytes) << call.prompt;
+    if (engine.calls()[1].connection->isClosed()) {
+        await(*refused);
+        EXPECT_EQ(refused->errorField("type"), "endpoint_rejected");
+    }
+}
+
 } // namespace quetzalcleat::tests
--- a/Tests/Daemon/test_service.cpp
+++ b/Tests/Daemon/test_service.cpp
@@ -281,4 +281,28 @@
     }
 }
 
+// Guards against reading without end from a service whose answer does not end.
+TEST_F(service_test, EndsAnAnswerWithoutEnd)
+{
+    constexpr std::size_t generousBytes = 96 * 1024 * 1024;
+    startDaemon();
+    std::shared_ptr<fake_connection> connection;
+    m_onServiceCall = [&](const auto &from, const auto &) {
+        connection = from;
+        connection->send(chunkedHead(200));
+        connection->sendEndlessly(chunk(std::string(32768, 'x')), generousBytes);
+    };
+    const auto response = order("wire 7");
+    await([&] {
+        return response->ended || (connection && connection->endlessBytes() >= generousBytes);
+    });
+    ASSERT_TRUE(response->ended);
+    EXPECT_EQ(response->errorField("type"), "answer_too_large");
+    EXPECT_EQ(response->errorField("outcome"), "unknown");
+    EXPECT_EQ(m_serviceCalls.size(), 1U);
+    ASSERT_EQ(m_control.finished.size(), 1U);
+    EXPECT_FALSE(m_control.finished[0].outcomeKnown);
+    await([&] { return connection->isClosed(); });
+}
+
 } // namespace quetzalcleat::tests
