--- a/Services/quetzalcleatd/service_session.h
+++ b/Services/quetzalcleatd/service_session.h
@@ -41,6 +41,7 @@
         if (!parse())
             return;
         m_exchange->onDisconnect([self = this->shared_from_this()] { self->onCallerGone(); });
+        m_exchange->onInterrupt([self = this->shared_from_this()] { self->onInterrupt(); });
         if (m_nonRepeatable && !m_identity.idempotencyKey.empty())
             claim();
         else
@@ -77,7 +78,10 @@
         if (const auto *error = std::get_if<error_response>(&classified))
             return refuse(*error);
         m_class = std::get<policy::class_id>(classified);
-        m_className = routing.document().classes[m_class.value].name;
+        const auto &rules = routing.document().classes[m_class.value];
+        m_className = rules.name;
+        if (!m_environment.canServeUntil(m_arrival + rules.deadline))
+            return refuse(stoppingError(call_outcome::NotRun));
         m_nonRepeatable = routing.isNonRepeatable(m_call.service, request.method, m_call.path);
         return true;
     }
@@ -221,13 +225,17 @@
         m_phase = phase::Sent;
         m_head = {};
         m_body.clear();
+        m_bodyBytes = 0;
         if (m_claimState == claim_state::Held)
             m_claimState = claim_state::Sent;
         http::endpoint_request request;
         request.method = incoming.method;
         request.address = m_endpoint.address;
         request.target = m_call.target;
-        request.headers = headersForService(incoming.headers, m_requestId, m_identity.accountName);
+        // Callers choose their ids, and two of them may choose the same.
+        const auto attemptId = m_requestId + '.' + newRequestId();
+        request.headers = headersForService(incoming.headers, attemptId, m_identity.accountName);
+        request.checksIdentity = true;
         request.body = incoming.body;
         request.sendOnce = m_nonRepeatable;
         request.timeouts = m_environment.options.service;
@@ -241,6 +249,13 @@
 
     void onBody(std::string_view chunk)
     {
+        if (m_phase != phase::Sent)
+            return;
+        m_bodyBytes += chunk.size();
+        if (m_bodyBytes > endlessResponseBytes) {
+            abandonResponse();
+            return;
+        }
         // Reading continues, so that a non-repeatable call ends with a known outcome.
         if (m_body.size() + chunk.size() > maximumServiceResponseBytes)
             m_bodyTooLarge = true;
@@ -248,6 +263,20 @@
             m_body.append(chunk);
     }
 
+    void abandonResponse()
+    {
+        m_environment.log.warning("answer of " + m_endpoint.name + " has more than "
+                                      + std::to_string(endlessResponseBytes) + " bytes; abandoned",
+                                  m_requestId);
+        m_transfer->cancel();
+        m_environment.decisions.finished(m_decisionId, policy::attempt_outcome::Failed);
+        refuse({error_type::AnswerTooLarge,
+                "answer of the service has no end",
+                false,
+                call_outcome::Unknown,
+                {}});
+    }
+
     void onEnd(const http::transfer_result &end)
     {
         if (m_phase != phase::Sent)
@@ -367,12 +396,37 @@
         end("caller_gone");
     }
 
+    void onInterrupt()
+    {
+        switch (m_phase) {
+        case phase::Claiming:
+            m_control.abandonClaim(m_attempt);
+            break;
+        case phase::Queued:
+            m_environment.decisions.cancel(m_decisionId);
+            break;
+        case phase::Sent:
+            m_environment.decisions.cancel(m_decisionId);
+            if (m_transfer)
+                m_transfer->cancel();
+            m_maybeSent = true;
+            break;
+        case phase::New:
+        case phase::Ended:
+            return;
+        }
+        auto error = stoppingError(outcomeWithoutResponse());
+        error.retryable = !m_maybeSent || !m_nonRepeatable;
+        refuse(std::move(error));
+    }
+
     void end(std::string_view result)
     {
         m_phase = phase::Ended;
         m_claimTimer.cancel();
         m_transfer.reset();
         m_exchange->onDisconnect({});
+        m_exchange->onInterrupt({});
         ++m_environment.counters.counter("quetzalcleat_requests_total",
                                          "class=\"" + m_className + "\",result=\""
                                              + std::string(result) + '"');
@@ -387,6 +441,8 @@
 
     static constexpr std::size_t attemptIdBytes = 16;
     static constexpr std::size_t maximumServiceResponseBytes = 4 * 1024 * 1024;
+    /// An answer of more bytes is taken to have no end.
+    static constexpr std::size_t endlessResponseBytes = 64 * 1024 * 1024;
 
     session_environment &m_environment;
     Control &m_control;
@@ -409,6 +465,7 @@
     std::shared_ptr<http::endpoint_transfer> m_transfer;
     http::response_head m_head;
     std::string m_body;
+    std::size_t m_bodyBytes = 0;
     bool m_bodyTooLarge = false;
     bool m_maybeSent = false;
 };
