LibForward: Recall requests that would arrive during a wait

Requests that were written before a 503 with Retry-After was read may arrive after it, if the endpoint's machine has not acknowledged them: long bodies, or a path that loses packets. One of them is left; the others are sent elsewhere, if they are safe to send again and the retry budget allows it. Ruled out: one request in flight at a time, which costs every endpoint its parallelism.

--- a/Libraries/LibForward/caller_session.h
+++ b/Libraries/LibForward/caller_session.h
@@ -29,6 +29,7 @@
     /// Ends a request in progress at the end of the grace time of a planned stop.
     void endRequest();
     void close();
+    const std::shared_ptr<exchange> &currentExchange() const { return m_exchange; }
 
     /// Sends a complete response. Sets Content-Length.
     void sendResponse(http_head head, const std::string &body);
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -375,6 +375,24 @@
     tryEndpoint();
 }
 
+bool exchange::mayArriveLaterAt(const endpoint &target) const
+{
+    return !m_done && m_attempt && m_endpoint.get() == &target && m_attempt->mayArriveLater();
+}
+
+void exchange::recall()
+{
+    if (m_done || !m_attempt || !isRetrySafe() || !tryAcquireRetry(true))
+        return;
+    m_owner->log().write("attempt_recalled",
+                         {{"id", m_id}, {"endpoint", m_endpoint->listed.incarnation}});
+    ++m_owner->counters().counter("attempts_recalled_total", "service=\"" + m_service->name + '"');
+    m_attempt->recall();
+    m_attempt.reset();
+    releaseEndpoint(endpoint_outcome::Abandoned);
+    tryEndpoint();
+}
+
 /// To be called after the notices of the answer have been read.
 void exchange::recordAnswer(int status)
 {
@@ -400,8 +418,11 @@
 {
     m_response = std::move(head);
     m_endpoint->lastReceived = std::chrono::steady_clock::now();
-    m_owner->notices().readAnswer(*m_endpoint, m_response, m_id, m_endpoint->lastReceived);
+    const bool asksForWait
+        = m_owner->notices().readAnswer(*m_endpoint, m_response, m_id, m_endpoint->lastReceived);
     recordAnswer(m_response.status);
+    if (asksForWait)
+        m_owner->recallRequests(*m_endpoint);
     if (!isSuccess(m_response.status) || (!m_service->engine && !isStream()))
         return;
     // Not a response of the endpoint itself, or not the response to this request.
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -48,6 +48,12 @@
     /// Places the request again after it was held because no endpoint took requests.
     void resumeHeld();
 
+    /// Whether the request was written to the endpoint and a part of it may arrive there later.
+    bool mayArriveLaterAt(const endpoint &target) const;
+    bool isRetrySafe() const { return m_route != nullptr && m_route->isRetrySafe(); }
+    /// Sends the request elsewhere instead, if that is allowed.
+    void recall();
+
     /// Whether this request is placed before the other one if both are held.
     bool isBefore(const exchange &other) const;
 
--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -1,8 +1,10 @@
 #include "LibForward/forwarder.h"
 
 #include "LibForward/caller_session.h"
+#include "LibForward/exchange.h"
 #include "LibForward/listen.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -172,6 +174,21 @@
     m_log.flush();
 }
 
+void forwarder::recallRequests(const endpoint &target)
+{
+    std::vector<std::shared_ptr<exchange>> late;
+    for (const auto &session : m_sessions) {
+        const auto &request = session->currentExchange();
+        if (request && request->mayArriveLaterAt(target))
+            late.push_back(request);
+    }
+    // Those that cannot be recalled come first, so that the one that is left is among them.
+    std::stable_partition(late.begin(), late.end(),
+                          [](const auto &request) { return !request->isRetrySafe(); });
+    for (std::size_t index = 1; index < late.size(); ++index)
+        late[index]->recall();
+}
+
 void forwarder::sessionEnded(const std::shared_ptr<caller_session> &session)
 {
     m_sessions.erase(session);
--- a/Libraries/LibForward/forwarder.h
+++ b/Libraries/LibForward/forwarder.h
@@ -100,6 +100,10 @@
     asio::io_context &context() { return m_context; }
     core::latency_histogram &latency(const std::string &service);
 
+    /// An endpoint has asked for a wait. Of the requests written to it that may still arrive there,
+    /// one is left and the others are sent elsewhere if they are safe to send again.
+    void recallRequests(const endpoint &target);
+
     void sessionEnded(const std::shared_ptr<caller_session> &session);
     void requestStarted() { ++m_requests; }
     void requestEnded() { --m_requests; }
--- a/Libraries/LibForward/notice_recorder.cpp
+++ b/Libraries/LibForward/notice_recorder.cpp
@@ -14,20 +14,22 @@
 
 } // namespace
 
-void notice_recorder::readAnswer(const endpoint &target, const http_head &answer,
+bool notice_recorder::readAnswer(const endpoint &target, const http_head &answer,
                                  std::string_view request, core::instant now)
 {
     // A misdirected request is answered by another incarnation, which speaks of itself.
     if (request.empty() || answer.value(m_names.requestId) != request
         || answer.status == misdirectedStatus)
-        return;
+        return false;
     if (answer.value(m_names.leaving) == "1"
         && m_endpoints.notices().reportLeaving(
             target.listed.incarnation,
             {now, policy::notice_source::OwnAnswer, std::string(request)}, now))
         logLeaving(now);
-    if (answer.status == unavailableStatus && answer.has("Retry-After"))
-        readWait(target, answer.value("Retry-After"), request, now);
+    if (answer.status != unavailableStatus || !answer.has("Retry-After"))
+        return false;
+    readWait(target, answer.value("Retry-After"), request, now);
+    return true;
 }
 
 void notice_recorder::readWait(const endpoint &target, std::string_view value,
--- a/Libraries/LibForward/notice_recorder.h
+++ b/Libraries/LibForward/notice_recorder.h
@@ -25,7 +25,8 @@
 
     /// Reads an interim or final answer of the endpoint. One that does not name the request is
     /// ignored, because it may be that of another request or no answer of the endpoint at all.
-    void readAnswer(const endpoint &target, const http_head &answer, std::string_view request,
+    /// Returns whether the endpoint asks for a wait.
+    bool readAnswer(const endpoint &target, const http_head &answer, std::string_view request,
                     core::instant now);
 
     /// Logs what has begun and ended, and forgets endpoints that have been gone for long.
--- a/Libraries/LibForward/upstream.cpp
+++ b/Libraries/LibForward/upstream.cpp
@@ -9,7 +9,9 @@
 #include <asio/error.hpp>
 #include <asio/write.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace quetzalcleat::forward {
@@ -373,4 +375,24 @@
     }
 }
 
+bool attempt::mayArriveLater() const
+{
+    if (m_done || !m_sent || m_receivedBytes)
+        return false;
+    int unacknowledged = 0;
+    return !m_writeDone
+        || (::ioctl(m_connection->socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0
+            && unacknowledged > 0);
+}
+
+void attempt::recall()
+{
+    if (m_connection) {
+        // Closing sends a reset instead of the rest.
+        std::error_code ignored;
+        m_connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    cancel();
+}
+
 } // namespace quetzalcleat::forward
--- a/Libraries/LibForward/upstream.h
+++ b/Libraries/LibForward/upstream.h
@@ -114,6 +114,12 @@
     /// Closes the connection, so that the endpoint cancels the request.
     void cancel();
 
+    /// Like cancel(), and discards what the endpoint has not acknowledged.
+    void recall();
+
+    /// Whether a part of the request may reach the endpoint later: it is not acknowledged yet.
+    bool mayArriveLater() const;
+
     /// Stops reading from the endpoint while the caller is slow.
     void pause() { m_paused = true; }
     void resume();
--- a/Tests/Forward/test_endpoint_notices.cpp
+++ b/Tests/Forward/test_endpoint_notices.cpp
@@ -59,7 +59,9 @@
         std::size_t served = 0;
         while (served < count && m_endpoints[1].hasConnection(3s)) {
             m_accepted.push_back(m_endpoints[1].accept());
-            served += m_accepted.back().readMessage().starts_with("GET " + target) ? 1 : 0;
+            const auto text = m_accepted.back().readMessage();
+            // After the method, which has three letters.
+            served += text.size() > 4 && text.substr(4).starts_with(target + ' ') ? 1 : 0;
             m_accepted.back().send(closingResponse());
         }
         return served;
@@ -237,6 +239,35 @@
     EXPECT_FALSE(first.endpoint.hasBytes(0ms));
 }
 
+/// Guards against more than one request that was written before a wait and arrives during it.
+TEST_F(notice_test, OneOfTheWrittenRequestsIsLeft)
+{
+    constexpr std::size_t largeRequests = 3;
+    // More than the buffers of a socket hold, so that a part of it is not acknowledged.
+    const std::string body(std::size_t{24} * 1024 * 1024, 'b');
+    inLoop([&] {
+        auto content = defaultConfiguration();
+        content.limits.bodyBytes = body.size();
+        m_forwarder->setRoutes(route_table::create(std::move(content)).value());
+    });
+    setEndpoints({"one"});
+    auto first = openAtOne();
+    std::vector<scripted_socket> callers;
+    std::vector<scripted_socket> written;
+    for (std::size_t index = 0; index < largeRequests; ++index) {
+        callers.push_back(call("PUT", "/read/large", "", body));
+        written.push_back(m_endpoints[0].accept());
+        ASSERT_TRUE(written.back().hasBytes(10s));
+    }
+    setEndpoints({"one", "two"});
+    first.endpoint.send(refusal("Retry-After: 30\r\n"));
+    EXPECT_EQ(serveAtTwo(largeRequests - 1, "/read/large"), largeRequests - 1);
+    const auto whole = std::count_if(written.begin(), written.end(), [&](auto &endpoint) {
+        return endpoint.readMessage().size() > body.size();
+    });
+    EXPECT_EQ(whole, 1);
+}
+
 class returning_test : public notice_test
 {
 protected:
