--- a/Libraries/LibForward/caller_session.h
+++ b/Libraries/LibForward/caller_session.h
@@ -31,6 +31,7 @@
     /// is being written to a slow caller goes on.
     void endRequest();
     void close();
+    const std::shared_ptr<exchange> &currentExchange() const { return m_exchange; }
 
     /// Sends a complete response. Sets Content-Length.
     void sendResponse(http_head head, const std::string &body);
