Tests/Soak: Keep connections, lose answers on purpose, leave and refuse by answers

Change: some callers keep their connections until the host closes them, also through a planned stop; streams last up to 12 s, some bodies arrive in halves. Endpoints leave by their answers while the list lags, does not show it, or cannot be reached, and refuse with Retry-After under bursts. Checks LOST, DRAIN and BUDGET; the entry host that sent a request is known by the request's id, which each caller gives to one host only. At the end every control host must return the newest acknowledged configuration, not only the first that answers. A host's time limits are checked outside of its own faults; before, one fault at the end of the run excused it for the whole run.

--- a/Tests/Soak/callers.py
+++ b/Tests/Soak/callers.py
@@ -2,82 +2,158 @@
 import asyncio
 import dataclasses
 import json
+import random
 import time
 
-from fakes import EVENTS, body_of, event_of, read_head
+from fakes import body_of, event_of, read_head
 from fleet import PORTS
 
 NOT_RUN_STATUSES = {"408", "421", "429", "503"}  # Such a request never runs.
+PATHS = {"order": "orders", "lookup": "lookup", "stream": "stream", "once": "once"}
+REPEATABLE_KINDS = ("lookup", "stream")
+CONNECT_SECONDS = 1.0
+STREAM_TIMEOUT_MS = 16000  # More than the longest stream.
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class Request:
     id: str
     kind: str  # order, lookup, stream or once
     key: str
     entry: object
     sent_at: float
+    events: int = 12  # Of a streamed answer.
+    event_interval: float = 0.04  # Seconds.
+    body_pause: float = 0.0  # Seconds between the halves of the body.
+    deadline_ms: int = 4000
+    on_used_connection: bool = False
+    sent_whole_at: float = None
+    ended_at: float = None
     status: str = "none"  # HTTP status; "cut" if the connection ended within the answer.
     problem: str = ""
 
+    def body(self):
+        return b"" if self.kind == "lookup" else b"order " + self.id.encode()
+
+    def answer(self):
+        if self.kind not in ("stream", "once"):
+            return body_of(self.id)
+        return b"".join(event_of(self.id, number) for number in range(1, self.events + 1))
+
+
+@dataclasses.dataclass(eq=False)
+class Arrival:
+    """A request as one endpoint saw it."""
+    at: float
+    request: Request
+    endpoint: object
+    incarnation: str
+    runs: bool = False
+    says_leaving: bool = False  # The endpoint's answer says that it leaves.
+    wait: float = None  # Seconds of Retry-After, if the endpoint refused the request.
+    ended_at: float = float("inf")
+
 
 class ExecutionRecord:
-    """All requests, and their executions as the endpoints saw them."""
+    """All requests, and their arrivals as the endpoints saw them."""
 
     def __init__(self):
-        self.runs = {}  # Request id: list of (time, endpoint, incarnation, first event).
+        self.arrivals = {}  # Request id: list of arrivals.
         self.problems = []
         self.requests = {}
+        self.leaving_since = {}  # Host and incarnation: when the host had passed on that it leaves.
 
-    def record_run(self, request_id, endpoint, method, target, headers, body):
-        now = time.monotonic()
+    def find(self, request_id, endpoint):
         request = self.requests.get(request_id)
         if request is None:
             self.problems.append(f"UNASKED {request_id!r} reached {endpoint.id}")
-            return
-        self.runs.setdefault(request_id, []).append(
-            (now, endpoint, endpoint.id, int(headers.get("last-event-id", 0))))
-        expected = b"" if request.kind == "lookup" else b"order " + request_id.encode()
-        if body != expected or not target.startswith(f"/{PATHS[request.kind]}/"):
-            self.problems.append(f"UNASKED {request_id} was altered: {method} {target} {body!r}")
+        return request
+
+    def note_arrival(self, request, endpoint):
+        arrival = Arrival(time.monotonic(), request, endpoint, endpoint.id)
+        self.arrivals.setdefault(request.id, []).append(arrival)
+        return arrival
+
+    def record_run(self, request, arrival, method, target, headers, body):
+        arrival.runs = True
+        if body != request.body() or not target.startswith(f"/{PATHS[request.kind]}/"):
+            self.problems.append(f"UNASKED {request.id} was altered: {method} {target} {body!r}")
         if headers.get("x-tenant") != "tenant-a" or "authorization" in headers:
-            self.problems.append(f"UNASKED {request_id} ran for {headers.get('x-tenant')}")
+            self.problems.append(f"UNASKED {request.id} ran for {headers.get('x-tenant')}")
 
+    def runs(self, request):
+        return [each for each in self.arrivals.get(request.id, []) if each.runs]
 
-PATHS = {"order": "orders", "lookup": "lookup", "stream": "stream", "once": "once"}
+    def note_answer(self, request, headers):
+        """Notes whether a host has passed on that an endpoint leaves."""
+        for arrival in self.arrivals.get(request.id, []):
+            if arrival.says_leaving and headers.get("x-response-seal") == arrival.incarnation:
+                self.leaving_since.setdefault((request.entry, arrival.incarnation),
+                                              time.monotonic())
 
 
-async def call(request, address, deadline_ms):
-    """Sends one request on a new connection and checks the answer."""
-    host, port = address.split(":")
+class Connection:
+    """A connection of a caller to an entry host."""
+
+    def __init__(self, reader, writer):
+        self.reader, self.writer = reader, writer
+        self.served = 0
+        self.reusable = True
+
+    @classmethod
+    async def open(cls, address):
+        host, port = address.split(":")
+        return cls(*await asyncio.wait_for(asyncio.open_connection(host, int(port)),
+                                           CONNECT_SECONDS))
+
+    def close(self):
+        self.writer.transport.abort()
+
+
+async def call(record, request, address, connection=None):
+    """Sends one request, on a new connection if none is given, and checks the answer. Returns the
+    connection if it can be used again."""
+    record.requests[request.id] = request
+    request.sent_at = time.monotonic()
     try:
-        reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
+        connection = connection or await Connection.open(address)
     except (OSError, asyncio.TimeoutError):
         request.status = "unreachable"
-        return
+        return None
+    request.on_used_connection = connection.served > 0
+    connection.reusable = False
     try:
-        await asyncio.wait_for(exchange(request, reader, writer, deadline_ms), deadline_ms / 1000)
+        await asyncio.wait_for(exchange(record, request, connection), request.deadline_ms / 1000)
     except asyncio.TimeoutError:
         request.status = "timeout"
     except (ConnectionError, asyncio.IncompleteReadError, ValueError):
         request.status = "cut"
-    finally:
-        writer.transport.abort()
+    request.ended_at = time.monotonic()
+    connection.served += 1
+    if connection.reusable:
+        return connection
+    connection.close()
+    return None
 
 
-async def exchange(request, reader, writer, deadline_ms):
-    body = b"" if request.kind == "lookup" else b"order " + request.id.encode()
+async def exchange(record, request, connection):
+    reader, writer = connection.reader, connection.writer
+    body = request.body()
     method = "GET" if request.kind == "lookup" else "POST"
     writer.write((f"{method} /{PATHS[request.kind]}/x HTTP/1.1\r\nHost: soak.example\r\n"
-                  f"X-Request-Id: {request.id}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
+                  f"X-Request-Id: {request.id}\r\nX-Deadline-Ms: {request.deadline_ms}\r\n"
                   f"Authorization: Bearer {request.key}\r\nX-Tenant: somebody-else\r\n"
-                  f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+                  f"Content-Length: {len(body)}\r\n\r\n").encode() + body[:len(body) // 2])
+    await asyncio.sleep(request.body_pause)
+    writer.write(body[len(body) // 2:])
     await writer.drain()
+    request.sent_whole_at = time.monotonic()
     head = await read_head(reader)
     if head is None:
         request.status = "cut"
         return
     _, status, headers = head
+    record.note_answer(request, headers)
     if headers.get("transfer-encoding") == "chunked":
         content = b""
         while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
@@ -85,15 +161,113 @@
         await reader.readexactly(2)
     else:
         content = await reader.readexactly(int(headers.get("content-length", 0)))
+    connection.reusable = headers.get("connection", "").lower() != "close"
     request.status = status
-    if status[0] != "2":
-        return
-    expected = (b"".join(event_of(request.id, number) for number in range(1, EVENTS + 1))
-                if request.kind in ("stream", "once") else body_of(request.id))
-    if content != expected or "x-response-seal" not in headers:
+    if status[0] == "2" and (content != request.answer() or "x-response-seal" not in headers):
         request.problem = f"MIXED {request.id} got {len(content)} bytes that are not its answer"
 
 
+class Callers:
+    """Callers of all entry hosts: some open a connection for each request, others keep theirs until
+    the host closes it."""
+
+    REQUEST_INTERVAL_SECONDS = 0.025  # Of those that open connections.
+    KEPT_CONNECTIONS = 16  # Shared among the entry hosts, at least one each.
+    # Fraction and longest time of long streams on connections for streams, and on others.
+    LONG_STREAMS = {True: (0.7, 7.0), False: (0.03, 12.0)}
+    RETRY_SECONDS = 0.3
+    TIME_AFTER_END_SECONDS = 5.0  # Streams end by then.
+
+    def __init__(self, run, end):
+        self.run, self.end = run, end
+        self.random = random.Random(f"callers {run.seed}")
+        self.count = 0
+        self.pending = set()
+
+    def make_request(self, index, kind=None, for_streams=False):
+        self.count += 1
+        operator = self.run.operator
+        old = list(operator.removed_keys)
+        key = self.random.choice(old) if old and self.random.random() < 0.1 else \
+            self.random.choice(operator.keys)
+        request = Request(f"{self.run.seed:x}-{self.count:x}",
+                          kind or self.random.choice(("stream", "once") if for_streams else
+                                                     ("order", "lookup", "stream", "once")),
+                          key, self.run.fleet.entries[index], time.monotonic())
+        if request.kind in ("stream", "once"):
+            request.events = self.random.randint(8, 14)
+            fraction, longest = self.LONG_STREAMS[for_streams]
+            if self.random.random() < fraction:
+                self.lengthen(request, longest)
+        if request.kind != "lookup" and self.random.random() < 0.03:
+            request.body_pause = self.random.choice((0.2, 1.0, 2.5))
+        return request
+
+    def lengthen(self, request, longest):
+        limit = min(longest, self.end + self.TIME_AFTER_END_SECONDS - time.monotonic())
+        if limit > 1:
+            length = self.random.uniform(min(3, limit / 2), limit)
+            request.event_interval = 0.1
+            request.events = int(length / request.event_interval)
+            request.deadline_ms = int(length * 1000) + 3000
+
+    async def send(self, request, index, connection=None):
+        """Sends a request, and again to another host if it may and its connection was closed."""
+        connection = await call(self.run.record, request,
+                                self.run.entry_proxies[index].address, connection)
+        if request.status == "cut" and request.kind in REPEATABLE_KINDS and connection is None:
+            other = self.random.randrange(len(self.run.entry_proxies))
+            again = await call(self.run.record, self.make_request(other, request.kind),
+                               self.run.entry_proxies[other].address)
+            if again:
+                again.close()
+        return connection
+
+    async def send_once(self, index):
+        if connection := await self.send(self.make_request(index), index):
+            connection.close()
+
+    def start(self, task):
+        task = asyncio.ensure_future(task)
+        self.pending.add(task)
+        task.add_done_callback(self.pending.discard)
+
+    async def keep_connection(self, index, for_streams, end):
+        connection = None
+        while time.monotonic() < end:
+            request = self.make_request(index, for_streams=for_streams)
+            connection = await self.send(request, index, connection)
+            pause = self.random.choice((0.0, 0.0, 0.02, 0.2))
+            if request.status in ("cut", "unreachable"):
+                pause = self.RETRY_SECONDS
+            await asyncio.sleep(pause)
+        if connection:
+            connection.close()
+
+    async def open_connections(self):
+        while time.monotonic() < self.end:
+            self.send_burst(1)
+            await asyncio.sleep(self.REQUEST_INTERVAL_SECONDS)
+
+    def send_burst(self, count):
+        for _ in range(count):
+            self.start(self.send_once(self.random.randrange(len(self.run.entry_proxies))))
+
+    def keep_stream_connections(self, index, count, seconds):
+        for _ in range(count):
+            self.start(self.keep_connection(index, True, min(self.end, time.monotonic() + seconds)))
+
+    async def execute(self):
+        hosts = len(self.run.entry_proxies)
+        kept = [self.keep_connection(number % hosts, number // hosts % 2 == 0, self.end)
+                for number in range(max(hosts, self.KEPT_CONNECTIONS))]
+        await asyncio.gather(self.open_connections(), *kept)
+
+    async def finish(self):
+        while self.pending:
+            await asyncio.gather(*self.pending)
+
+
 class Operator:
     """Sends configurations, each until a host accepts or refuses it, and reads them back."""
 
@@ -113,9 +287,11 @@
             {**route, "name": "r2", "path-prefix": "/lookup/", "kind": "idempotent",
              "service": "desk", "max-attempts": 2},
             {**route, "name": "r3", "path-prefix": "/stream/", "kind": "streaming",
-             "service": "pool", "max-attempts": 3, "resumable": True, "target-gap-ms": 500},
+             "service": "pool", "max-attempts": 3, "resumable": True, "target-gap-ms": 500,
+             "timeout-ms": STREAM_TIMEOUT_MS},
             {**route, "name": "r4", "path-prefix": "/once/", "kind": "streaming",
-             "service": "pool", "max-attempts": 1, "target-gap-ms": 500}]
+             "service": "pool", "max-attempts": 1, "target-gap-ms": 500,
+             "timeout-ms": STREAM_TIMEOUT_MS}]
         services = [{"name": name, "health-path": "/health", "max-conns": 200, "protocol": "h1",
                      "tls": False} for name in ("desk", "pool")]
         return json.dumps({"version": version, "routes": routes, "services": services,
--- a/Tests/Soak/fault_soak.py
+++ b/Tests/Soak/fault_soak.py
@@ -16,14 +16,15 @@
 import tempfile
 import time
 
-from callers import NOT_RUN_STATUSES, ExecutionRecord, Operator, Request, call
-from fakes import Endpoint, EndpointList, Proxy
-from fleet import GRACE_SECONDS, PORTS, RESTART_SECONDS, REVOKE_SECONDS, Fleet
+from callers import Callers, ExecutionRecord, Operator, Request, call
+from checks import (DRAIN_SECONDS, check_drain, check_lost, check_requests, check_waits)
+from fakes import Disturbances, Endpoint, EndpointList, Proxy
+from fleet import GRACE_SECONDS, PORTS, RESTART_SECONDS, Fleet
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 RECOVERY_SECONDS = 6.0  # contact-ms of the users' requirements, plus the time to start.
-DRAIN_SECONDS = 4.0 + 1.0  # drain-ms, plus the clock lag of the fakes.
 STOP_MARGIN_SECONDS = 2.0  # For a busy machine.
+PRINTED_OF_EACH_KIND = 4
 
 
 class Run:
@@ -49,6 +50,8 @@
     def log_event(self, text):
         self.log.append(f"{time.monotonic() - self.started_at:7.3f} {text}")
 
+        self.list_outages = Disturbances()  # Also those of the path to it by way of control hosts.
+
     async def execute(self):
         self.started_at = time.monotonic()
         for each in self.endpoints:
@@ -56,8 +59,8 @@
         for proxy in list(self.worker_proxies.values()) + self.entry_proxies:
             await proxy.start()
         host, port = self.fleet.list_address.split(":")
-        platform = EndpointList(self.endpoints, self.worker_proxies, ("one-a", "two-a", "three-a"))
-        await asyncio.start_server(platform.serve, host, int(port))
+        self.platform = EndpointList(self.endpoints, self.worker_proxies, ("one-a", "two-a", "three-a"))
+        await asyncio.start_server(self.platform.serve, host, int(port))
         await self.fleet.start()
         try:
             if not await self.operator.change(False):
@@ -66,32 +69,15 @@
             await asyncio.sleep(1.5)
             end = time.monotonic() + self.options.seconds
             supervisor = asyncio.ensure_future(self.supervise())
-            await asyncio.gather(self.callers(end), self.operators(end), self.faults(end))
+            self.callers = Callers(self, end)
+            await asyncio.gather(self.callers.execute(), self.operators(end), self.faults(end))
+            await self.callers.finish()
             await self.recover()
             supervisor.cancel()
         finally:
             await self.fleet.stop()
         self.check()
 
-    async def callers(self, end):
-        pending, count = set(), 0
-        while time.monotonic() < end:
-            count += 1
-            request_id = f"{self.seed:x}-{count:x}"
-            index = self.random.randrange(len(self.fleet.entries))
-            old = list(self.operator.removed_keys)
-            key = self.random.choice(old) if old and self.random.random() < 0.1 else \
-                self.random.choice(self.operator.keys)
-            request = Request(request_id, self.random.choice(("order", "lookup", "stream", "once")),
-                              key, self.fleet.entries[index], time.monotonic())
-            self.record.requests[request_id] = request
-            task = asyncio.ensure_future(
-                call(request, self.entry_proxies[index].address, 4000))
-            pending.add(task)
-            task.add_done_callback(pending.discard)
-            await asyncio.sleep(0.015)
-        await asyncio.gather(*pending)
-
     async def operators(self, end):
         while time.monotonic() < end:
             await self.operator.change(self.random.random() < 0.4)
@@ -99,9 +85,10 @@
             await asyncio.sleep(self.random.uniform(0.05, 1.0))
 
     async def faults(self, end):
-        kinds = [self.kill, self.pause, self.terminate, self.send_hangups, self.crash_endpoint,
-                 self.drain_endpoint, self.delay, self.reset, self.silence, self.cut,
-                 self.wipe, self.change_burst]
+        kinds = [self.kill, self.pause, self.terminate, self.terminate_busy_entry,
+                 self.send_hangups, self.crash_endpoint, self.drain_endpoint, self.delay,
+                 self.reset, self.silence, self.cut, self.wipe, self.change_burst,
+                 self.leave_by_answers, self.refuse]
         pending = set()
         while time.monotonic() < end:
             kind = self.random.choice(kinds)
@@ -154,8 +141,17 @@
             await process.signal(signal.SIGCONT)
             process.paused = False
 
-    async def terminate(self):
-        if process := self.choose_process(self.fleet.processes):
+    async def terminate_busy_entry(self):
+        """Stops an entry host with streams in progress on connections that stay open."""
+        if process := self.choose_process(self.fleet.entries):
+            process.mark_faulty(1 + GRACE_SECONDS + RECOVERY_SECONDS)
+            self.callers.keep_stream_connections(self.fleet.entries.index(process), 6,
+                                                 1 + GRACE_SECONDS)
+            await asyncio.sleep(self.random.uniform(0.2, 1.0))
+            await self.terminate(process)
+
+    async def terminate(self, process=None):
+        if process := process or self.choose_process(self.fleet.processes):
             process.mark_faulty(GRACE_SECONDS + RECOVERY_SECONDS)
             process.is_ending = True
             self.log_event(f"terminate {process.name}")
@@ -201,23 +197,73 @@
         return self.random.sample([each.ip for each in self.fleet.controls],
                                   self.random.choice((2, 3)))
 
+    def choose_endpoint(self):
+        free = [e for e in self.endpoints if e.state == "ready" and not e.says_leaving]
+        return self.random.choice(free) if free else None
+
     async def crash_endpoint(self):
-        endpoint = self.random.choice([e for e in self.endpoints if e.state == "ready"] or [None])
-        if endpoint:
+        if endpoint := self.choose_endpoint():
             self.log_event(f"crash {endpoint.id}")
             await endpoint.crash()
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
             await endpoint.start()
 
     async def drain_endpoint(self):
-        endpoint = self.random.choice([e for e in self.endpoints if e.state == "ready"] or [None])
-        if endpoint:
+        if endpoint := self.choose_endpoint():
             self.log_event(f"drain {endpoint.id}")
             endpoint.drain()
-            await asyncio.sleep(DRAIN_SECONDS + 2)
-            if endpoint.state == "draining":
-                await endpoint.crash()
-                await endpoint.start()
+            await asyncio.sleep(DRAIN_SECONDS + 3)
+            await endpoint.crash()
+            await endpoint.start()
+
+    async def leave_by_answers(self):
+        """An endpoint leaves and says so in its answers. The list shows it late, or not at all, or
+        the entry hosts have no path to the list and to control hosts."""
+        endpoint = self.choose_endpoint()
+        if endpoint is None:
+            return
+        endpoint.says_leaving = True
+        isolated = self.random.random() < 0.5 \
+            and all(each.faulty_until <= time.monotonic() for each in self.fleet.controls)
+        if isolated:
+            self.log_event(f"leave {endpoint.id}, hosts are isolated")
+            await self.isolate(DRAIN_SECONDS + 2)
+        else:
+            lag = self.random.choice((0.8, 3.0, None))
+            self.log_event(f"leave {endpoint.id}, list lags {lag}")
+            await asyncio.sleep(lag or DRAIN_SECONDS)
+            if lag:
+                endpoint.drain()
+            await asyncio.sleep(DRAIN_SECONDS + 1)
+        await endpoint.crash()
+        await endpoint.start()
+
+    async def isolate(self, seconds):
+        """Pauses all control hosts, and the list does not answer."""
+        outage = self.list_outages.begin()
+        self.platform.answers = False
+        for control in self.fleet.controls:
+            control.mark_faulty(seconds + RECOVERY_SECONDS)
+            control.paused = True
+            await control.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        for control in self.fleet.controls:
+            await control.signal(signal.SIGCONT)
+            control.paused = False
+        self.platform.answers = True
+        outage[1] = time.monotonic() + RECOVERY_SECONDS
+
+    async def refuse(self):
+        """An endpoint refuses with Retry-After what is beyond a few requests, in a burst."""
+        if endpoint := self.choose_endpoint():
+            endpoint.accepted_while_refusing = self.random.choice((0, 1, 3))
+            endpoint.longest_wait = self.random.choice((0.8, 1.5, 3.0))
+            self.log_event(f"refuse {endpoint.id} up to {endpoint.longest_wait} s")
+            endpoint.refuses = True
+            for _ in range(self.random.randint(2, 5)):
+                self.callers.send_burst(15)
+                await asyncio.sleep(self.random.uniform(0.3, 1.2))
+            endpoint.refuses = False
 
     def choose_proxy(self):
         """Chooses a proxy; also returns the name of the entry host or endpoint behind it."""
@@ -229,10 +275,12 @@
 
     async def delay(self):
         proxy, name = self.choose_proxy()
+        span = proxy.disturbances.begin()
         proxy.delay = self.random.choice((0.02, 0.2, 0.7))
         self.log_event(f"delay {name} {proxy.delay}")
         await asyncio.sleep(self.random.uniform(0.5, 2))
         proxy.delay = 0.0
+        span[1] = time.monotonic() + 0.7  # What is delayed arrives.
 
     async def reset(self):
         proxy, name = self.choose_proxy()
@@ -248,11 +296,13 @@
         proxy, name = self.choose_proxy()
         directions = self.random.choice((("forward",), ("backward",), ("forward", "backward")))
         self.log_event(f"cut {name} {'and '.join(directions)}")
+        span = proxy.disturbances.begin()
         for direction in directions:
             proxy.cut[direction] = True
         await asyncio.sleep(self.random.uniform(0.3, 2.5))
         for direction in directions:
             proxy.cut[direction] = False
+        span[1] = time.monotonic()
 
     async def change_burst(self):
         self.log_event("burst of configuration changes")
@@ -260,50 +310,38 @@
             await self.operator.change(False)
 
     async def recover(self):
-        """Waits after the faults until a control host returns the configuration and a request is
-        answered; reports a problem if that takes too long."""
+        """Waits after the faults until each control host returns the newest acknowledged
+        configuration and a request is answered; reports a problem if that takes too long."""
         deadline = time.monotonic() + 12
-        version = None
-        while time.monotonic() < deadline and version is None:
-            for control in self.fleet.controls:
-                version = version or await self.operator.read(control)
+        waiting = list(self.fleet.controls)
+        while time.monotonic() < deadline and waiting:
+            waiting = [each for each in waiting
+                       if (await self.operator.read(each) or 0) < self.operator.acknowledged]
             await asyncio.sleep(0.2)
-        if version is None:
-            self.problems.append("RECOVER no control host returned the configuration within 12 s")
-        request = Request(f"{self.seed:x}-end", "lookup", "stable", None, time.monotonic())
-        self.record.requests[request.id] = request
-        while time.monotonic() < deadline + 5 and request.status != "200":
-            await call(request, self.entry_proxies[0].address, 3000)
+        for control in waiting:
+            self.problems.append(f"RECOVER {control.name} did not return version "
+                                 f"{self.operator.acknowledged} within 12 s")
+        status = "none"
+        for attempt in range(100):
+            if time.monotonic() > deadline + 5 or status == "200":
+                break
+            request = Request(f"{self.seed:x}-end-{attempt}", "lookup", "stable",
+                              self.fleet.entries[0], time.monotonic(), deadline_ms=3000)
+            connection = await call(self.record, request, self.entry_proxies[0].address)
+            if connection:
+                connection.close()
+            status = request.status
             await asyncio.sleep(0.2)
-        if request.status != "200":
-            self.problems.append(f"RECOVER no answer after the faults: {request.status}")
+        if status != "200":
+            self.problems.append(f"RECOVER no answer after the faults: {status}")
         await asyncio.sleep(0.5)
 
     def check(self):
-        runs = self.record.runs
-        for request in self.record.requests.values():
-            executions = runs.get(request.id, [])
-            if request.problem:
-                self.problems.append(request.problem)
-            if request.kind in ("order", "once") and len(executions) > 1:
-                self.problems.append(f"TWICE {request.id} {[run[2] for run in executions]}")
-            if request.kind in ("order", "once") and executions \
-                    and request.status in NOT_RUN_STATUSES:
-                self.problems.append(f"REFUSED {request.id} {request.status} ran at "
-                                     f"{executions[0][2]}")
-            if request.status in ("401", "404") and request.key == "stable":
-                self.problems.append(f"DENIED {request.id} {request.status}")
-            removed = self.operator.removed_keys.get(request.key)
-            if removed and executions and request.sent_at > removed + REVOKE_SECONDS:
-                self.problems.append(f"REVOKED {request.id} ran {request.sent_at - removed:.1f} s "
-                                     f"after its key {request.key} was removed")
-            for at, endpoint, incarnation, _ in executions:
-                entry_is_faultless = request.entry is None \
-                    or request.entry.faulty_until < request.sent_at
-                is_late = endpoint.draining_since and endpoint.id == incarnation \
-                    and at > endpoint.draining_since + DRAIN_SECONDS
-                if is_late and entry_is_faultless:
-                    self.problems.append(f"DRAIN {request.id} reached {incarnation}")
+        entry_proxies = dict(zip(self.fleet.entries, self.entry_proxies))
+        self.problems += check_requests(self.record, self.operator.removed_keys)
+        self.problems += check_drain(self.record, self.list_outages)
+        self.problems += check_waits(self.record, self.worker_proxies)
+        self.problems += check_lost(self.record, entry_proxies, self.worker_proxies)
 
 
 def seeds_of(text):
@@ -321,8 +359,14 @@
     verdict = "failed" if run.problems else "passed"
     print(f"seed {seed}: {verdict}, {len(run.record.requests)} requests, {served} served, "
           f"{len(run.log)} faults, version {run.operator.acknowledged}")
-    for problem in run.problems[:10]:
-        print(f"  {problem}")
+    kinds = {}
+    for problem in run.problems:
+        kinds.setdefault(problem.split()[0], []).append(problem)
+    for kind, problems in kinds.items():
+        for problem in problems[:PRINTED_OF_EACH_KIND]:
+            print(f"  {problem}")
+        if len(problems) > PRINTED_OF_EACH_KIND:
+            print(f"  {kind}: {len(problems)} in all")
     if run.problems:
         (run.folder / "schedule").write_text("\n".join(run.log) + "\n")
         print(f"  logs and schedule: {run.folder}")
--- a/Tests/Soak/fleet.py
+++ b/Tests/Soak/fleet.py
@@ -6,6 +6,8 @@
 import signal
 import time
 
+from fakes import Disturbances
+
 PORTS = {"peer": 7340, "front": 8227, "ready": 8220, "control": 8229, "list": 8223}
 ZONES = ("one-a", "two-a", "three-a")
 GRACE_SECONDS = 8
@@ -23,6 +25,9 @@
         self.data_folder = self.folder / "data"
         self.child = None
         self.faulty_until = 0.0  # Time limits are not checked for it before this time.
+        self.faults = Disturbances()  # Spans in which time limits are not checked for it.
+        self.interruptions = Disturbances()  # Starts, kills and pauses.
+        self.stops = []  # Times of SIGTERM.
         self.paused = False
         self.is_ending = False  # The soak test is stopping it.
         self.started_at = 0.0
@@ -61,8 +66,13 @@
                 stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL)
         self.paused = self.is_ending = False
         self.started_at = time.monotonic()
+        self.interruptions.note()
 
     async def signal(self, number):
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self.interruptions.note()
+        if number == signal.SIGTERM:
+            self.stops.append(time.monotonic())
         if number == signal.SIGHUP:
             self.hangup_sent_at = time.monotonic()
         if self.is_running():
@@ -70,6 +80,7 @@
 
     async def kill(self):
         self.is_ending = True
+        self.interruptions.note()
         if self.is_running():
             self.child.kill()
             await self.child.wait()
@@ -88,6 +99,7 @@
 
     def mark_faulty(self, seconds):
         self.faulty_until = max(self.faulty_until, time.monotonic() + seconds)
+        self.faults.note(seconds)
 
 
 class Fleet:
