quetzalcleat-fakes: Say that an endpoint leaves, and refuse with a time

POST /faults of engines and now also of services takes says_leaving (the header Endpoint-Leaving: 1 in all responses) and refusal_wait_ms (work is refused with 503 and Retry-After, and does not run). test_endpoint_signals: 2 tests passed.

--- a/Utilities/quetzalcleat-fakes/engine_server.cpp
+++ b/Utilities/quetzalcleat-fakes/engine_server.cpp
@@ -124,7 +124,9 @@
 engine_server::engine_server(asio::io_context &context, core::socket_address address,
                              engine_options options)
     : m_context(context), m_server(context, {.address = std::move(address)},
-                                   [this](const exchange_pointer &exchange) { handle(exchange); }),
+                                   [this](const exchange_pointer &exchange) {
+                                       handle(withSignals(exchange, m_signals));
+                                   }),
       m_model(std::move(options), std::chrono::steady_clock::now()), m_timer(context)
 {
 }
@@ -140,8 +142,11 @@
     const auto &request = exchange->request();
     if (m_model.silent() && request.path != "/faults")
         return;
-    if (request.method == "POST" && (request.path == completionPath || request.path == chatPath))
+    if (request.method == "POST" && (request.path == completionPath || request.path == chatPath)) {
+        if (m_signals->refusalWait.count() > 0)
+            return refuse(*exchange, *m_signals);
         return generate(exchange);
+    }
     if (request.method == "DELETE" && request.path.starts_with("/v1/completions/"))
         return cancelByRequestId(exchange, request.path.substr(completionPath.size() + 1));
     if (request.method == "GET" && request.path == "/load")
@@ -293,6 +298,7 @@
     const auto body = nlohmann::json::parse(exchange.request().body, nullptr, false);
     if (!body.is_object())
         return replyError(exchange, 400, "invalid_body");
+    m_signals->apply(body);
     if (body.contains("slowdown") && body["slowdown"].is_number())
         m_model.setSlowdown(body["slowdown"].get<double>());
     if (body.contains("silent") && body["silent"].is_boolean())
--- a/Utilities/quetzalcleat-fakes/engine_server.h
+++ b/Utilities/quetzalcleat-fakes/engine_server.h
@@ -2,6 +2,7 @@
 
 #include "LibFakes/engine_model.h"
 #include "LibHttp/caller_server.h"
+#include "endpoint_signals.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -45,6 +46,7 @@
     asio::io_context &m_context;
     http::caller_server m_server;
     engine_model m_model;
+    std::shared_ptr<endpoint_signals> m_signals = std::make_shared<endpoint_signals>();
     asio::steady_timer m_timer;
     std::unordered_map<std::uint64_t, std::shared_ptr<generation_stream>> m_streams;
     std::unordered_map<std::string, std::uint64_t> m_generationByRequestId;
--- a/Utilities/quetzalcleat-fakes/service_server.h
+++ b/Utilities/quetzalcleat-fakes/service_server.h
@@ -2,6 +2,7 @@
 
 #include "LibFakes/service_model.h"
 #include "LibHttp/caller_server.h"
+#include "endpoint_signals.h"
 
 #include <asio/io_context.hpp>
 #include <chrono>
@@ -9,8 +10,8 @@
 
 namespace quetzalcleat::fakes {
 
-/// HTTP server for a service_model. `GET /runs` returns the runs by idempotency key; every other
-/// request runs as a call.
+/// HTTP server for a service_model. `GET /runs` returns the runs by idempotency key, `POST /faults`
+/// sets the signals; every other request runs as a call.
 class service_server : public std::enable_shared_from_this<service_server>
 {
 public:
@@ -27,6 +28,7 @@
     asio::io_context &m_context;
     http::caller_server m_server;
     service_model m_model;
+    std::shared_ptr<endpoint_signals> m_signals = std::make_shared<endpoint_signals>();
     std::chrono::milliseconds m_runTime;
 };
 
