--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -172,7 +172,8 @@
             while await read_head(reader):
                 while not self.answers:
                     await asyncio.sleep(0.05)
-                entries = [{"id": e.id, "service": e.service, "address": self.proxies[e.name].address,
+                entries = [{"id": e.id, "service": e.service,
+                            "address": self.proxies[e.name].address,
                             "zone": self.zones[index % len(self.zones)], "version": "v1",
                             "capacity": SLOTS[e.service], "state": e.state, "warmup-left-ms": 0}
                            for index, e in enumerate(self.endpoints) if e.state != "gone"]
--- a/Tests/Soak/fault_soak.py
+++ b/Tests/Soak/fault_soak.py
@@ -7,6 +7,7 @@
 """
 import argparse
 import asyncio
+import itertools
 import pathlib
 import random
 import shutil
@@ -17,9 +18,9 @@
 import time
 
 from callers import Callers, ExecutionRecord, Operator, Request, call
-from checks import (DRAIN_SECONDS, check_drain, check_lost, check_requests, check_waits)
+from checks import DRAIN_SECONDS, check_drain, check_lost, check_requests, check_waits
 from fakes import Disturbances, Endpoint, EndpointList, Proxy
-from fleet import GRACE_SECONDS, PORTS, RESTART_SECONDS, Fleet
+from fleet import GRACE_SECONDS, PORTS, RESTART_SECONDS, ZONES, Fleet
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 RECOVERY_SECONDS = 6.0  # contact-ms of the users' requirements, plus the time to start.
@@ -30,7 +31,6 @@
 class Run:
     def __init__(self, options, seed, slot):
         self.options, self.seed = options, seed
-        self.random = random.Random(seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"quetzalcleat-soak-{seed}-"))
         prefix = f"127.{40 + slot}.{seed % 200 + 1}"
         self.fleet = Fleet(options.program, self.folder, prefix, options.entries)
@@ -59,7 +59,7 @@
         for proxy in list(self.worker_proxies.values()) + self.entry_proxies:
             await proxy.start()
         host, port = self.fleet.list_address.split(":")
-        self.platform = EndpointList(self.endpoints, self.worker_proxies, ("one-a", "two-a", "three-a"))
+        self.platform = EndpointList(self.endpoints, self.worker_proxies, ZONES)
         await asyncio.start_server(self.platform.serve, host, int(port))
         await self.fleet.start()
         try:
@@ -79,10 +79,11 @@
         self.check()
 
     async def operators(self, end):
+        rng = random.Random(f"operator {self.seed}")
         while time.monotonic() < end:
-            await self.operator.change(self.random.random() < 0.4)
-            await self.operator.read(self.random.choice(self.fleet.controls))
-            await asyncio.sleep(self.random.uniform(0.05, 1.0))
+            await self.operator.change(rng.random() < 0.4)
+            await self.operator.read(rng.choice(self.fleet.controls))
+            await asyncio.sleep(rng.uniform(0.05, 1.0))
 
     async def faults(self, end):
         kinds = [self.kill, self.pause, self.terminate, self.terminate_busy_entry,
@@ -90,16 +91,19 @@
                  self.reset, self.silence, self.cut, self.wipe, self.change_burst,
                  self.leave_by_answers, self.refuse]
         pending = set()
-        while time.monotonic() < end:
-            kind = self.random.choice(kinds)
-            task = asyncio.ensure_future(kind())
+        for number in itertools.count():
+            if time.monotonic() > end:
+                break
+            # Numbers of its own for each fault, as the order in which they overlap varies.
+            rng = random.Random(f"fault {self.seed} {number}")
+            task = asyncio.ensure_future(rng.choice(kinds)(rng))
             pending.add(task)
             task.add_done_callback(pending.discard)
             # Short pauses, so that most faults begin while earlier ones last.
-            await asyncio.sleep(self.random.choice((0.05, 0.3, 0.8, 1.5)))
+            await asyncio.sleep(rng.choice((0.05, 0.3, 0.8, 1.5)))
         await asyncio.gather(*pending)
 
-    def choose_process(self, processes):
+    def choose_process(self, rng, processes):
         """Chooses a process without a fault in progress. Only one control host is faulty at a time:
         the deployment tolerates the loss of one, and a restarted one still counts as lost for some
         seconds."""
@@ -108,31 +112,31 @@
             if any(each.faulty_until > now for each in self.fleet.controls):
                 processes = [each for each in processes if each in self.fleet.entries]
         free = [each for each in processes if each.faulty_until <= now and each.is_running()]
-        return self.random.choice(free) if free else None
+        return rng.choice(free) if free else None
 
-    async def kill(self):
-        if process := self.choose_process(self.fleet.processes):
-            duration = self.random.uniform(0.1, 2.0)
+    async def kill(self, rng):
+        if process := self.choose_process(rng, self.fleet.processes):
+            duration = rng.uniform(0.1, 2.0)
             process.mark_faulty(duration + RECOVERY_SECONDS)
             self.log_event(f"kill {process.name}")
             await process.kill()
             await asyncio.sleep(duration)
-            process.write_settings(False, self.choose_seed_hosts())
+            process.write_settings(False, self.choose_seed_hosts(rng))
             await process.start()
 
-    async def wipe(self):
-        if process := self.choose_process(self.fleet.controls):
+    async def wipe(self, rng):
+        if process := self.choose_process(rng, self.fleet.controls):
             process.mark_faulty(1 + RECOVERY_SECONDS)
             self.log_event(f"wipe {process.name}")
             await process.kill()
             process.wipe()
-            process.write_settings(False, self.choose_seed_hosts())
+            process.write_settings(False, self.choose_seed_hosts(rng))
             await asyncio.sleep(0.3)
             await process.start()
 
-    async def pause(self):
-        if process := self.choose_process(self.fleet.processes):
-            duration = self.random.choice((0.3, 1.5, 4.0, 7.0))
+    async def pause(self, rng):
+        if process := self.choose_process(rng, self.fleet.processes):
+            duration = rng.choice((0.3, 1.5, 4.0, 7.0))
             process.mark_faulty(duration + RECOVERY_SECONDS)
             self.log_event(f"pause {process.name} {duration}")
             process.paused = True
@@ -141,17 +145,17 @@
             await process.signal(signal.SIGCONT)
             process.paused = False
 
-    async def terminate_busy_entry(self):
+    async def terminate_busy_entry(self, rng):
         """Stops an entry host with streams in progress on connections that stay open."""
-        if process := self.choose_process(self.fleet.entries):
+        if process := self.choose_process(rng, self.fleet.entries):
             process.mark_faulty(1 + GRACE_SECONDS + RECOVERY_SECONDS)
             self.callers.keep_stream_connections(self.fleet.entries.index(process), 6,
                                                  1 + GRACE_SECONDS)
-            await asyncio.sleep(self.random.uniform(0.2, 1.0))
-            await self.terminate(process)
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+            await self.terminate(rng, process)
 
-    async def terminate(self, process=None):
-        if process := process or self.choose_process(self.fleet.processes):
+    async def terminate(self, rng, process=None):
+        if process := process or self.choose_process(rng, self.fleet.processes):
             process.mark_faulty(GRACE_SECONDS + RECOVERY_SECONDS)
             process.is_ending = True
             self.log_event(f"terminate {process.name}")
@@ -165,11 +169,12 @@
                 code = 0
             if code != 0:
                 self.problems.append(f"STOP {process.name} ended with {code}")
-            process.write_settings(False, self.choose_seed_hosts())
+            process.write_settings(False, self.choose_seed_hosts(rng))
             await process.start()
 
     async def supervise(self):
         """Restarts processes that ended by themselves, as the platform does."""
+        rng = random.Random(f"supervisor {self.seed}")
         while True:
             for process in self.fleet.processes:
                 if not process.ended_by_itself():
@@ -181,55 +186,54 @@
                 process.is_ending = True
                 process.mark_faulty(RECOVERY_SECONDS)
                 await asyncio.sleep(RESTART_SECONDS)
-                process.write_settings(False, self.choose_seed_hosts())
+                process.write_settings(False, self.choose_seed_hosts(rng))
                 await process.start()
             await asyncio.sleep(0.05)
 
-    async def send_hangups(self):
+    async def send_hangups(self, rng):
         for process in self.fleet.processes:
             if process.is_running():
-                process.write_settings(False, self.choose_seed_hosts())
+                process.write_settings(False, self.choose_seed_hosts(rng))
                 await process.signal(signal.SIGHUP)
         self.log_event("SIGHUP to all, with other seed hosts")
 
-    def choose_seed_hosts(self):
+    def choose_seed_hosts(self, rng):
         """Addresses of all control hosts, or of two of them."""
-        return self.random.sample([each.ip for each in self.fleet.controls],
-                                  self.random.choice((2, 3)))
+        return rng.sample([each.ip for each in self.fleet.controls], rng.choice((2, 3)))
 
-    def choose_endpoint(self):
+    def choose_endpoint(self, rng):
         free = [e for e in self.endpoints if e.state == "ready" and not e.says_leaving]
-        return self.random.choice(free) if free else None
+        return rng.choice(free) if free else None
 
-    async def crash_endpoint(self):
-        if endpoint := self.choose_endpoint():
+    async def crash_endpoint(self, rng):
+        if endpoint := self.choose_endpoint(rng):
             self.log_event(f"crash {endpoint.id}")
             await endpoint.crash()
-            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            await asyncio.sleep(rng.uniform(0.2, 1.5))
             await endpoint.start()
 
-    async def drain_endpoint(self):
-        if endpoint := self.choose_endpoint():
+    async def drain_endpoint(self, rng):
+        if endpoint := self.choose_endpoint(rng):
             self.log_event(f"drain {endpoint.id}")
             endpoint.drain()
             await asyncio.sleep(DRAIN_SECONDS + 3)
             await endpoint.crash()
             await endpoint.start()
 
-    async def leave_by_answers(self):
+    async def leave_by_answers(self, rng):
         """An endpoint leaves and says so in its answers. The list shows it late, or not at all, or
         the entry hosts have no path to the list and to control hosts."""
-        endpoint = self.choose_endpoint()
+        endpoint = self.choose_endpoint(rng)
         if endpoint is None:
             return
         endpoint.says_leaving = True
-        isolated = self.random.random() < 0.5 \
+        isolated = rng.random() < 0.5 \
             and all(each.faulty_until <= time.monotonic() for each in self.fleet.controls)
         if isolated:
             self.log_event(f"leave {endpoint.id}, hosts are isolated")
             await self.isolate(DRAIN_SECONDS + 2)
         else:
-            lag = self.random.choice((0.8, 3.0, None))
+            lag = rng.choice((0.8, 3.0, None))
             self.log_event(f"leave {endpoint.id}, list lags {lag}")
             await asyncio.sleep(lag or DRAIN_SECONDS)
             if lag:
@@ -253,58 +257,58 @@
         self.platform.answers = True
         outage[1] = time.monotonic() + RECOVERY_SECONDS
 
-    async def refuse(self):
+    async def refuse(self, rng):
         """An endpoint refuses with Retry-After what is beyond a few requests, in a burst."""
-        if endpoint := self.choose_endpoint():
-            endpoint.accepted_while_refusing = self.random.choice((0, 1, 3))
-            endpoint.longest_wait = self.random.choice((0.8, 1.5, 3.0))
+        if endpoint := self.choose_endpoint(rng):
+            endpoint.accepted_while_refusing = rng.choice((0, 1, 3))
+            endpoint.longest_wait = rng.choice((0.8, 1.5, 3.0))
             self.log_event(f"refuse {endpoint.id} up to {endpoint.longest_wait} s")
             endpoint.refuses = True
-            for _ in range(self.random.randint(2, 5)):
+            for _ in range(rng.randint(2, 5)):
                 self.callers.send_burst(15)
-                await asyncio.sleep(self.random.uniform(0.3, 1.2))
+                await asyncio.sleep(rng.uniform(0.3, 1.2))
             endpoint.refuses = False
 
-    def choose_proxy(self):
+    def choose_proxy(self, rng):
         """Chooses a proxy; also returns the name of the entry host or endpoint behind it."""
-        index = self.random.randrange(len(self.entry_proxies) + len(self.endpoints))
+        index = rng.randrange(len(self.entry_proxies) + len(self.endpoints))
         if index < len(self.entry_proxies):
             return self.entry_proxies[index], self.fleet.entries[index].name
         name = self.endpoints[index - len(self.entry_proxies)].name
         return self.worker_proxies[name], name
 
-    async def delay(self):
-        proxy, name = self.choose_proxy()
+    async def delay(self, rng):
+        proxy, name = self.choose_proxy(rng)
         span = proxy.disturbances.begin()
-        proxy.delay = self.random.choice((0.02, 0.2, 0.7))
+        proxy.delay = rng.choice((0.02, 0.2, 0.7))
         self.log_event(f"delay {name} {proxy.delay}")
-        await asyncio.sleep(self.random.uniform(0.5, 2))
+        await asyncio.sleep(rng.uniform(0.5, 2))
         proxy.delay = 0.0
         span[1] = time.monotonic() + 0.7  # What is delayed arrives.
 
-    async def reset(self):
-        proxy, name = self.choose_proxy()
+    async def reset(self, rng):
+        proxy, name = self.choose_proxy(rng)
         self.log_event(f"reset {name}")
         proxy.reset()
 
-    async def silence(self):
-        proxy, name = self.choose_proxy()
+    async def silence(self, rng):
+        proxy, name = self.choose_proxy(rng)
         self.log_event(f"silence {name}")
         proxy.silence()
 
-    async def cut(self):
-        proxy, name = self.choose_proxy()
-        directions = self.random.choice((("forward",), ("backward",), ("forward", "backward")))
+    async def cut(self, rng):
+        proxy, name = self.choose_proxy(rng)
+        directions = rng.choice((("forward",), ("backward",), ("forward", "backward")))
         self.log_event(f"cut {name} {'and '.join(directions)}")
         span = proxy.disturbances.begin()
         for direction in directions:
             proxy.cut[direction] = True
-        await asyncio.sleep(self.random.uniform(0.3, 2.5))
+        await asyncio.sleep(rng.uniform(0.3, 2.5))
         for direction in directions:
             proxy.cut[direction] = False
         span[1] = time.monotonic()
 
-    async def change_burst(self):
+    async def change_burst(self, rng):
         self.log_event("burst of configuration changes")
         for _ in range(6):
             await self.operator.change(False)
