--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -3,6 +3,7 @@
 #include "LibForward/event_splitter.h"
 #include "LibForward/forwarder.h"
 #include "LibForward/http_head.h"
+#include "LibForward/request_admission.h"
 
 #include <cstdint>
 #include <memory>
@@ -47,6 +48,12 @@
     /// Places the request again after it was held because no endpoint took requests.
     void resumeHeld();
 
+    /// Whether the request was written to the endpoint and a part of it may arrive there later.
+    bool mayArriveLaterAt(const endpoint &target) const;
+    bool isRetrySafe() const { return m_route != nullptr && m_route->isRetrySafe(); }
+    /// Sends the request elsewhere instead, if that is allowed.
+    void recall();
+
     /// Whether this request is placed before the other one if both are held.
     bool isBefore(const exchange &other) const;
 
@@ -56,10 +63,7 @@
 private:
     void admit();
     void waitForConfiguration(std::string_view cause);
-    bool authorise();
-    void readDeadline();
-    void readPromptSize();
-    bool chooseService();
+    bool authorise(const request_admission &admission);
     std::string requestText(const endpoint &target, std::chrono::milliseconds left) const;
 
     void tryEndpoint();
