--- a/Tests/Soak/fault_soak.py
+++ b/Tests/Soak/fault_soak.py
@@ -7,6 +7,7 @@
 """
 import argparse
 import asyncio
+import itertools
 import pathlib
 import random
 import shutil
@@ -16,20 +17,20 @@
 import tempfile
 import time
 
-from callers import NOT_RUN_STATUSES, ExecutionRecord, Operator, Request, call
-from fakes import Endpoint, EndpointList, Proxy
-from fleet import GRACE_SECONDS, PORTS, RESTART_SECONDS, REVOKE_SECONDS, Fleet
+from callers import Callers, ExecutionRecord, Operator, Request, call
+from checks import DRAIN_SECONDS, check_drain, check_lost, check_requests, check_waits
+from fakes import Disturbances, Endpoint, EndpointList, Proxy
+from fleet import GRACE_SECONDS, PORTS, RESTART_SECONDS, ZONES, Fleet
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 RECOVERY_SECONDS = 6.0  # contact-ms of the users' requirements, plus the time to start.
-DRAIN_SECONDS = 4.0 + 1.0  # drain-ms, plus the clock lag of the fakes.
 STOP_MARGIN_SECONDS = 2.0  # For a busy machine.
+PRINTED_OF_EACH_KIND = 4
 
 
 class Run:
     def __init__(self, options, seed, slot):
         self.options, self.seed = options, seed
-        self.random = random.Random(seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"quetzalcleat-soak-{seed}-"))
         prefix = f"127.{40 + slot}.{seed % 200 + 1}"
         self.fleet = Fleet(options.program, self.folder, prefix, options.entries)
@@ -49,6 +50,8 @@
     def log_event(self, text):
         self.log.append(f"{time.monotonic() - self.started_at:7.3f} {text}")
 
+        self.list_outages = Disturbances()  # Also those of the path to it by way of control hosts.
+
     async def execute(self):
         self.started_at = time.monotonic()
         for each in self.endpoints:
@@ -56,8 +59,8 @@
         for proxy in list(self.worker_proxies.values()) + self.entry_proxies:
             await proxy.start()
         host, port = self.fleet.list_address.split(":")
-        platform = EndpointList(self.endpoints, self.worker_proxies, ("one-a", "two-a", "three-a"))
-        await asyncio.start_server(platform.serve, host, int(port))
+        self.platform = EndpointList(self.endpoints, self.worker_proxies, ZONES)
+        await asyncio.start_server(self.platform.serve, host, int(port))
         await self.fleet.start()
         try:
             if not await self.operator.change(False):
@@ -66,53 +69,41 @@
             await asyncio.sleep(1.5)
             end = time.monotonic() + self.options.seconds
             supervisor = asyncio.ensure_future(self.supervise())
-            await asyncio.gather(self.callers(end), self.operators(end), self.faults(end))
+            self.callers = Callers(self, end)
+            await asyncio.gather(self.callers.execute(), self.operators(end), self.faults(end))
+            await self.callers.finish()
             await self.recover()
             supervisor.cancel()
         finally:
             await self.fleet.stop()
         self.check()
 
-    async def callers(self, end):
-        pending, count = set(), 0
-        while time.monotonic() < end:
-            count += 1
-            request_id = f"{self.seed:x}-{count:x}"
-            index = self.random.randrange(len(self.fleet.entries))
-            old = list(self.operator.removed_keys)
-            key = self.random.choice(old) if old and self.random.random() < 0.1 else \
-                self.random.choice(self.operator.keys)
-            request = Request(request_id, self.random.choice(("order", "lookup", "stream", "once")),
-                              key, self.fleet.entries[index], time.monotonic())
-            self.record.requests[request_id] = request
-            task = asyncio.ensure_future(
-                call(request, self.entry_proxies[index].address, 4000))
-            pending.add(task)
-            task.add_done_callback(pending.discard)
-            await asyncio.sleep(0.015)
-        await asyncio.gather(*pending)
-
     async def operators(self, end):
+        rng = random.Random(f"operator {self.seed}")
         while time.monotonic() < end:
-            await self.operator.change(self.random.random() < 0.4)
-            await self.operator.read(self.random.choice(self.fleet.controls))
-            await asyncio.sleep(self.random.uniform(0.05, 1.0))
+            await self.operator.change(rng.random() < 0.4)
+            await self.operator.read(rng.choice(self.fleet.controls))
+            await asyncio.sleep(rng.uniform(0.05, 1.0))
 
     async def faults(self, end):
-        kinds = [self.kill, self.pause, self.terminate, self.send_hangups, self.crash_endpoint,
-                 self.drain_endpoint, self.delay, self.reset, self.silence, self.cut,
-                 self.wipe, self.change_burst]
+        kinds = [self.kill, self.pause, self.terminate, self.terminate_busy_entry,
+                 self.send_hangups, self.crash_endpoint, self.drain_endpoint, self.delay,
+                 self.reset, self.silence, self.cut, self.wipe, self.change_burst,
+                 self.leave_by_answers, self.refuse]
         pending = set()
-        while time.monotonic() < end:
-            kind = self.random.choice(kinds)
-            task = asyncio.ensure_future(kind())
+        for number in itertools.count():
+            if time.monotonic() > end:
+                break
+            # Numbers of its own for each fault, as the order in which they overlap varies.
+            rng = random.Random(f"fault {self.seed} {number}")
+            task = asyncio.ensure_future(rng.choice(kinds)(rng))
             pending.add(task)
             task.add_done_callback(pending.discard)
             # Short pauses, so that most faults begin while earlier ones last.
-            await asyncio.sleep(self.random.choice((0.05, 0.3, 0.8, 1.5)))
+            await asyncio.sleep(rng.choice((0.05, 0.3, 0.8, 1.5)))
         await asyncio.gather(*pending)
 
-    def choose_process(self, processes):
+    def choose_process(self, rng, processes):
         """Chooses a process without a fault in progress. Only one control host is faulty at a time:
         the deployment tolerates the loss of one, and a restarted one still counts as lost for some
         seconds."""
@@ -121,31 +112,31 @@
             if any(each.faulty_until > now for each in self.fleet.controls):
                 processes = [each for each in processes if each in self.fleet.entries]
         free = [each for each in processes if each.faulty_until <= now and each.is_running()]
-        return self.random.choice(free) if free else None
+        return rng.choice(free) if free else None
 
-    async def kill(self):
-        if process := self.choose_process(self.fleet.processes):
-            duration = self.random.uniform(0.1, 2.0)
+    async def kill(self, rng):
+        if process := self.choose_process(rng, self.fleet.processes):
+            duration = rng.uniform(0.1, 2.0)
             process.mark_faulty(duration + RECOVERY_SECONDS)
             self.log_event(f"kill {process.name}")
             await process.kill()
             await asyncio.sleep(duration)
-            process.write_settings(False, self.choose_seed_hosts())
+            process.write_settings(False, self.choose_seed_hosts(rng))
             await process.start()
 
-    async def wipe(self):
-        if process := self.choose_process(self.fleet.controls):
+    async def wipe(self, rng):
+        if process := self.choose_process(rng, self.fleet.controls):
             process.mark_faulty(1 + RECOVERY_SECONDS)
             self.log_event(f"wipe {process.name}")
             await process.kill()
             process.wipe()
-            process.write_settings(False, self.choose_seed_hosts())
+            process.write_settings(False, self.choose_seed_hosts(rng))
             await asyncio.sleep(0.3)
             await process.start()
 
-    async def pause(self):
-        if process := self.choose_process(self.fleet.processes):
-            duration = self.random.choice((0.3, 1.5, 4.0, 7.0))
+    async def pause(self, rng):
+        if process := self.choose_process(rng, self.fleet.processes):
+            duration = rng.choice((0.3, 1.5, 4.0, 7.0))
             process.mark_faulty(duration + RECOVERY_SECONDS)
             self.log_event(f"pause {process.name} {duration}")
             process.paused = True
@@ -154,8 +145,17 @@
             await process.signal(signal.SIGCONT)
             process.paused = False
 
-    async def terminate(self):
-        if process := self.choose_process(self.fleet.processes):
+    async def terminate_busy_entry(self, rng):
+        """Stops an entry host with streams in progress on connections that stay open."""
+        if process := self.choose_process(rng, self.fleet.entries):
+            process.mark_faulty(1 + GRACE_SECONDS + RECOVERY_SECONDS)
+            self.callers.keep_stream_connections(self.fleet.entries.index(process), 6,
+                                                 1 + GRACE_SECONDS)
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+            await self.terminate(rng, process)
+
+    async def terminate(self, rng, process=None):
+        if process := process or self.choose_process(rng, self.fleet.processes):
             process.mark_faulty(GRACE_SECONDS + RECOVERY_SECONDS)
             process.is_ending = True
             self.log_event(f"terminate {process.name}")
@@ -169,11 +169,12 @@
                 code = 0
             if code != 0:
                 self.problems.append(f"STOP {process.name} ended with {code}")
-            process.write_settings(False, self.choose_seed_hosts())
+            process.write_settings(False, self.choose_seed_hosts(rng))
             await process.start()
 
     async def supervise(self):
         """Restarts processes that ended by themselves, as the platform does."""
+        rng = random.Random(f"supervisor {self.seed}")
         while True:
             for process in self.fleet.processes:
                 if not process.ended_by_itself():
@@ -185,125 +186,166 @@
                 process.is_ending = True
                 process.mark_faulty(RECOVERY_SECONDS)
                 await asyncio.sleep(RESTART_SECONDS)
-                process.write_settings(False, self.choose_seed_hosts())
+                process.write_settings(False, self.choose_seed_hosts(rng))
                 await process.start()
             await asyncio.sleep(0.05)
 
-    async def send_hangups(self):
+    async def send_hangups(self, rng):
         for process in self.fleet.processes:
             if process.is_running():
-                process.write_settings(False, self.choose_seed_hosts())
+                process.write_settings(False, self.choose_seed_hosts(rng))
                 await process.signal(signal.SIGHUP)
         self.log_event("SIGHUP to all, with other seed hosts")
 
-    def choose_seed_hosts(self):
+    def choose_seed_hosts(self, rng):
         """Addresses of all control hosts, or of two of them."""
-        return self.random.sample([each.ip for each in self.fleet.controls],
-                                  self.random.choice((2, 3)))
+        return rng.sample([each.ip for each in self.fleet.controls], rng.choice((2, 3)))
+
+    def choose_endpoint(self, rng):
+        free = [e for e in self.endpoints if e.state == "ready" and not e.says_leaving]
+        return rng.choice(free) if free else None
 
-    async def crash_endpoint(self):
-        endpoint = self.random.choice([e for e in self.endpoints if e.state == "ready"] or [None])
-        if endpoint:
+    async def crash_endpoint(self, rng):
+        if endpoint := self.choose_endpoint(rng):
             self.log_event(f"crash {endpoint.id}")
             await endpoint.crash()
-            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            await asyncio.sleep(rng.uniform(0.2, 1.5))
             await endpoint.start()
 
-    async def drain_endpoint(self):
-        endpoint = self.random.choice([e for e in self.endpoints if e.state == "ready"] or [None])
-        if endpoint:
+    async def drain_endpoint(self, rng):
+        if endpoint := self.choose_endpoint(rng):
             self.log_event(f"drain {endpoint.id}")
             endpoint.drain()
-            await asyncio.sleep(DRAIN_SECONDS + 2)
-            if endpoint.state == "draining":
-                await endpoint.crash()
-                await endpoint.start()
+            await asyncio.sleep(DRAIN_SECONDS + 3)
+            await endpoint.crash()
+            await endpoint.start()
 
-    def choose_proxy(self):
+    async def leave_by_answers(self, rng):
+        """An endpoint leaves and says so in its answers. The list shows it late, or not at all, or
+        the entry hosts have no path to the list and to control hosts."""
+        endpoint = self.choose_endpoint(rng)
+        if endpoint is None:
+            return
+        endpoint.says_leaving = True
+        isolated = rng.random() < 0.5 \
+            and all(each.faulty_until <= time.monotonic() for each in self.fleet.controls)
+        if isolated:
+            self.log_event(f"leave {endpoint.id}, hosts are isolated")
+            await self.isolate(DRAIN_SECONDS + 2)
+        else:
+            lag = rng.choice((0.8, 3.0, None))
+            self.log_event(f"leave {endpoint.id}, list lags {lag}")
+            await asyncio.sleep(lag or DRAIN_SECONDS)
+            if lag:
+                endpoint.drain()
+            await asyncio.sleep(DRAIN_SECONDS + 1)
+        await endpoint.crash()
+        await endpoint.start()
+
+    async def isolate(self, seconds):
+        """Pauses all control hosts, and the list does not answer."""
+        outage = self.list_outages.begin()
+        self.platform.answers = False
+        for control in self.fleet.controls:
+            control.mark_faulty(seconds + RECOVERY_SECONDS)
+            control.paused = True
+            await control.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        for control in self.fleet.controls:
+            await control.signal(signal.SIGCONT)
+            control.paused = False
+        self.platform.answers = True
+        outage[1] = time.monotonic() + RECOVERY_SECONDS
+
+    async def refuse(self, rng):
+        """An endpoint refuses with Retry-After what is beyond a few requests, in a burst."""
+        if endpoint := self.choose_endpoint(rng):
+            endpoint.accepted_while_refusing = rng.choice((0, 1, 3))
+            endpoint.longest_wait = rng.choice((0.8, 1.5, 3.0))
+            self.log_event(f"refuse {endpoint.id} up to {endpoint.longest_wait} s")
+            endpoint.refuses = True
+            for _ in range(rng.randint(2, 5)):
+                self.callers.send_burst(15)
+                await asyncio.sleep(rng.uniform(0.3, 1.2))
+            endpoint.refuses = False
+
+    def choose_proxy(self, rng):
         """Chooses a proxy; also returns the name of the entry host or endpoint behind it."""
-        index = self.random.randrange(len(self.entry_proxies) + len(self.endpoints))
+        index = rng.randrange(len(self.entry_proxies) + len(self.endpoints))
         if index < len(self.entry_proxies):
             return self.entry_proxies[index], self.fleet.entries[index].name
         name = self.endpoints[index - len(self.entry_proxies)].name
         return self.worker_proxies[name], name
 
-    async def delay(self):
-        proxy, name = self.choose_proxy()
-        proxy.delay = self.random.choice((0.02, 0.2, 0.7))
+    async def delay(self, rng):
+        proxy, name = self.choose_proxy(rng)
+        span = proxy.disturbances.begin()
+        proxy.delay = rng.choice((0.02, 0.2, 0.7))
         self.log_event(f"delay {name} {proxy.delay}")
-        await asyncio.sleep(self.random.uniform(0.5, 2))
+        await asyncio.sleep(rng.uniform(0.5, 2))
         proxy.delay = 0.0
+        span[1] = time.monotonic() + 0.7  # What is delayed arrives.
 
-    async def reset(self):
-        proxy, name = self.choose_proxy()
+    async def reset(self, rng):
+        proxy, name = self.choose_proxy(rng)
         self.log_event(f"reset {name}")
         proxy.reset()
 
-    async def silence(self):
-        proxy, name = self.choose_proxy()
+    async def silence(self, rng):
+        proxy, name = self.choose_proxy(rng)
         self.log_event(f"silence {name}")
         proxy.silence()
 
-    async def cut(self):
-        proxy, name = self.choose_proxy()
-        directions = self.random.choice((("forward",), ("backward",), ("forward", "backward")))
+    async def cut(self, rng):
+        proxy, name = self.choose_proxy(rng)
+        directions = rng.choice((("forward",), ("backward",), ("forward", "backward")))
         self.log_event(f"cut {name} {'and '.join(directions)}")
+        span = proxy.disturbances.begin()
         for direction in directions:
             proxy.cut[direction] = True
-        await asyncio.sleep(self.random.uniform(0.3, 2.5))
+        await asyncio.sleep(rng.uniform(0.3, 2.5))
         for direction in directions:
             proxy.cut[direction] = False
+        span[1] = time.monotonic()
 
-    async def change_burst(self):
+    async def change_burst(self, rng):
         self.log_event("burst of configuration changes")
         for _ in range(6):
             await self.operator.change(False)
 
     async def recover(self):
-        """Waits after the faults until a control host returns the configuration and a request is
-        answered; reports a problem if that takes too long."""
+        """Waits after the faults until each control host returns the newest acknowledged
+        configuration and a request is answered; reports a problem if that takes too long."""
         deadline = time.monotonic() + 12
-        version = None
-        while time.monotonic() < deadline and version is None:
-            for control in self.fleet.controls:
-                version = version or await self.operator.read(control)
+        waiting = list(self.fleet.controls)
+        while time.monotonic() < deadline and waiting:
+            waiting = [each for each in waiting
+                       if (await self.operator.read(each) or 0) < self.operator.acknowledged]
             await asyncio.sleep(0.2)
-        if version is None:
-            self.problems.append("RECOVER no control host returned the configuration within 12 s")
-        request = Request(f"{self.seed:x}-end", "lookup", "stable", None, time.monotonic())
-        self.record.requests[request.id] = request
-        while time.monotonic() < deadline + 5 and request.status != "200":
-            await call(request, self.entry_proxies[0].address, 3000)
+        for control in waiting:
+            self.problems.append(f"RECOVER {control.name} did not return version "
+                                 f"{self.operator.acknowledged} within 12 s")
+        status = "none"
+        for attempt in range(100):
+            if time.monotonic() > deadline + 5 or status == "200":
+                break
+            request = Request(f"{self.seed:x}-end-{attempt}", "lookup", "stable",
+                              self.fleet.entries[0], time.monotonic(), deadline_ms=3000)
+            connection = await call(self.record, request, self.entry_proxies[0].address)
+            if connection:
+                connection.close()
+            status = request.status
             await asyncio.sleep(0.2)
-        if request.status != "200":
-            self.problems.append(f"RECOVER no answer after the faults: {request.status}")
+        if status != "200":
+            self.problems.append(f"RECOVER no answer after the faults: {status}")
         await asyncio.sleep(0.5)
 
     def check(self):
-        runs = self.record.runs
-        for request in self.record.requests.values():
-            executions = runs.get(request.id, [])
-            if request.problem:
-                self.problems.append(request.problem)
-            if request.kind in ("order", "once") and len(executions) > 1:
-                self.problems.append(f"TWICE {request.id} {[run[2] for run in executions]}")
-            if request.kind in ("order", "once") and executions \
-                    and request.status in NOT_RUN_STATUSES:
-                self.problems.append(f"REFUSED {request.id} {request.status} ran at "
-                                     f"{executions[0][2]}")
-            if request.status in ("401", "404") and request.key == "stable":
-                self.problems.append(f"DENIED {request.id} {request.status}")
-            removed = self.operator.removed_keys.get(request.key)
-            if removed and executions and request.sent_at > removed + REVOKE_SECONDS:
-                self.problems.append(f"REVOKED {request.id} ran {request.sent_at - removed:.1f} s "
-                                     f"after its key {request.key} was removed")
-            for at, endpoint, incarnation, _ in executions:
-                entry_is_faultless = request.entry is None \
-                    or request.entry.faulty_until < request.sent_at
-                is_late = endpoint.draining_since and endpoint.id == incarnation \
-                    and at > endpoint.draining_since + DRAIN_SECONDS
-                if is_late and entry_is_faultless:
-                    self.problems.append(f"DRAIN {request.id} reached {incarnation}")
+        entry_proxies = dict(zip(self.fleet.entries, self.entry_proxies))
+        self.problems += check_requests(self.record, self.operator.removed_keys)
+        self.problems += check_drain(self.record, self.list_outages)
+        self.problems += check_waits(self.record, self.worker_proxies)
+        self.problems += check_lost(self.record, entry_proxies, self.worker_proxies)
 
 
 def seeds_of(text):
@@ -321,8 +363,14 @@
     verdict = "failed" if run.problems else "passed"
     print(f"seed {seed}: {verdict}, {len(run.record.requests)} requests, {served} served, "
           f"{len(run.log)} faults, version {run.operator.acknowledged}")
-    for problem in run.problems[:10]:
-        print(f"  {problem}")
+    kinds = {}
+    for problem in run.problems:
+        kinds.setdefault(problem.split()[0], []).append(problem)
+    for kind, problems in kinds.items():
+        for problem in problems[:PRINTED_OF_EACH_KIND]:
+            print(f"  {problem}")
+        if len(problems) > PRINTED_OF_EACH_KIND:
+            print(f"  {kind}: {len(problems)} in all")
     if run.problems:
         (run.folder / "schedule").write_text("\n".join(run.log) + "\n")
         print(f"  logs and schedule: {run.folder}")
