--- a/Tests/Fakes/test_endpoint_signals.cpp
+++ b/Tests/Fakes/test_endpoint_signals.cpp
@@ -47,7 +47,7 @@
         asio::ip::tcp::socket socket(context);
         socket.connect({asio::ip::make_address("127.0.0.1"), port});
         const auto request = "POST " + std::string(path)
-            + " HTTP/1.1\r\nHost: fake\r\nConnection: close\r\nContent-Length: "
+            + " HTTP/1.1\r\nHost: fake\r\nX-Request-Id: r1\r\nConnection: close\r\nContent-Length: "
             + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
         asio::write(socket, asio::buffer(request));
         std::string response;
@@ -97,3 +97,11 @@
     m_thread.join();
     EXPECT_EQ(m_service->model().totalRuns(), 1U);
 }
+
+// Guards against responses that name no request: hosts would open a connection for each call.
+TEST_F(endpoint_signals_test, ResponsesNameTheirRequest)
+{
+    EXPECT_TRUE(
+        contains(post(m_engine->port(), "/v1/completions", prompt), "X-Request-Id: r1\r\n"));
+    EXPECT_TRUE(contains(post(m_service->port(), "/book", "{}"), "X-Request-Id: r1\r\n"));
+}
--- a/Utilities/quetzalcleat-fakes/endpoint_signals.cpp
+++ b/Utilities/quetzalcleat-fakes/endpoint_signals.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::uint16_t unavailable = 503;
 
-/// Adds the signals at the time at which the response starts.
+/// Names the request and adds the signals at the time at which the response starts.
 class signalling_exchange : public http::caller_exchange
 {
 public:
@@ -46,9 +46,17 @@
         m_exchange->onDisconnect(std::move(callback));
     }
 
+    void onInterrupt(std::function<void()> callback) override
+    {
+        m_exchange->onInterrupt(std::move(callback));
+    }
+
 private:
     http::response_head signalled(http::response_head head) const
     {
+        // Without it, hosts do not use the connection again.
+        if (const auto id = http::findHeader(request().headers, "X-Request-Id"))
+            head.headers.push_back({"X-Request-Id", std::string(*id)});
         if (m_signals->saysLeaving)
             head.headers.push_back({"Endpoint-Leaving", "1"});
         return head;
