--- a/Tests/Forward/test_endpoint_notices.cpp
+++ b/Tests/Forward/test_endpoint_notices.cpp
@@ -1,7 +1,9 @@
 #include "forwarder_fixture.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <functional>
+#include <system_error>
 #include <thread>
 #include <utility>
 
@@ -325,9 +327,10 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof(address);
-        ::bind(m_descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-        ::listen(m_descriptor, 0);
-        ::getsockname(m_descriptor, reinterpret_cast<sockaddr *>(&address), &size);
+        auto *generic = reinterpret_cast<sockaddr *>(&address);
+        if (::bind(m_descriptor, generic, sizeof(address)) != 0 || ::listen(m_descriptor, 0) != 0
+            || ::getsockname(m_descriptor, generic, &size) != 0)
+            throw std::system_error(errno, std::system_category(), "listen");
         m_port = ntohs(address.sin_port);
     }
     ~full_listener() { ::close(m_descriptor); }
