Tests/Pause: Call endpoints as the soak does now

Change: the connection, the time limit and the runs are passed in the new form; what is checked stays.

--- a/Tests/Pause/paused_processes.py
+++ b/Tests/Pause/paused_processes.py
@@ -23,7 +23,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "Tests/Soak"))
 
-from callers import ExecutionRecord, Operator, Request, exchange  # noqa: E402
+from callers import Connection, ExecutionRecord, Operator, Request, exchange  # noqa: E402
 from fakes import Endpoint, EndpointList, read_head  # noqa: E402
 from fleet import PORTS, REVOKE_SECONDS, ZONES, Fleet  # noqa: E402
 
@@ -113,7 +113,7 @@
 
     def check(self, refused, served, versions, floor):
         for request in refused:
-            if request.id in self.record.runs:
+            if self.record.runs(request):
                 self.problems.append(f"REVOKED {request.id} with a removed key ran")
             if request.status[0] == "2":
                 self.problems.append(f"REVOKED {request.id} got {request.status}")
@@ -123,7 +123,7 @@
             if request.problem:
                 self.problems.append(request.problem)
         for request in served:
-            if request.kind == "order" and len(self.record.runs.get(request.id, [])) > 1:
+            if request.kind == "order" and len(self.record.runs(request)) > 1:
                 self.problems.append(f"ONCE {request.id} ran more than once")
         for version in versions:
             if version is not None and version < floor:
@@ -131,7 +131,8 @@
 
     def new_request(self, kind, key, entry):
         self.requests += 1
-        request = Request(f"pause-{self.requests}", kind, key, entry, time.monotonic())
+        request = Request(f"pause-{self.requests}", kind, key, entry, time.monotonic(),
+                          deadline_ms=DEADLINE_MS)
         self.record.requests[request.id] = request
         return request
 
@@ -139,15 +140,15 @@
         return await asyncio.wait_for(asyncio.open_connection(ip, PORTS[port]), ANSWER_SECONDS)
 
     async def call(self, request, connection):
-        reader, writer = connection
+        connection = Connection(*connection)
         try:
-            await asyncio.wait_for(exchange(request, reader, writer, DEADLINE_MS), ANSWER_SECONDS)
+            await asyncio.wait_for(exchange(self.record, request, connection), ANSWER_SECONDS)
         except asyncio.TimeoutError:
             request.status = "timeout"
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             request.status = "cut"
         finally:
-            writer.transport.abort()
+            connection.close()
 
     async def is_served(self, entry, key):
         end = time.monotonic() + START_SECONDS
