LibFleet: Let operators' calls wait for the end of an election

Operators saw no acknowledgement for 3 to 5 s after the leader was lost, at every size of the fleet. Cause: a control host without a leader answered 503 at once; operators pause longer after each refusal, so one that is refused shortly before the end of the election loses more time than the election takes. Ruled out: load (the time is the same at 30 and 300 hosts) and the timeout of a proposal (3 s): no proposal waited.

A host without a leader for 3 s is taken to be cut off and answers at once as before. A planned stop answers the calls that wait.

--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibFleet/deployment_dialect.h"
+#include "LibFleet/held_calls.h"
 #include "LibForward/event_log.h"
 #include "LibForward/http_server.h"
 #include "LibPeer/configuration_feed.h"
@@ -11,6 +12,7 @@
 #include "LibPeer/peer_network.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -39,6 +41,10 @@
     {
         m_service->start();
         const std::weak_ptr<control_node> weak = this->weak_from_this();
+        m_heldCalls = std::make_shared<held_calls>(m_context, [weak] {
+            const auto self = weak.lock();
+            return self && self->knowsLeader();
+        });
         m_server = std::make_shared<forward::http_server>(
             m_context,
             [weak](const forward::http_head &head, std::string body,
@@ -59,14 +65,15 @@
         m_service->transferLeadership();
     }
 
-    /// Whether operators wait for the outcome of a write.
-    bool hasPendingWrites() const { return m_writer->hasPendingWrites(); }
+    /// Whether operators wait for the outcome of a call.
+    bool hasPendingCalls() const { return m_writer->hasPendingWrites() || !m_heldCalls->isEmpty(); }
 
     void stop()
     {
         m_stopped = true;
         m_timer.cancel();
         // Before the server, which passes the outcomes on.
+        m_heldCalls->stop();
         m_writer->stop();
         m_server->stop();
         if (m_listReader)
@@ -191,6 +198,8 @@
     void logLeaderChange()
     {
         auto leader = m_service->leaderHost();
+        if (!leader.empty())
+            m_leaderSeen = std::chrono::steady_clock::now();
         if (leader == m_lastLeader)
             return;
         m_log.write("leader_changed",
@@ -202,18 +211,50 @@
 
     void handle(const forward::http_head &head, std::string body, responder respond)
     {
-        switch (Dialect::httpOperation(head)) {
-        case http_operation::ReadConfiguration:
-            read(head.target, respond);
-            return;
-        case http_operation::WriteConfiguration:
-            write(head.target, std::move(body), std::move(respond));
-            return;
-        case http_operation::Readiness:
-        case http_operation::Unknown:
+        const auto operation = Dialect::httpOperation(head);
+        if (operation != http_operation::ReadConfiguration
+            && operation != http_operation::WriteConfiguration) {
             respond({404, "text/plain", {}, "no such call\n"});
             return;
         }
+        const auto bodyBytes = body.size();
+        std::function<void()> proceed
+            = [self = this->shared_from_this(), operation, target = head.target,
+               body = std::move(body), respond = std::move(respond)]() mutable {
+                  if (operation == http_operation::ReadConfiguration)
+                      self->read(target, respond);
+                  else
+                      self->write(target, std::move(body), std::move(respond));
+              };
+        // Calls that wait already come first.
+        const bool waits = !m_heldCalls->isEmpty() || (!knowsLeader() && expectsLeader());
+        if (!waits || !m_heldCalls->hold(bodyBytes, proceed)) {
+            proceed();
+            return;
+        }
+        m_log.write("configuration_call_held",
+                    {{"call",
+                      operation == http_operation::ReadConfiguration ? "configuration_read"
+                                                                     : "configuration_write"},
+                     {"cause", "no_leader"}});
+        ++m_counters.counter("configuration_calls_held_total");
+    }
+
+    /// Whether an election may be in progress. A host without a leader for longer is taken to be
+    /// cut off, and operators do not wait for it.
+    bool expectsLeader() const
+    {
+        constexpr std::chrono::milliseconds longestElection{3000};
+        return std::chrono::steady_clock::now() - m_leaderSeen < longestElection;
+    }
+
+    /// Whether this host can answer operators or send them to the host that can.
+    bool knowsLeader() const
+    {
+        if (m_service->isConfirmed())
+            return true;
+        const auto leader = m_service->leaderHost();
+        return !leader.empty() && leader != m_settings.ip;
     }
 
     void read(const std::string &target, const responder &respond)
@@ -306,10 +347,12 @@
     std::shared_ptr<peer::control_service> m_service;
     std::shared_ptr<peer::configuration_writer> m_writer;
     std::shared_ptr<forward::http_server> m_server;
+    std::shared_ptr<held_calls> m_heldCalls;
     std::shared_ptr<forward::connection_pool> m_pool;
     std::shared_ptr<forward::endpoint_list_reader<Dialect>> m_listReader;
     std::shared_ptr<peer::endpoint_catalogue> m_catalogue;
     std::string m_lastLeader;
+    core::instant m_leaderSeen = std::chrono::steady_clock::now(); ///< At first the start.
     bool m_stopping = false; ///< A planned stop is in progress.
     bool m_stopped = false;
 };
--- a/Libraries/LibFleet/node_process.h
+++ b/Libraries/LibFleet/node_process.h
@@ -258,7 +258,7 @@
             }
             return !m_entry || m_entry->drained() || now >= stopEnd() + lastWriteTime;
         }
-        if (m_control && (since < leadershipTransferTime || m_control->hasPendingWrites()))
+        if (m_control && (since < leadershipTransferTime || m_control->hasPendingCalls()))
             return false;
         if (!m_entry)
             return true;
--- /dev/null
+++ b/Tests/Fleet/number_dialect.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "LibFleet/deployment_dialect.h"
+
+#include <cstdint>
+#include <string>
+
+namespace quetzalcleat::fleet::test {
+
+/// A dialect in which the text of a configuration is its version.
+struct number_dialect
+{
+    static core::result<node_settings> readSettings(const std::string & /*text*/)
+    {
+        return forward::forward_error::Malformed;
+    }
+
+    static core::result<forward::configuration> readConfiguration(const std::string &text)
+    {
+        const auto version = forward::parseNumber(text);
+        if (!version)
+            return forward::forward_error::Malformed;
+        forward::configuration content;
+        content.version = *version;
+        return content;
+    }
+
+    static core::result<forward::endpoint_list_page>
+    readEndpointListPage(const std::string & /*text*/)
+    {
+        return forward::endpoint_list_page{};
+    }
+
+    static std::string endpointListTarget(const std::string &pageToken)
+    {
+        return "/endpoints?page=" + pageToken;
+    }
+
+    static forward::wire_names wireNames() { return {}; }
+
+    static http_operation httpOperation(const forward::http_head &head)
+    {
+        if (head.path() != "/configuration")
+            return http_operation::Unknown;
+        return head.method == "GET" ? http_operation::ReadConfiguration
+                                    : http_operation::WriteConfiguration;
+    }
+};
+
+} // namespace quetzalcleat::fleet::test
