LibForward: Ask held requests for their deadline again after a stop's notice

Whether a request may be taken is asked when it arrives, and not again when it is sent. Change: one function refuses what would outlast the stop, at the admission and when a held request goes on.

--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -133,11 +133,8 @@
     if (!authorise(admission))
         return;
     m_deadline = admission.deadline(m_arrived, *m_route);
-    // Another host has the time to serve it to its end.
-    if (!m_owner->acceptsDeadline(m_deadline)) {
-        respondWithError(503, "Service Unavailable", "refused_while_stopping", otherHostRetryAfter);
+    if (refuseIfItOutlastsTheStop())
         return;
-    }
     if (auto prompt = admission.promptSize()) {
         m_hasPromptSize = true;
         m_size = std::move(prompt->size);
@@ -158,6 +155,15 @@
     tryEndpoint();
 }
 
+/// Another host has the time to serve the request to its end.
+bool exchange::refuseIfItOutlastsTheStop()
+{
+    if (m_possibleRuns > 0 || m_owner->acceptsDeadline(m_deadline))
+        return false;
+    respondWithError(503, "Service Unavailable", "refused_while_stopping", otherHostRetryAfter);
+    return true;
+}
+
 /// Waits for a configuration, or refuses the request after the longest wait or if too many requests
 /// wait. A host that is starting or has just lost its connection to the control hosts usually has a
 /// configuration soon, and a short wait saves the caller one of its few retries.
@@ -344,6 +350,9 @@
 {
     if (m_done || !std::exchange(m_isHeld, false))
         return;
+    // A stop may have begun while it was held.
+    if (refuseIfItOutlastsTheStop())
+        return;
     tryEndpoint();
     if (!m_isHeld && std::exchange(m_isWaiting, false))
         m_owner->waitEnded();
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -62,6 +62,7 @@
 
 private:
     void admit();
+    bool refuseIfItOutlastsTheStop();
     void waitForConfiguration(std::string_view cause);
     bool authorise(const request_admission &admission);
     std::string requestText(const endpoint &target, std::chrono::milliseconds left) const;
--- a/Tests/Forward/test_stop_under_load.cpp
+++ b/Tests/Forward/test_stop_under_load.cpp
@@ -24,6 +24,15 @@
         m_forwarder->beginStop({now, now + restOfStop});
     }
 
+    void awaitHeldRequests(std::size_t number)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        std::size_t held = 0;
+        while (held != number && std::chrono::steady_clock::now() < end)
+            inLoop([&] { held = m_forwarder->waitingRequests(); });
+        EXPECT_EQ(held, number);
+    }
+
     /// Answers a request of each of the callers at the endpoint.
     void expectAllServed(std::vector<scripted_socket> &callersToServe)
     {
@@ -180,6 +189,64 @@
     EXPECT_TRUE(fresh.readMessage().ends_with("whole"));
 }
 
+/// Guards against a request that waits in the host for an endpoint when a stop begins, is sent
+/// after the notice and is cut at the end of the stop. One that ends before the stop is still sent.
+TEST_F(stop_under_load_test, RequestHeldUntilAfterTheNoticeIsAskedForItsDeadlineAgain)
+{
+    const std::string refusal = "HTTP/1.1 503 Full\r\nX-Request-Id: r1\r\nX-Not-Run: 1\r\n"
+                                "Retry-After: 2\r\nContent-Length: 0\r\n\r\n";
+    setEndpoints({"one"});
+    auto lasting = call("POST", "/book/a", "X-Time-Left-Ms: 15000\r\n", "order");
+    auto endpoint = acceptAny();
+    endpoint.readMessage();
+    endpoint.send(refusal);
+    awaitHeldRequests(1);
+    auto ending = call("GET", "/read/a", "X-Time-Left-Ms: 4000\r\n");
+    awaitHeldRequests(2);
+    inLoop([this] { beginStopAfterNotice(); });
+    const auto refused = lasting.readMessage();
+    EXPECT_TRUE(refused.starts_with("HTTP/1.1 503")) << refused;
+    EXPECT_NE(refused.find("Retry-After: 0.02"), std::string::npos) << refused;
+    EXPECT_TRUE(endpoint.readMessage().starts_with("GET /read/a"));
+    endpoint.send(signedResponse("whole"));
+    EXPECT_TRUE(ending.readMessage().ends_with("whole"));
+}
+
+/// As above, for a request that waits for a configuration.
+TEST_F(stop_under_load_test, RequestThatWaitsForAConfigurationIsAskedForItsDeadlineAgain)
+{
+    m_confirmationAge = 1'000'000;
+    auto caller
+        = call("GET", "/keyed/a", "X-Time-Left-Ms: 15000\r\nAuthorization: Bearer secret\r\n");
+    awaitHeldRequests(1);
+    inLoop([this] {
+        beginStopAfterNotice();
+        m_confirmationAge = 0;
+    });
+    const auto answer = caller.readMessage();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+    EXPECT_NE(answer.find("Retry-After: 0.02"), std::string::npos) << answer;
+    EXPECT_FALSE(anyConnection(std::chrono::milliseconds(200)));
+}
+
+/// Guards against a request that is sent although the response before it on its connection said
+/// that it is the last.
+TEST_F(stop_under_load_test, RequestBehindTheLastResponseIsNotSent)
+{
+    setEndpoints({"one"});
+    auto caller = scripted_socket::connectTo(m_port);
+    caller.send(request("GET", "/read/a") + request("POST", "/book/b", {}, "order"));
+    auto endpoint = acceptAny();
+    endpoint.readMessage();
+    inLoop([this] { beginStop(); });
+    endpoint.send(signedResponse("whole"));
+    const auto answers = caller.readAll();
+    EXPECT_TRUE(answers.ends_with("whole")) << answers;
+    EXPECT_NE(answers.find("Connection: close"), std::string::npos) << answers;
+    EXPECT_FALSE(endpoint.hasBytes(std::chrono::milliseconds(200)));
+    EXPECT_FALSE(anyConnection(std::chrono::milliseconds(0)));
+}
+
 /// Guards against a body that is sent to a host which refuses the request once it has arrived.
 TEST_F(stop_under_load_test, BodyIsNotAskedForAfterTheNotice)
 {
