LibForward: Send a refused request again on a connection of its own

Cause: a request that an endpoint refuses with a wait may go to the same endpoint again, with the same id, and did so on the kept connection. If a faulty endpoint writes its refusal once more there, the id does not tell it from the answer to the second try. Change: a request that may run once at most is sent to an endpoint for the second time only on a new connection.

--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -296,6 +296,9 @@
     content.identifier = m_id;
     content.identifierHeader = m_owner->options().names.requestId;
     content.isHeadRequest = m_request.method == "HEAD";
+    // An endpoint that refused the request may write the refusal once more on that connection.
+    content.needsNewConnection
+        = !m_route->isRetrySafe() && std::count(m_tried.begin(), m_tried.end(), m_endpoint) > 1;
     m_response = {};
     m_responseBody.clear();
     m_events.discardPartialEvent();
--- a/Libraries/LibForward/upstream.cpp
+++ b/Libraries/LibForward/upstream.cpp
@@ -159,7 +159,8 @@
 {
     std::shared_ptr<attempt> self(
         new attempt(std::move(pool), std::move(content), std::move(handlers)));
-    self->m_connection = self->m_pool->acquire(self->m_request.key);
+    if (!self->m_request.needsNewConnection)
+        self->m_connection = self->m_pool->acquire(self->m_request.key);
     if (self->m_connection)
         self->send();
     else
--- a/Libraries/LibForward/upstream.h
+++ b/Libraries/LibForward/upstream.h
@@ -106,6 +106,7 @@
         std::string identifier; ///< Value of `identifierHeader` that the response must repeat.
         std::string identifierHeader;
         bool isHeadRequest = false;
+        bool needsNewConnection = false; ///< Idle connections are not used.
     };
 
     static std::shared_ptr<attempt> start(std::shared_ptr<connection_pool> pool, request content,
--- a/Tests/Forward/test_broken_streams.cpp
+++ b/Tests/Forward/test_broken_streams.cpp
@@ -111,6 +111,26 @@
     EXPECT_TRUE(order.readMessage().ends_with("booked"));
 }
 
+/// Guards against a refusal that is written once more after the same request has been sent to the
+/// same endpoint again: its id does not tell the two apart.
+TEST_F(broken_stream_test, RepeatedRefusalIsNotTheAnswerOfTheSameRequest)
+{
+    const std::string refusal = "HTTP/1.1 503 Full\r\nX-Request-Id: r1\r\nX-Not-Run: 1\r\n"
+                                "Retry-After: 0.2\r\nContent-Length: 0\r\n\r\n";
+    setEndpoints({"one"});
+    auto order = call("POST", "/book/a", {}, "order");
+    auto refusing = acceptAny();
+    refusing.readMessage();
+    refusing.send(refusal);
+    ASSERT_TRUE(m_endpoints[0].hasConnection(std::chrono::seconds(2)));
+    auto running = m_endpoints[0].accept();
+    EXPECT_TRUE(running.readMessage().starts_with("POST /book/a"));
+    refusing.send(refusal);
+    EXPECT_FALSE(running.hasBytes(std::chrono::milliseconds(500)));
+    running.send(signedResponse("booked"));
+    EXPECT_TRUE(order.readMessage().ends_with("booked"));
+}
+
 /// Guards against a refusal that names no request: it says nothing about the one that was sent.
 TEST_F(broken_stream_test, RefusalThatNamesNoRequestIsNoPromise)
 {
