LibFleet: Close the listener in time on a stopping host with both roles

Cause: node_process asked the control role first, and the listener and idle connections are closed where the entry role is asked; while operators waited, it was not asked. No request was lost by it, and deploy/system.toml has no host with both roles. Evidence: node_process_test.OperatorsDoNotKeepTheListenerOpen failed on: the listener was open for 7,628 ms, with a grace time of 8 s. Change: the entry role is asked in each interval.

--- a/Libraries/LibFleet/node_process.h
+++ b/Libraries/LibFleet/node_process.h
@@ -258,11 +258,11 @@
             }
             return !m_entry || m_entry->drained() || now >= stopEnd() + lastWriteTime;
         }
-        if (m_control && (since < leadershipTransferTime || m_control->hasPendingCalls()))
-            return false;
-        if (!m_entry)
-            return true;
-        return since >= balancerNotice && m_entry->drained();
+        // Asked first, as it closes the listener, whatever the control role waits for.
+        const bool entryIsDone = !m_entry || (since >= balancerNotice && m_entry->drained());
+        const bool controlIsDone
+            = !m_control || (since >= leadershipTransferTime && !m_control->hasPendingCalls());
+        return entryIsDone && controlIsDone;
     }
 
     void stop()
