LibFleet: Do not hold overlapping calls on a host that expects no leader

Cause: a call waited if another one did, also without a leader, so that the calls that wait never ended. Evidence: control_node_test.OverlappingCallsToAHostWithoutAMajorityDoNotWait failed on: after 4 s of a call each 100 ms, the last one was held. Change: calls that wait come first only once a leader is known; without one, a call waits only while a leader is expected.

--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -226,8 +226,8 @@
                   else
                       self->write(target, std::move(body), std::move(respond));
               };
-        // Calls that wait already come first.
-        const bool waits = !m_heldCalls->isEmpty() || (!knowsLeader() && expectsLeader());
+        // With a leader, calls that wait already come first.
+        const bool waits = knowsLeader() ? !m_heldCalls->isEmpty() : expectsLeader();
         if (!waits || !m_heldCalls->hold(bodyBytes, proceed)) {
             proceed();
             return;
--- a/Tests/Fleet/test_control_node.cpp
+++ b/Tests/Fleet/test_control_node.cpp
@@ -45,6 +45,20 @@
     EXPECT_FALSE(waits);
 }
 
+/// As above, for operators whose calls overlap.
+TEST_F(control_node_test, OverlappingCallsToAHostWithoutAMajorityDoNotWait)
+{
+    constexpr int callsInTurn = 40;
+    start("127.0.3.1");
+    std::vector<std::shared_ptr<call>> overlapping;
+    for (int count = 0; count < callsInTurn; ++count) {
+        overlapping.push_back(send("127.0.3.1", "GET", ""));
+        runFor(100ms);
+    }
+    runFor(400ms);
+    EXPECT_EQ(overlapping.back()->status, 503);
+}
+
 /// Guards against a planned stop that leaves a waiting operator without an answer.
 TEST_F(control_node_test, StopAnswersWaitingCalls)
 {
