--- a/Libraries/LibConsensus/log_store.h
+++ b/Libraries/LibConsensus/log_store.h
@@ -97,8 +97,6 @@
     core::result<void> saveSnapshot(const snapshot &saved, log_index compactionIndex);
 
     bool failed() const { return m_failed; }
-    std::uint64_t bytesWritten() const { return m_bytesWritten; }
-    std::uint64_t syncs() const { return m_syncs; }
     log_index lastIndex() const { return m_lastIndex; }
     std::size_t segmentCount() const { return m_segments.size(); }
 
@@ -153,8 +151,6 @@
     std::vector<segment> m_segments;
     std::optional<typename Files::file_handle> m_current; ///< Newest segment.
     std::uint64_t m_nextBatch = 1;
-    std::uint64_t m_bytesWritten = 0;
-    std::uint64_t m_syncs = 0;
     bool m_failed = false;
 };
 
--- a/Libraries/LibConsensus/log_store_implementation.h
+++ b/Libraries/LibConsensus/log_store_implementation.h
@@ -77,7 +77,6 @@
       m_syncHint(other.m_syncHint), m_tail(std::move(other.m_tail)),
       m_segments(std::move(other.m_segments)),
       m_current(std::exchange(other.m_current, std::nullopt)), m_nextBatch(other.m_nextBatch),
-      m_bytesWritten(other.m_bytesWritten), m_syncs(other.m_syncs),
       m_failed(std::exchange(other.m_failed, true))
 {
 }
@@ -414,8 +413,6 @@
     m_files.close(handle.value());
     if (!done)
         return done;
-    m_bytesWritten += bytes.size();
-    ++m_syncs;
     if (done = m_files.rename(temporary, path); !done)
         return done;
     return m_files.syncFolder(m_folder);
@@ -435,12 +432,10 @@
     auto bytes = encodeSegmentHeader(m_identity, description.firstBatch);
     bytes.insert(bytes.end(), firstFrame.begin(), firstFrame.end());
     description.bytes = bytes.size();
-    m_bytesWritten += bytes.size();
     if (const auto done = m_files.append(*m_current, bytes); !done)
         return done;
     if (const auto done = m_files.sync(*m_current); !done)
         return done;
-    ++m_syncs;
     return m_files.syncFolder(m_folder);
 }
 
@@ -461,12 +456,10 @@
         auto &description = m_segments.back();
         description.highestIndex = std::max(description.highestIndex, highest);
         description.bytes += frame.size();
-        m_bytesWritten += frame.size();
         if (const auto done = m_files.append(*m_current, frame); !done)
             return done;
         if (const auto done = m_files.sync(*m_current); !done)
             return done;
-        ++m_syncs;
     }
     if (!batch.entries.empty())
         m_lastIndex = highest;
--- a/Libraries/LibFakes/engine_model.h
+++ b/Libraries/LibFakes/engine_model.h
@@ -127,7 +127,6 @@
 
     /// Executes an order; one with an order id that was executed before succeeds without effect.
     core::result<void> order(const engine_order &order, core::instant now);
-    const std::vector<engine_order> &executedOrders() const { return m_executedOrders; }
 
     const engine_totals &totals() const { return m_totals; }
     std::uint64_t incarnation() const { return m_incarnation; }
--- a/Libraries/LibFakes/generated_text.cpp
+++ b/Libraries/LibFakes/generated_text.cpp
@@ -26,15 +26,6 @@
     return std::min(maximumTokens, shortestOutput + static_cast<std::uint32_t>(spread));
 }
 
-std::string generatedAnswer(std::string_view prompt, std::uint32_t maximumTokens)
-{
-    std::string answer;
-    const auto length = generatedLength(prompt, maximumTokens);
-    for (std::uint32_t index = 0; index < length; ++index)
-        answer += generatedToken(prompt, index);
-    return answer;
-}
-
 std::vector<std::uint64_t> promptBlocks(std::string_view prompt)
 {
     constexpr std::size_t blockBytes = std::size_t{tokensPerBlock} * bytesPerToken;
--- a/Libraries/LibFakes/generated_text.h
+++ b/Libraries/LibFakes/generated_text.h
@@ -20,9 +20,6 @@
 /// Number of tokens that the fake engine generates for a prompt, at most maximumTokens.
 std::uint32_t generatedLength(std::string_view prompt, std::uint32_t maximumTokens);
 
-/// The whole answer of the fake engine.
-std::string generatedAnswer(std::string_view prompt, std::uint32_t maximumTokens);
-
 /// Chained hashes of the full blocks of a prompt, first block first.
 std::vector<std::uint64_t> promptBlocks(std::string_view prompt);
 
--- a/Libraries/LibForward/endpoint_list_reader.h
+++ b/Libraries/LibForward/endpoint_list_reader.h
@@ -99,8 +99,6 @@
 
     void setInterval(std::chrono::milliseconds interval) { m_options.interval = interval; }
 
-    bool hasRead() const { return m_hasRead; }
-
 private:
     void readPage(const std::string &token)
     {
--- a/Libraries/LibForward/http_reader.h
+++ b/Libraries/LibForward/http_reader.h
@@ -36,7 +36,6 @@
     /// Larger headers are refused.
     void limitHeader(std::size_t bytes) { m_headerLimit = bytes; }
 
-    bool hasStarted() const { return m_bytes > 0; }
     bool headComplete() const { return m_headComplete; }
     bool complete() const { return m_complete; }
     bool keepsConnection() const { return m_keepsConnection; }
--- a/Libraries/LibPeer/order_planner.h
+++ b/Libraries/LibPeer/order_planner.h
@@ -7,7 +7,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -133,14 +132,4 @@
     std::uint64_t m_fencing = 0;
 };
 
-/// Sends orders to endpoints. Satisfied by the HTTP client and by fakes.
-enum class order_answer { Accepted, StaleFencing, Failed };
-
-template <typename Type>
-concept order_sender = requires(Type &sender, const state::order_begin &order,
-                                std::function<void(order_answer)> handler)
-{
-    sender.sendOrder(order, handler);
-};
-
 } // namespace quetzalcleat::peer
--- a/Libraries/LibPeer/share_allocator.cpp
+++ b/Libraries/LibPeer/share_allocator.cpp
@@ -62,14 +62,6 @@
     return static_cast<share_parts>(evenPart) + static_cast<share_parts>(partByDemand);
 }
 
-std::uint64_t share_allocator::outstanding(core::instant now) const
-{
-    std::uint64_t sum = 0;
-    for (const auto &[host, holder] : m_holders)
-        sum += holder.expiry <= now ? 0 : holder.reserved;
-    return sum;
-}
-
 share_request share_holder::makeRequest(std::uint64_t demand, core::instant now)
 {
     m_sentAt = now;
--- a/Libraries/LibPeer/share_allocator.h
+++ b/Libraries/LibPeer/share_allocator.h
@@ -47,9 +47,6 @@
 
     share_grant handle(const share_request &request, core::instant now);
 
-    /// Sum of the shares that may be in use.
-    std::uint64_t outstanding(core::instant now) const;
-
 private:
     struct holder
     {
--- a/Libraries/LibState/replicated_state.h
+++ b/Libraries/LibState/replicated_state.h
@@ -134,7 +134,6 @@
     const std::map<std::string, order_record> &orders() const { return m_orders; }
     const std::map<std::uint64_t, member_contact> &members() const { return m_members; }
     std::size_t claimCount() const { return m_claims.size(); }
-    std::size_t abandonedCount() const { return m_abandoned.size(); }
 
 private:
     enum class expiry_kind : std::uint8_t { Edit, Claim, Attempt, Host, Order };
