LibExperiment: Say which figures a replay cannot know

Report.NamesFiguresThatCallersCannotSee passed; it cannot be compiled against the old code, which had no such mark.

--- a/Libraries/LibExperiment/report.cpp
+++ b/Libraries/LibExperiment/report.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <numeric>
+#include <utility>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -42,6 +43,20 @@
                        digits);
 }
 
+/// A figure that only the hosts and engines know.
+template <typename Figure>
+std::string formatInnerSpread(const run_group &group, double scale, int digits, Figure figure)
+{
+    if (group.front()->seenByCallersOnly)
+        return "unknown";
+    return formatSpread(group, scale, digits, std::move(figure));
+}
+
+nlohmann::json innerFigure(const run_report &run, const nlohmann::json &figure)
+{
+    return run.seenByCallersOnly ? nlohmann::json() : figure;
+}
+
 void appendClassLines(std::string &text, const run_group &group)
 {
     for (std::size_t index = 0; index < group.front()->classes.size(); ++index) {
@@ -154,14 +169,15 @@
             group.front()->scenario, group.front()->policy,
             formatSpread(group, 1, 2, [](const auto &run) { return run.goodput(); }),
             formatSpread(group, 100, 1, [](const auto &run) { return run.protectedAttainment(); }),
-            formatSpread(group, 100, 2, [](const auto &run) { return run.wastedFraction(); }),
-            formatSpread(group, 1e-6, 2,
-                         [](const auto &run) { return double(run.crossRegionBytes); }),
-            formatSpread(group, 1, 0, [](const auto &run) { return double(run.retries); }),
-            formatSpread(group, 1, 0, [](const auto &run) { return double(run.preemptions); }),
-            formatSpread(group, 1, 0, [](const auto &run) { return double(run.tierViolations); }),
-            formatSpread(group, 1, 0,
-                         [](const auto &run) { return double(run.crossEngineResumptions); }));
+            formatInnerSpread(group, 100, 2, [](const auto &run) { return run.wastedFraction(); }),
+            formatInnerSpread(group, 1e-6, 2,
+                              [](const auto &run) { return double(run.crossRegionBytes); }),
+            formatInnerSpread(group, 1, 0, [](const auto &run) { return double(run.retries); }),
+            formatInnerSpread(group, 1, 0, [](const auto &run) { return double(run.preemptions); }),
+            formatInnerSpread(group, 1, 0,
+                              [](const auto &run) { return double(run.tierViolations); }),
+            formatInnerSpread(group, 1, 0,
+                              [](const auto &run) { return double(run.crossEngineResumptions); }));
         appendClassLines(text, group);
     }
     return text;
@@ -177,12 +193,12 @@
                                 {"goodput_per_s", run.goodput()},
                                 {"attained_tokens_per_s", run.attainedTokensPerSecond()},
                                 {"protected_attainment", run.protectedAttainment()},
-                                {"wasted_part", run.wastedFraction()},
-                                {"cross_region_bytes", run.crossRegionBytes},
-                                {"retries", run.retries},
-                                {"preemptions", run.preemptions},
-                                {"tier_violations", run.tierViolations},
-                                {"splices", run.crossEngineResumptions}};
+                                {"wasted_part", innerFigure(run, run.wastedFraction())},
+                                {"cross_region_bytes", innerFigure(run, run.crossRegionBytes)},
+                                {"retries", innerFigure(run, run.retries)},
+                                {"preemptions", innerFigure(run, run.preemptions)},
+                                {"tier_violations", innerFigure(run, run.tierViolations)},
+                                {"splices", innerFigure(run, run.crossEngineResumptions)}};
         for (const auto &classEntry : run.classes)
             entry["classes"].push_back(toJson(classEntry));
         all.push_back(std::move(entry));
--- a/Libraries/LibExperiment/report.h
+++ b/Libraries/LibExperiment/report.h
@@ -37,6 +37,9 @@
     std::uint64_t seed = 0;
     std::chrono::duration<double> duration{0};
     std::vector<class_report> classes;
+    /// Only the callers of a fleet were observed. The figures below that concern its hosts and
+    /// engines are not known, and reports say so.
+    bool seenByCallersOnly = false;
     std::uint64_t generatedTokens = 0;
     std::uint64_t deliveredTokens = 0;
     std::uint64_t prefilledTokens = 0;
--- a/Tests/Experiment/test_experiment.cpp
+++ b/Tests/Experiment/test_experiment.cpp
@@ -10,6 +10,7 @@
 #include <sstream>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace core = quetzalcleat::core;
 namespace experiment = quetzalcleat::experiment;
@@ -90,6 +91,23 @@
     }
 }
 
+// Guards against figures of zero for what nothing has counted.
+TEST(Report, NamesFiguresThatCallersCannotSee)
+{
+    auto report = runOnce<policy::decision_core>("steady", 5);
+    EXPECT_EQ(experiment::formatTable({report}).find("unknown"), std::string::npos);
+    const auto counted = nlohmann::json::parse(experiment::formatJson({report}));
+    report.seenByCallersOnly = true;
+    EXPECT_NE(experiment::formatTable({report}).find("wasted_% unknown"), std::string::npos);
+    const auto seen = nlohmann::json::parse(experiment::formatJson({report}));
+    for (const char *figure : {"wasted_part", "cross_region_bytes", "retries", "preemptions",
+                               "tier_violations", "splices"}) {
+        EXPECT_TRUE(counted.at(0).at(figure).is_number()) << figure;
+        EXPECT_TRUE(seen.at(0).at(figure).is_null()) << figure;
+    }
+    EXPECT_EQ(seen.at(0).at("goodput_per_s"), counted.at(0).at("goodput_per_s"));
+}
+
 // Guards against an overload scenario whose demand does not exceed the capacity: the baseline
 // router would then look as good as one with tiers.
 TEST(VirtualExperiment, OverloadHurtsTheBaseline)
--- a/Utilities/quetzalcleat-load/fleet_load.cpp
+++ b/Utilities/quetzalcleat-load/fleet_load.cpp
@@ -160,6 +160,7 @@
         m_arrivals = drawArrivals(load, conditions, document, seed);
         m_report.scenario = fmt::format("fleet-{:.2f}", utilisation);
         m_report.policy = "fleet";
+        m_report.seenByCallersOnly = true;
         m_report.seed = seed;
         m_report.duration = load.duration;
         for (const auto &entry : load.classes) {
@@ -231,8 +232,6 @@
             return;
         }
         ++row.completed;
-        m_report.deliveredTokens += result.tokens;
-        m_report.generatedTokens += result.tokens;
         row.firstTokenMilliseconds.push_back(fractional_milliseconds(result.firstToken).count());
         for (const auto gap : result.gaps)
             row.betweenTokensMilliseconds.push_back(fractional_milliseconds(gap).count());
