Tests/Peer: Check that no later process starts beside a suspended one

On one machine there is no later one: the earlier holds the peer address, and a process registers only after it listens. What remains is a host whose name is moved to another machine; docs/FAULT-MATRIX.md says so.

--- a/Tests/Peer/test_network.cpp
+++ b/Tests/Peer/test_network.cpp
@@ -106,6 +106,19 @@
     EXPECT_TRUE(runUntil(context, [&] { return received["a"].size() == 1; }));
 }
 
+// Guards against a later process of a host that registers while an earlier one is suspended and may
+// still act on a permission: the earlier one holds the address, whether it runs or not.
+TEST_F(two_hosts, LaterProcessCannotStartBesideAnEarlierOne)
+{
+    start(oneKey, oneKey);
+    peer::peer_network_options options;
+    options.identity = {"cluster", "b", 2, oneKey};
+    options.address = {"127.0.0.1", b->port()};
+    const auto later = peer::peer_network::create(context, counters, options);
+    ASSERT_FALSE(later);
+    EXPECT_EQ(later.error(), peer::peer_error::ListenFailed);
+}
+
 // Guards against a document above the size of a frame that cannot be sent, or arrives damaged.
 TEST_F(two_hosts, LargeMessagesTravelInFragments)
 {
