quetzalcleatd: End streams without tokens, and cancel replaced attempts

Two faults in the same lines of completion_session: - An engine that sends comments or parts of an event now and then kept a stream open without end, as each byte moved the time limit. Only tokens are progress now; the limits are those of the first byte and of progress. - attemptFailed did not cancel an attempt that was to be resumed, because the cancellation could end the generation that is resumed. The work then ran twice if the engine did not notice the closed connection. The cancellation now waits until the next attempt has its first token or the request ends.

--- a/Services/quetzalcleatd/completion_session.cpp
+++ b/Services/quetzalcleatd/completion_session.cpp
@@ -176,6 +176,7 @@
     m_engineStatus = 0;
     m_unusedBytes = 0;
     m_firstTokenReported = false;
+    m_lastToken = std::chrono::steady_clock::now();
     m_paused = false;
     const auto self = shared_from_this();
     m_transfer = m_environment.endpoints.start(
@@ -228,12 +229,34 @@
         attemptFailed(consumed.error(), false);
         return;
     }
+    if (isStalled()) {
+        abandonStalledAttempt();
+        return;
+    }
     if (m_request.stream) {
         flush();
         updateBackPressure();
     }
 }
 
+/// Bytes that complete no event are no progress, though they keep the transfer from timing out.
+bool completion_session::isStalled() const
+{
+    const auto &timeouts = m_environment.options.engine;
+    const auto limit = m_firstTokenReported ? timeouts.progress : timeouts.firstByte;
+    return std::chrono::steady_clock::now() >= m_lastToken + limit;
+}
+
+void completion_session::abandonStalledAttempt()
+{
+    m_transfer->cancel();
+    m_transfer.reset();
+    m_maybeSent = true;
+    m_engineMayStillRun = true;
+    attemptFailed(m_firstTokenReported ? http::http_error::ProgressTimeout
+                                       : http::http_error::FirstByteTimeout);
+}
+
 void completion_session::skip(std::size_t bytes)
 {
     m_unusedBytes += bytes;
@@ -264,8 +287,10 @@
         complete();
         return false;
     }
+    m_lastToken = std::chrono::steady_clock::now();
     if (!m_firstTokenReported) {
         m_firstTokenReported = true;
+        cancelReplacedAttempt();
         m_environment.decisions.firstToken(m_decisionId);
     }
     if (m_request.stream)
@@ -350,10 +375,12 @@
     if (full == m_paused)
         return;
     m_paused = full;
-    if (full)
+    if (full) {
         m_transfer->pause();
-    else
-        m_transfer->resume();
+        return;
+    }
+    m_lastToken = std::chrono::steady_clock::now();
+    m_transfer->resume();
 }
 
 void completion_session::complete()
@@ -433,9 +460,13 @@
     m_phase = phase::Queued;
     flush();
     const bool queuedAgain = m_environment.decisions.finished(m_decisionId, outcome);
-    // Cancelling the failed attempt could also stop a resume of its generation.
-    if (std::exchange(m_engineMayStillRun, false) && !(queuedAgain && m_streaming))
-        cancelAtEngine();
+    if (std::exchange(m_engineMayStillRun, false)) {
+        cancelReplacedAttempt();
+        m_replaced = {m_engine.address, m_attemptId};
+        // If it is to be resumed, the cancellation waits, as it could end the generation.
+        if (!(queuedAgain && m_streaming))
+            cancelReplacedAttempt();
+    }
     if (queuedAgain)
         return;
     const auto type = isTimeout(error) ? error_type::EndpointTimeout : error_type::EndpointFailed;
@@ -496,15 +527,23 @@
     m_transfer->cancel();
     m_transfer.reset();
     m_maybeSent = true;
-    cancelAtEngine();
+    cancelAtEngine(m_engine.address, m_attemptId);
 }
 
-void completion_session::cancelAtEngine()
+void completion_session::cancelReplacedAttempt()
+{
+    const auto replaced = std::exchange(m_replaced, std::nullopt);
+    if (replaced)
+        cancelAtEngine(replaced->engine, replaced->id);
+}
+
+void completion_session::cancelAtEngine(const core::socket_address &engine,
+                                        const std::string &attemptId)
 {
     http::endpoint_request request;
     request.method = "DELETE";
-    request.address = m_engine.address;
-    request.target = "/v1/completions/" + m_attemptId;
+    request.address = engine;
+    request.target = "/v1/completions/" + attemptId;
     request.timeouts = m_environment.options.engine;
     m_environment.endpoints.start(std::move(request),
                                   {.onHead = [](const http::response_head &) {},
@@ -515,6 +554,7 @@
 void completion_session::end(std::string_view result)
 {
     m_phase = phase::Ended;
+    cancelReplacedAttempt();
     m_exchange->onDisconnect({});
     m_exchange->onInterrupt({});
     ++m_environment.counters.counter("quetzalcleat_requests_total",
--- a/Services/quetzalcleatd/completion_session.h
+++ b/Services/quetzalcleatd/completion_session.h
@@ -55,9 +55,19 @@
     void onCallerGone();
     void onInterrupt();
     void cancelTransfer();
-    void cancelAtEngine();
+    bool isStalled() const;
+    void abandonStalledAttempt();
+    void cancelReplacedAttempt();
+    void cancelAtEngine(const core::socket_address &engine, const std::string &attemptId);
     void end(std::string_view result);
 
+    /// An attempt that may go on at its engine.
+    struct engine_attempt
+    {
+        core::socket_address engine;
+        std::string id;
+    };
+
     session_environment &m_environment;
     std::shared_ptr<http::caller_exchange> m_exchange;
     std::string m_requestId;
@@ -80,7 +90,9 @@
     std::size_t m_unusedBytes = 0; ///< Of the body of the current attempt.
     bool m_maybeSent = false;
     bool m_engineMayStillRun = false; ///< The failed attempt may go on at the engine.
+    std::optional<engine_attempt> m_replaced; ///< To be cancelled once the next one has begun.
     bool m_firstTokenReported = false;
+    core::instant m_lastToken; ///< Or the start of the attempt, or the end of a pause.
 
     bool m_streaming = false; ///< The streamed response has begun.
     bool m_responseComplete = false;
--- a/Tests/Daemon/test_completion.cpp
+++ b/Tests/Daemon/test_completion.cpp
@@ -414,7 +414,8 @@
     EXPECT_NE(engine.calls().back().requestId, engine.calls().front().requestId);
     EXPECT_EQ(response->streamedText(), fake_engine::expectedText("q", engine.tokensPerCompletion));
     EXPECT_TRUE(response->endsWithDone());
-    EXPECT_TRUE(engine.cancelled().empty());
+    await([&] { return !engine.cancelled().empty(); });
+    EXPECT_EQ(engine.cancelled(), std::vector<std::string>{engine.calls().front().requestId});
 }
 
 /// A request that must be refused, and the expected error.
