LibPeer: Say why a proposal may take longer than an operator waits

The two are different times: 1 s is when an operator tries another host, and later for large bodies. The value is not decided by a test.

--- a/Libraries/LibPeer/configuration_writer.cpp
+++ b/Libraries/LibPeer/configuration_writer.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-/// A proposal without a result for this long is undecided. By the protocol, operators try another
-/// host after 1 s, or later for large bodies.
+/// A proposal without a result for this long is undecided. Longer than the 1 s after which
+/// operators try another host, as they wait longer for large bodies; the next write waits for the
+/// result too.
 constexpr std::chrono::milliseconds proposalTimeout{3000};
 constexpr int maximumAttempts = 8;
 constexpr std::size_t maximumPendingWrites = 64;
