LibForward: Use an endpoint again that starts under its former identity

Notices are keyed by identity. An endpoint that had left and started again under it stayed out of use: forgetUnknown() forgets only what no list names, so for as long as it was listed, not only for 10 minutes.

A list that names a leaving endpoint as staying now counts as a new start if the last list that did not (leaving, absent, at another address) is older than a list can be (max-lag-ms plus 2.5 s), the list is recent, and drain time plus that age have passed since the notice. Answers of control hosts confirm an unchanged list. The new start has no notices, ejection, cached prompts or connections of the former one.

Ruled out: the time of start in what endpoints say of themselves, which entry hosts do not read and which would need a new frame version; any listing as staying, because a list that lags shows that too.

Tests: endpoint_notices.LaterStartUnderTheSameIdentityBeginsClean (property: three readers that lag), endpoint_table.LaterStartUnderTheSameIdentityBeginsClean (failed with the decision switched off).

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -45,8 +45,10 @@
         m_listReader = std::make_shared<forward::endpoint_list_reader<Dialect>>(
             m_forwarder->pool(), m_log, list,
             [weak](const std::vector<forward::listed_endpoint> &endpoints) {
-                if (const auto self = weak.lock())
-                    self->applyList(endpoints);
+                if (const auto self = weak.lock()) {
+                    self->applyList(endpoints, false);
+                    self->m_forwarder->confirmEndpoints();
+                }
             });
         m_listReader->setReadCondition([weak] {
             const auto self = weak.lock();
@@ -157,6 +159,8 @@
         options.retries.additionalRetries = m_settings.additionalRetries;
         options.retries.additionalRetriesShare = 0.02;
         options.notices.drainTime = m_settings.drainTime;
+        options.notices.listAge
+            = m_settings.endpointListLag + forward::endpoint_table::maximumListDelay;
         options.confirmationLifetime = std::chrono::milliseconds(static_cast<std::int64_t>(
             static_cast<double>(m_settings.revocationTime.count()) * confirmationLifetimeShare));
         // Two descriptors per session: the caller and the endpoint of its request.
@@ -201,9 +205,10 @@
                                                     std::move(handlers));
     }
 
-    void applyList(const std::vector<forward::listed_endpoint> &endpoints)
+    void applyList(const std::vector<forward::listed_endpoint> &endpoints, bool isOfControlHost)
     {
         m_hasList = true;
+        m_hasListOfControlHost = isOfControlHost;
         m_forwarder->setEndpoints(endpoints);
     }
 
@@ -218,14 +223,13 @@
                                  entry.dataCentre,
                                  entry.slots,
                                  entry.isLeaving});
-        applyList(endpoints);
+        applyList(endpoints, true);
     }
 
     /// Whether this host reads the platform's list itself: only while no control host sends it. The
     /// interval keeps the calls of all hosts within half of the platform's limit.
     bool shouldReadList()
     {
-        constexpr std::chrono::milliseconds maximumListAge{2500};
         constexpr std::chrono::milliseconds minimumInterval{1000};
         constexpr double share = 0.5;
         if (m_settings.endpointListRequestRate > 0)
@@ -235,7 +239,8 @@
                              1000.0 * std::max(m_hosts, 1U)
                              / (share * m_settings.endpointListRequestRate)))));
         // A starting host does not wait: after all hosts have failed there may be no leader yet.
-        const bool reads = !m_hasList || m_lease->listAge() > maximumListAge;
+        const bool reads
+            = !m_hasList || m_lease->listAge() > forward::endpoint_table::maximumListDelay;
         if (std::exchange(m_readsList, reads) != reads)
             m_log.write(
                 "list_source",
@@ -297,6 +302,10 @@
         m_hosts = std::max(m_hosts, hosts);
         m_forwarder->retryBudget().setAdditionalRetriesShare(
             1.0 / static_cast<double>(std::max(m_hosts, 1U)));
+        // Each answer of a control host also tells the age of its list.
+        if (m_hasListOfControlHost
+            && m_lease->listAge() <= forward::endpoint_table::maximumListDelay)
+            m_forwarder->confirmEndpoints();
     }
 
     void respondToReadiness(const forward::http_head &head,
@@ -332,6 +341,7 @@
     std::shared_ptr<forward::http_server> m_readinessServer;
     std::uint32_t m_hosts = 0;
     bool m_hasList = false;
+    bool m_hasListOfControlHost = false; ///< The list in use came from a control host.
     bool m_readsList = false;
     bool m_wasReady = false;
 };
--- a/Libraries/LibFleet/node_settings.h
+++ b/Libraries/LibFleet/node_settings.h
@@ -34,6 +34,8 @@
     core::socket_address endpointListAddress; ///< The platform's list of endpoints.
     double endpointListRequestRate = 0; ///< Allowed calls per second, over all hosts.
 
+    std::chrono::milliseconds endpointListLag{1000}; ///< Of the list behind the endpoints.
+
     std::chrono::milliseconds graceTime{8000}; ///< Between SIGTERM and SIGKILL.
     std::chrono::milliseconds revocationTime{5000}; ///< Until a removed key is refused everywhere.
     /// After an endpoint says that it leaves, it may be sent requests for this long.
--- a/Libraries/LibForward/endpoint_table.cpp
+++ b/Libraries/LibForward/endpoint_table.cpp
@@ -29,20 +29,21 @@
 constexpr double maximumReportedShare = 0.4;
 /// An endpoint that this host received bytes from within this time is not ejected by loss reports.
 constexpr std::chrono::milliseconds recentContact{500};
-/// Age of a list when it arrives by way of a control host, at most.
-constexpr std::chrono::milliseconds listDelay{2500};
 
 } // namespace
 
 void endpoint_table::update(const std::vector<listed_endpoint> &list, core::instant now)
 {
     std::set<std::string_view> named;
+    std::set<std::string_view> moved;
     for (const auto &entry : list) {
         named.insert(entry.incarnation);
         auto &known = m_endpoints[entry.incarnation];
         if (!known) {
             known = std::make_shared<endpoint>();
             m_services[entry.service].push_back(known);
+        } else if (known->listed.address != entry.address) {
+            moved.insert(entry.incarnation);
         }
         known->listed = entry;
         known->isUnlisted = false;
@@ -51,7 +52,7 @@
             continue;
         }
         // An endpoint that was never listed otherwise may have been leaving for long.
-        const auto since = known->listedAsStaying ? *known->listedAsStaying - listDelay
+        const auto since = known->listedAsStaying ? *known->listedAsStaying - maximumListDelay
                                                   : now - m_notices.limits().drainTime;
         m_notices.reportLeaving(entry.incarnation, {since, policy::notice_source::EndpointList, {}},
                                 now);
@@ -66,6 +67,39 @@
     std::erase_if(m_endpoints, [](const auto &entry) {
         return entry.second->isUnlisted && entry.second->running == 0;
     });
+    (void)m_notices.reportList(
+        [&](const std::string &incarnation) {
+            return isStaying(incarnation) && !moved.contains(incarnation);
+        },
+        false, now);
+}
+
+std::vector<policy::endpoint_notices::ended_leave> endpoint_table::confirmList(core::instant now)
+{
+    auto started = m_notices.reportList(
+        [this](const std::string &incarnation) { return isStaying(incarnation); }, true, now);
+    for (const auto &[incarnation, notice] : started)
+        replaceByNewStart(m_endpoints.at(incarnation), now);
+    return started;
+}
+
+bool endpoint_table::isStaying(const std::string &incarnation) const
+{
+    const auto found = m_endpoints.find(incarnation);
+    return found != m_endpoints.end() && !found->second->isUnlisted
+        && !found->second->listed.isLeaving;
+}
+
+/// Requests in progress keep the endpoint that they were sent to.
+void endpoint_table::replaceByNewStart(endpoint_pointer &known, core::instant now)
+{
+    auto fresh = std::make_shared<endpoint>();
+    fresh->listed = known->listed;
+    fresh->listedAsStaying = now;
+    fresh->restart = ++m_restarts;
+    auto &endpoints = m_services[known->listed.service];
+    std::replace(endpoints.begin(), endpoints.end(), known, fresh);
+    known = std::move(fresh);
 }
 
 const std::vector<endpoint_table::endpoint_pointer> &
--- a/Libraries/LibForward/endpoint_table.h
+++ b/Libraries/LibForward/endpoint_table.h
@@ -66,8 +66,15 @@
     /// When each prompt part was last sent here.
     std::unordered_map<std::uint64_t, core::instant> partSentTimes;
 
+    /// Not 0 if it has started again under its identity; distinguishes these starts.
+    std::uint64_t restart = 0;
+
     /// Connections with the same key are interchangeable.
-    std::string connectionKey() const { return listed.address.text() + ' ' + listed.incarnation; }
+    std::string connectionKey() const
+    {
+        const auto key = listed.address.text() + ' ' + listed.incarnation;
+        return restart == 0 ? key : key + ' ' + std::to_string(restart);
+    }
 };
 
 /// How an attempt at an endpoint ended.
@@ -89,9 +96,16 @@
 
     explicit endpoint_table(policy::notice_limits limits = {}) : m_notices(limits) { }
 
-    /// Replaces the list. An incarnation that was once leaving stays so.
+    /// Age of a list when it arrives by way of a control host, at most.
+    static constexpr std::chrono::milliseconds maximumListDelay{2500};
+
+    /// Replaces the list. An incarnation that was once leaving stays so, except by confirmList().
     void update(const std::vector<listed_endpoint> &list, core::instant now);
 
+    /// The list that was set last is not older than maximumListDelay. Endpoints that were leaving
+    /// and have started again under their identity begin without state; returns these.
+    std::vector<policy::endpoint_notices::ended_leave> confirmList(core::instant now);
+
     /// All endpoints of a service, including those that are leaving or no longer listed.
     const std::vector<endpoint_pointer> &ofService(std::string_view service) const;
 
@@ -113,9 +127,13 @@
     const std::map<std::string, endpoint_pointer> &all() const { return m_endpoints; }
 
 private:
+    bool isStaying(const std::string &incarnation) const;
+    void replaceByNewStart(endpoint_pointer &known, core::instant now);
+
     policy::endpoint_notices m_notices;
     std::map<std::string, endpoint_pointer> m_endpoints; ///< By incarnation.
     std::map<std::string, std::vector<endpoint_pointer>, std::less<>> m_services;
+    std::uint64_t m_restarts = 0;
 };
 
 } // namespace quetzalcleat::forward
--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -52,6 +52,16 @@
     m_heldRequests.resume();
 }
 
+void forwarder::confirmEndpoints()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto started = m_endpoints.confirmList(now);
+    if (started.empty())
+        return;
+    m_notices.logStartedAgain(started, now);
+    m_heldRequests.resume();
+}
+
 void forwarder::acceptNext()
 {
     m_acceptor.async_accept([self = shared_from_this()](std::error_code error,
--- a/Libraries/LibForward/forwarder.h
+++ b/Libraries/LibForward/forwarder.h
@@ -63,6 +63,8 @@
 
     void setRoutes(std::shared_ptr<const route_table> routes) { m_routes = std::move(routes); }
     void setEndpoints(const std::vector<listed_endpoint> &list);
+    /// The list that was set last is not older than endpoint_table::maximumListDelay.
+    void confirmEndpoints();
 
     /// Persistent connections close after their next response; new ones are still accepted. After
     /// the notice, only requests are taken that end before the stop does.
--- a/Libraries/LibForward/notice_recorder.cpp
+++ b/Libraries/LibForward/notice_recorder.cpp
@@ -70,6 +70,19 @@
     }
 }
 
+void notice_recorder::logStartedAgain(
+    const std::vector<policy::endpoint_notices::ended_leave> &started, core::instant now)
+{
+    for (const auto &[incarnation, notice] : started) {
+        ++m_counters.counter("endpoints_started_again_total");
+        m_log.write("endpoint_started_again",
+                    {{"id", notice.request.empty() ? std::string("-") : notice.request},
+                     {"endpoint", incarnation},
+                     {"source", std::string(policy::toString(notice.source))},
+                     {"age_ms", milliseconds(now - notice.since)}});
+    }
+}
+
 void notice_recorder::update(core::instant now)
 {
     logLeaving(now);
--- a/Libraries/LibForward/notice_recorder.h
+++ b/Libraries/LibForward/notice_recorder.h
@@ -9,6 +9,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace quetzalcleat::forward {
 
@@ -29,6 +30,10 @@
     bool readAnswer(const endpoint &target, const http_head &answer, std::string_view request,
                     core::instant now);
 
+    /// Logs endpoints that were leaving and have started again under their identity.
+    void logStartedAgain(const std::vector<policy::endpoint_notices::ended_leave> &started,
+                         core::instant now);
+
     /// Logs what has begun and ended, and forgets endpoints that have been gone for long.
     void update(core::instant now);
 
--- a/Libraries/LibPolicy/endpoint_notices.cpp
+++ b/Libraries/LibPolicy/endpoint_notices.cpp
@@ -262,6 +262,25 @@
     return ended;
 }
 
+std::vector<endpoint_notices::ended_leave>
+endpoint_notices::reportList(const std::function<bool(const std::string &incarnation)> &isStaying,
+                             bool isRecent, core::instant now)
+{
+    std::vector<ended_leave> started;
+    for (auto &[incarnation, entry] : m_records) {
+        if (!entry.leaving)
+            continue;
+        if (!isStaying(incarnation))
+            entry.lastAbsence = now;
+        else if (isRecent && entry.lastAbsence && now - *entry.lastAbsence > m_limits.listAge
+                 && now - entry.leaving->since > m_limits.drainTime + m_limits.listAge)
+            started.push_back({incarnation, *entry.leaving});
+    }
+    for (const auto &entry : started)
+        m_records.erase(entry.incarnation);
+    return started;
+}
+
 std::size_t endpoint_notices::leavingCount() const
 {
     return static_cast<std::size_t>(
--- a/Libraries/LibPolicy/endpoint_notices.h
+++ b/Libraries/LibPolicy/endpoint_notices.h
@@ -51,6 +51,8 @@
     std::chrono::milliseconds drainTime{4000};
     /// For the time between the decision to send a request and its arrival at the endpoint.
     std::chrono::milliseconds drainMargin{500};
+    /// Time between the state that a list shows and the use of the list, at most.
+    std::chrono::milliseconds listAge{3500};
     /// Bound of Retry-After, so that a faulty value does not take an endpoint out for good.
     std::chrono::milliseconds longestWait{60'000};
     /// Replaces a Retry-After that is not a number of seconds.
@@ -104,7 +106,8 @@
 /// time. All decisions whether a request may be sent to an endpoint ask this table.
 ///
 /// Keyed by the incarnation of an endpoint, so that a new incarnation begins without notices and a
-/// late answer of an earlier one has no effect on it. The caller passes in only answers that name
+/// late answer of an earlier one has no effect on it. If an endpoint starts again under the
+/// identity that it had, reportList() finds out. The caller passes in only answers that name
 /// their request. Does no I/O and reads no clock.
 class endpoint_notices
 {
@@ -175,6 +178,18 @@
     forgetUnknown(const std::function<bool(const std::string &incarnation)> &isKnown,
                   core::instant now);
 
+    /// To be called for each list of endpoints, and when one is confirmed. `isStaying` returns
+    /// whether it names the incarnation as not leaving, at the address that it had; `isRecent` says
+    /// that it is not older than notice_limits::listAge.
+    ///
+    /// An endpoint that leaves does not stay again, but a list that lags may say so. Hence one that
+    /// a recent list names as staying has started again under its identity if the last list that
+    /// did not is older than listAge, and its drain time is over. Returns these; they begin without
+    /// notices.
+    std::vector<ended_leave>
+    reportList(const std::function<bool(const std::string &incarnation)> &isStaying, bool isRecent,
+               core::instant now);
+
     std::size_t size() const { return m_records.size(); }
     std::size_t leavingCount() const;
     std::size_t heldOffCount(core::instant now) const;
@@ -185,6 +200,7 @@
         std::optional<leaving_notice> leaving;
         core::instant drainStart; ///< The earliest of all notices; only if leaving.
         bool hasEnded = false; ///< Another incarnation has its address.
+        std::optional<core::instant> lastAbsence; ///< When a list last said that it does not stay.
         std::optional<wait_notice> wait; ///< Kept until requests have returned.
         bool waitEndTaken = false;
         std::uint64_t waits = 0;
--- a/Tests/Forward/test_placement.cpp
+++ b/Tests/Forward/test_placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <deque>
 #include <random>
+#include <utility>
 
 #include <gtest/gtest.h>
 
@@ -243,6 +244,45 @@
     EXPECT_EQ(fleet.table.notices().use("engine-0", start), policy::endpoint_use::Gone);
 }
 
+/// Guards against an endpoint that stays out of use after it has started again under the identity
+/// that it had, and against state of its former start: ejections, cached prompts, connections.
+TEST(endpoint_table, LaterStartUnderTheSameIdentityBeginsClean)
+{
+    const listed_endpoint staying{"i1", "s", {"10.0.0.1", 80}, "dc", 6, false};
+    auto leaving = staying;
+    leaving.isLeaving = true;
+    auto moved = staying;
+    moved.address.port = 81;
+    for (const auto &[second, third] : {std::pair(std::vector<listed_endpoint>{leaving}, staying),
+                                        std::pair(std::vector<listed_endpoint>{}, staying),
+                                        std::pair(std::vector<listed_endpoint>{moved}, moved)}) {
+        endpoint_table table;
+        table.update({staying}, start);
+        const auto former = table.ofService("s").front();
+        former->running = 1;
+        former->ejectedUntil = start + std::chrono::hours(1);
+        former->partSentTimes[7] = start;
+        table.notices().reportLeaving("i1", {start, policy::notice_source::OwnAnswer, "r"}, start);
+        const auto end = start + std::chrono::seconds(5);
+        table.update(second, end);
+        table.update({third}, end + std::chrono::seconds(1));
+        const auto settled = end + std::chrono::seconds(10);
+        EXPECT_EQ(table.notices().use("i1", settled), policy::endpoint_use::Gone);
+        EXPECT_TRUE(table.confirmList(end + std::chrono::seconds(2)).empty());
+        ASSERT_EQ(table.confirmList(settled).size(), 1U);
+        EXPECT_EQ(table.notices().use("i1", settled), policy::endpoint_use::Free);
+        ASSERT_EQ(table.ofService("s").size(), 1U);
+        const auto &fresh = *table.ofService("s").front();
+        EXPECT_EQ(table.all().at("i1").get(), &fresh);
+        EXPECT_EQ(fresh.running, 0U);
+        EXPECT_LE(fresh.ejectedUntil, start);
+        EXPECT_TRUE(fresh.partSentTimes.empty());
+        EXPECT_NE(fresh.connectionKey(), former->connectionKey());
+        // The list names it as staying all the time.
+        EXPECT_TRUE(table.confirmList(settled + std::chrono::hours(1)).empty());
+    }
+}
+
 /// Guards against a failing endpoint that keeps getting requests because it is listed as ready, and
 /// against one that is never tried again.
 TEST(endpoint_table, EjectsFailingEndpointsForAWhile)
--- a/Tests/Platform/test_platform_dialect.cpp
+++ b/Tests/Platform/test_platform_dialect.cpp
@@ -145,6 +145,7 @@
 [cloud-api]
 address = "10.200.0.61:8223"
 rate-per-s = 47.0
+max-lag-ms = 800
 )";
     const auto settings = platform_dialect::readSettings(text);
     ASSERT_TRUE(settings) << settings.error().message();
@@ -153,6 +154,7 @@
     EXPECT_EQ(settings.value().tolerableDiskLosses, 2U);
     EXPECT_EQ(settings.value().graceTime, std::chrono::seconds(8));
     EXPECT_EQ(settings.value().drainTime, std::chrono::milliseconds(4500));
+    EXPECT_EQ(settings.value().endpointListLag, std::chrono::milliseconds(800));
     EXPECT_EQ(settings.value().additionalRetries, 58);
     EXPECT_TRUE(settings.value().bootstrapsCluster);
     EXPECT_FALSE(settings.value().controlAddress);
--- a/Tests/Policy/test_endpoint_notices.cpp
+++ b/Tests/Policy/test_endpoint_notices.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -239,6 +240,51 @@
     EXPECT_EQ(notices.wait("n99", start)->request.size(), endpoint_notices::maximumRequestIdLength);
 }
 
+// Guards against an endpoint that stays out of use after it has started again under the identity
+// that it had, and against lists of several readers, each of which lags and skips its entry now and
+// then, that bring it back before.
+RC_GTEST_PROP(endpoint_notices, LaterStartUnderTheSameIdentityBeginsClean, ())
+{
+    constexpr int readers = 3;
+    endpoint_notices notices;
+    const auto limits = notices.limits();
+    const auto anyTime = [](std::chrono::milliseconds longest) {
+        return std::chrono::milliseconds(*rc::gen::inRange(0, static_cast<int>(longest.count())));
+    };
+    const auto leaves = start + anyTime(5000ms);
+    const auto listedAsLeaving = leaves + anyTime(1000ms);
+    const auto ends = std::max(listedAsLeaving, leaves + limits.drainTime) + anyTime(9000ms);
+    const auto starts = ends + anyTime(9000ms);
+    const auto isListed = [&](core::instant at) { return at < listedAsLeaving || at >= starts; };
+    bool hasLeft = false;
+    bool hasReturned = false;
+    const auto last = starts + 3 * limits.listAge;
+    std::array<core::instant, readers> shown;
+    shown.fill(start);
+    for (auto now = start; now < last; now += 100ms) {
+        if (now >= leaves && !std::exchange(hasLeft, true)) {
+            notices.reportLeaving("a", notice(now), now);
+            notices.reportWait("a", limits.longestWait, "r", now);
+        }
+        // Readers take turns at random; none shows an older state than it has shown before.
+        auto &state = shown.at(*rc::gen::inRange<std::size_t>(0, readers));
+        state = std::max(state, now - anyTime(limits.listAge));
+        const bool isRecent = *rc::gen::inRange(0, 4) != 0;
+        // A list that is not recent can show anything.
+        const bool isStaying = isRecent ? isListed(state) : *rc::gen::arbitrary<bool>();
+        const auto started
+            = notices.reportList([&](const std::string &) { return isStaying; }, isRecent, now);
+        RC_ASSERT(started.empty() || (now >= starts && !hasReturned));
+        hasReturned = hasReturned || !started.empty();
+        RC_ASSERT(notices.isLeaving("a") == (hasLeft && !hasReturned));
+        if (hasReturned)
+            RC_ASSERT(notices.use("a", now) == endpoint_use::Free);
+    }
+    for (auto now = last; now <= last + limits.listAge + 100ms; now += 100ms)
+        (void)notices.reportList([](const std::string &) { return true; }, true, now);
+    RC_ASSERT(!notices.isLeaving("a"));
+}
+
 // Guards against a request that is written after a notice which arrived while its connection was
 // opened, and against one that never finds a place at the only endpoint.
 TEST(endpoint_notices, ANoticeWithdrawsPlacedRequests)
