LibForward: Count suspended time for waits, drain times and the retry budget

The tables of endpoints and the retry budget were told the time of a clock that stands still while the host is suspended. After a suspension a leaving endpoint got requests past its drain time, a wait lasted longer than asked, and retries were allowed on account of requests older than the window.

They are told core::suspendAwareNow() through forwarder_options::now, as LibPeer does. Only timers, arrivals and deadlines keep the clock of timers; forwarder::timerTime() converts. Two tests asked the table with the clock of timers and now ask with that of the forwarder; what they check is the same.

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -100,7 +100,7 @@
     /// One line for the host and one for each endpoint.
     std::string dump() const
     {
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = m_forwarder->now();
         const auto &notices = m_forwarder->endpoints().notices();
         const auto version = m_forwarder->routes() ? m_forwarder->routes()->content().version : 0;
         std::string text = "entry version=" + std::to_string(version)
@@ -271,7 +271,7 @@
     std::vector<peer::endpoint_load> ownLoads() const
     {
         std::vector<peer::endpoint_load> loads;
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = m_forwarder->now();
         for (const auto &[incarnation, target] : m_forwarder->endpoints().all()) {
             const bool lost = forward::endpoint_table::shouldReportLoss(*target, now);
             if (target->running > 0 || lost)
@@ -297,7 +297,7 @@
             if (load.lossReports > 0)
                 lost[load.incarnation] = load.lossReports;
         }
-        m_forwarder->endpoints().applyLossReports(lost, std::chrono::steady_clock::now());
+        m_forwarder->endpoints().applyLossReports(lost, m_forwarder->now());
         // The largest number seen, so that hosts the leader cannot reach keep their share.
         m_hosts = std::max(m_hosts, hosts);
         m_forwarder->retryBudget().setAdditionalRetriesShare(
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -145,7 +145,7 @@
         respondWithError(503, "Service Unavailable", "no_service", minimumRetryAfter);
         return;
     }
-    m_owner->retryBudget().recordRequest(m_service->name, std::chrono::steady_clock::now());
+    m_owner->retryBudget().recordRequest(m_service->name, m_owner->now());
     m_deadlineTimer.expires_at(m_deadline);
     m_deadlineTimer.async_wait([weak = weak_from_this()](std::error_code error) {
         const auto self = weak.lock();
@@ -243,7 +243,7 @@
 
 void exchange::tryEndpoint()
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = m_owner->now();
     const auto left = timeLeft();
     if (left < minimumTimeLeft) {
         handleDeadline();
@@ -258,8 +258,8 @@
     request.affinity = m_service->engine ? m_affinity : 0;
     request.objective = m_route->latencyObjective;
     request.excluded = m_excluded;
-    request.isConnected = [this, now](const endpoint &target) {
-        return m_owner->pool()->hasIdle(target.connectionKey(), now);
+    request.isConnected = [this](const endpoint &target) {
+        return m_owner->pool()->hasIdle(target.connectionKey(), std::chrono::steady_clock::now());
     };
     const auto choice
         = chooseEndpoint(m_owner->endpoints(), request, m_owner->options().placement, now);
@@ -311,7 +311,7 @@
     handlers.interim = [weak](const http_head &head) {
         if (const auto self = weak.lock(); self && self->m_endpoint)
             self->m_owner->notices().readAnswer(*self->m_endpoint, head, self->m_id,
-                                                std::chrono::steady_clock::now());
+                                                self->m_owner->now());
     };
     handlers.sent = [weak] {
         if (const auto self = weak.lock())
@@ -338,14 +338,15 @@
 {
     const auto latest
         = std::min(m_arrived + m_route->latencyObjective, m_deadline - minimumTimeLeft);
-    if (!choice.heldOffUntil || *choice.heldOffUntil >= latest)
+    if (!choice.heldOffUntil || m_owner->timerTime(*choice.heldOffUntil) >= latest)
         return false;
     if (!m_isWaiting && m_owner->waitingRequests() >= maximumWaitingRequests)
         return false;
     if (!std::exchange(m_isWaiting, true))
         m_owner->waitStarted();
     m_isHeld = true;
-    m_owner->heldRequests().add(shared_from_this(), std::min(choice.nextUse, latest));
+    m_owner->heldRequests().add(shared_from_this(),
+                                std::min(m_owner->timerTime(choice.nextUse), latest));
     return true;
 }
 
@@ -371,7 +372,7 @@
 {
     return m_endpoint && m_written
         && m_owner->endpoints().notices().mayStillWrite(m_endpoint->listed.incarnation, *m_written,
-                                                        std::chrono::steady_clock::now());
+                                                        m_owner->now());
 }
 
 /// The endpoint said that it leaves or wants no request while the connection was opened.
@@ -429,7 +430,7 @@
 void exchange::handleHead(http_head &head)
 {
     m_response = std::move(head);
-    m_endpoint->lastReceived = std::chrono::steady_clock::now();
+    m_endpoint->lastReceived = m_owner->now();
     const bool asksForWait
         = m_owner->notices().readAnswer(*m_endpoint, m_response, m_id, m_endpoint->lastReceived);
     recordAnswer(m_response.status);
@@ -464,7 +465,7 @@
         handleEventBytes(bytes, *session);
         return;
     }
-    m_endpoint->lastReceived = std::chrono::steady_clock::now();
+    m_endpoint->lastReceived = m_owner->now();
     if (!m_streamsBody) {
         m_responseBody.append(bytes);
         if (m_responseBody.size() <= maximumBufferedResponse)
@@ -500,7 +501,7 @@
     }
     // Comments and incomplete events are no progress, so they do not restart the stall timer.
     if (m_events.eventCount() > eventsBefore) {
-        m_endpoint->lastReceived = std::chrono::steady_clock::now();
+        m_endpoint->lastReceived = m_owner->now();
         recordFirstByte(*m_endpoint);
         recordPart();
         startAttemptTimer();
@@ -562,8 +563,7 @@
     if (m_response.has(names.notRun) || m_response.status == 421) {
         --m_possibleRuns;
         // The table of notices keeps it from being used until the end of the wait.
-        if (m_owner->endpoints().notices().wait(m_endpoint->listed.incarnation,
-                                                std::chrono::steady_clock::now()))
+        if (m_owner->endpoints().notices().wait(m_endpoint->listed.incarnation, m_owner->now()))
             m_excluded.pop_back();
         releaseEndpoint(m_response.status == 421 ? endpoint_outcome::Replaced
                                                  : endpoint_outcome::Refused);
@@ -673,8 +673,7 @@
         return false;
     // An attempt that never reached an endpoint has not used the retry acquired for it.
     if (m_sentAttempts > 0 && !m_holdsRetryToken)
-        m_holdsRetryToken
-            = m_owner->retryBudget().tryAcquire(m_service->name, std::chrono::steady_clock::now());
+        m_holdsRetryToken = m_owner->retryBudget().tryAcquire(m_service->name, m_owner->now());
     return m_sentAttempts == 0 || m_holdsRetryToken;
 }
 
@@ -702,7 +701,7 @@
             self->startAttemptTimer();
             return;
         }
-        const auto silence = std::chrono::steady_clock::now() - self->m_endpoint->lastReceived;
+        const auto silence = self->m_owner->now() - self->m_endpoint->lastReceived;
         if (self->isStream() && silence < recentActivityTime) {
             self->startAttemptTimer();
             return;
@@ -785,9 +784,9 @@
     if (const auto written = std::exchange(m_written, std::nullopt))
         m_owner->endpoints().notices().recordLoss(target->listed.incarnation, *written);
     recordFirstByte(*target);
-    const bool wasEjected = target->ejectedUntil > std::chrono::steady_clock::now();
-    m_owner->endpoints().recordOutcome(*target, outcome, std::chrono::steady_clock::now());
-    if (!wasEjected && target->ejectedUntil > std::chrono::steady_clock::now())
+    const bool wasEjected = target->ejectedUntil > m_owner->now();
+    m_owner->endpoints().recordOutcome(*target, outcome, m_owner->now());
+    if (!wasEjected && target->ejectedUntil > m_owner->now())
         m_owner->log().write(
             "endpoint_ejected",
             {{"endpoint", target->listed.incarnation},
@@ -876,7 +875,7 @@
 {
     if (m_service == nullptr)
         return std::nullopt;
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = m_owner->now();
     placement_request request;
     request.target = m_service;
     const auto choice
--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -46,7 +46,7 @@
 
 void forwarder::setEndpoints(const std::vector<listed_endpoint> &list)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = m_options.now();
     m_endpoints.update(list, now);
     m_notices.update(now);
     m_heldRequests.resume();
@@ -54,7 +54,7 @@
 
 void forwarder::confirmEndpoints()
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = m_options.now();
     const auto started = m_endpoints.confirmList(now);
     if (started.empty())
         return;
@@ -114,9 +114,8 @@
     m_timer.async_wait([self = shared_from_this()](std::error_code error) {
         if (error || self->m_stopped)
             return;
-        const auto now = std::chrono::steady_clock::now();
-        self->m_pool->closeIdle(now);
-        self->m_notices.update(now);
+        self->m_pool->closeIdle(std::chrono::steady_clock::now());
+        self->m_notices.update(self->now());
         self->m_log.flush();
         self->startTimer();
     });
--- a/Libraries/LibForward/forwarder.h
+++ b/Libraries/LibForward/forwarder.h
@@ -38,6 +38,7 @@
     /// Requests with keys are refused if the last confirmation of the configuration is older.
     std::chrono::milliseconds confirmationLifetime{4000};
     std::size_t maximumSessions = 2500;
+    core::time_source now = core::suspendAwareNow; ///< Has to count suspended time.
 };
 
 /// Times of a planned stop.
@@ -93,6 +94,15 @@
     std::size_t sessions() const { return m_sessions.size(); }
 
     const std::shared_ptr<const route_table> &routes() const { return m_routes; }
+    /// For endpoints(), notices() and retryBudget(), whose times have to count suspended time. Not
+    /// comparable with the time points of timers, arrivals and deadlines.
+    core::instant now() const { return m_options.now(); }
+    /// The time point for a timer.
+    core::instant timerTime(core::instant time) const
+    {
+        return std::chrono::steady_clock::now() + (time - now());
+    }
+
     endpoint_table &endpoints() { return m_endpoints; }
     notice_recorder &notices() { return m_notices; }
     held_requests &heldRequests() { return m_heldRequests; }
--- a/Tests/Forward/forwarder_fixture.h
+++ b/Tests/Forward/forwarder_fixture.h
@@ -72,10 +72,12 @@
         forwarder_options options;
         options.callerAddress = {"127.0.0.1", 0};
         options.names.reserved = {"X-Reserved"};
-        options.retries.additionalRetries = 100;
         options.retries.additionalRetriesShare = 1;
         options.upstream = m_upstream;
         options.notices = m_notices;
+        options.retries.ratio = m_retryRatio;
+        options.retries.additionalRetries = m_additionalRetries;
+        options.now = [this] { return core::suspendAwareNow() + m_suspended.load(); };
         m_forwarder = std::make_shared<forwarder>(m_context, m_counters, m_log, options, [this] {
             return std::chrono::milliseconds(m_confirmationAge.load());
         });
@@ -181,6 +183,10 @@
     event_log m_log;
     upstream_options m_upstream;
     policy::notice_limits m_notices;
+    double m_retryRatio = 0.2;
+    double m_additionalRetries = 100;
+    /// Time that the host was suspended, which the clock of timers does not count.
+    std::atomic<std::chrono::milliseconds> m_suspended{std::chrono::milliseconds(0)};
     std::atomic<int> m_confirmationAge{0};
     std::shared_ptr<forwarder> m_forwarder;
     std::array<scripted_listener, 2> m_endpoints;
--- a/Tests/Forward/test_endpoint_notices.cpp
+++ b/Tests/Forward/test_endpoint_notices.cpp
@@ -79,9 +79,7 @@
     policy::endpoint_use useOfOne()
     {
         auto use = policy::endpoint_use::Free;
-        inLoop([&] {
-            use = m_forwarder->endpoints().notices().use("one", std::chrono::steady_clock::now());
-        });
+        inLoop([&] { use = m_forwarder->endpoints().notices().use("one", m_forwarder->now()); });
         return use;
     }
 
@@ -217,7 +215,7 @@
     inLoop([this] {
         auto &target = *m_forwarder->endpoints().all().at("one");
         target.ejections = 1;
-        target.ejectedUntil = std::chrono::steady_clock::now() - 1s;
+        target.ejectedUntil = m_forwarder->now() - 1s;
     });
     first.endpoint.send(refusal("Retry-After: 30\r\n"));
     const auto waitOf = [](scripted_socket &caller) {
@@ -270,6 +268,84 @@
     EXPECT_EQ(whole, 1);
 }
 
+/// Guards against drain times that a suspension of the host extends.
+TEST_F(notice_test, SuspensionCountsForTheDrainTime)
+{
+    setEndpoints({"one"});
+    auto first = openAtOne();
+    first.endpoint.send(refusal(leavingHeader));
+    first.caller.readMessage();
+    EXPECT_EQ(useOfOne(), policy::endpoint_use::LastResort);
+    m_suspended = 10s;
+    auto caller = call("GET", "/read/next");
+    EXPECT_TRUE(caller.readMessage().starts_with("HTTP/1.1 503"));
+    EXPECT_FALSE(m_endpoints[0].hasConnection(0ms));
+    EXPECT_FALSE(first.endpoint.hasBytes(0ms));
+}
+
+/// Guards against waits that a suspension of the host extends.
+TEST_F(notice_test, SuspensionCountsForAWait)
+{
+    setEndpoints({"one"});
+    auto first = openAtOne();
+    first.endpoint.send(refusal("Retry-After: 30\r\n"));
+    EXPECT_TRUE(first.caller.readMessage().starts_with("HTTP/1.1 503"));
+    m_suspended = 31s;
+    const auto caller = call("GET", "/read/next");
+    EXPECT_TRUE(first.endpoint.readMessage().starts_with("GET /read/next"));
+}
+
+namespace {
+
+class small_budget_test : public notice_test
+{
+protected:
+    small_budget_test()
+    {
+        m_retryRatio = 1;
+        m_additionalRetries = 0;
+    }
+
+    /// Serves `count` requests, which raises the number of retries that are allowed.
+    void serve(std::size_t count)
+    {
+        setEndpoints({"one"});
+        for (std::size_t index = 0; index < count; ++index) {
+            auto opened = openAtOne();
+            opened.endpoint.send(closingResponse());
+            EXPECT_TRUE(opened.caller.readMessage().starts_with("HTTP/1.1 200"));
+        }
+    }
+
+    /// Whether a request that the first endpoint refuses is sent to the second one.
+    bool retries()
+    {
+        setEndpoints({"one"});
+        auto opened = openAtOne("/read/retried");
+        setEndpoints({"one", "two"});
+        opened.endpoint.send(refusal("Connection: close\r\n"));
+        while (!opened.caller.hasBytes(10ms)) {
+            if (m_endpoints[1].hasConnection(10ms)) {
+                serveAtTwo(1, "/read/retried");
+                return true;
+            }
+        }
+        return false;
+    }
+};
+
+} // namespace
+
+/// Guards against retries on account of requests that arrived before a suspension of the host, and
+/// that are older than the window.
+TEST_F(small_budget_test, SuspensionCountsForTheWindowOfTheRetryBudget)
+{
+    serve(3);
+    EXPECT_TRUE(retries());
+    m_suspended = 11s;
+    EXPECT_FALSE(retries());
+}
+
 class returning_test : public notice_test
 {
 protected:
