LibForward: Let the next held request return when one ends without an answer

After a wait, requests return one after another. One that ended without an answer (its caller left, the connection broke) made room, but nobody placed the next held request: it waited for the end of the return interval (500 ms), and a request that arrived in between took its place, whatever its priority.

Ending an attempt places held requests again, as an answer does. At the end of the grace time of a stop they are not placed anymore, as all are ended then.

Test: returning_test.CallerWhoLeavesMakesRoomForTheNext (failed before).

--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -777,8 +777,9 @@
     if (!target)
         return;
     --target->running;
-    if (const auto written = std::exchange(m_written, std::nullopt))
-        m_owner->endpoints().notices().recordLoss(target->listed.incarnation, *written);
+    const auto written = std::exchange(m_written, std::nullopt);
+    const bool mayOtherReturn = written
+        && m_owner->endpoints().notices().recordLoss(target->listed.incarnation, *written);
     recordFirstByte(*target);
     const bool wasEjected = target->ejectedUntil > m_owner->now();
     m_owner->endpoints().recordOutcome(*target, outcome, m_owner->now());
@@ -789,6 +790,8 @@
              {"service", target->listed.service},
              {"failure_percent", number(static_cast<std::int64_t>(target->failureShare * 100))},
              {"ejections", number(target->ejections)}});
+    if (mayOtherReturn)
+        m_owner->heldRequests().resume();
 }
 
 void exchange::respondWithError(int status, std::string_view reason, std::string_view cause,
--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -169,6 +169,8 @@
 void forwarder::endRequests()
 {
     closeListener();
+    // Each request that ends would make room for a held one, which is ended as well.
+    m_heldRequests.stop();
     const auto sessions = m_sessions;
     for (const auto &session : sessions)
         session->endRequest();
--- a/Tests/Forward/test_endpoint_notices.cpp
+++ b/Tests/Forward/test_endpoint_notices.cpp
@@ -421,6 +421,21 @@
         EXPECT_TRUE(caller.readMessage().starts_with("HTTP/1.1 200"));
 }
 
+/// Guards against callers who are held although the request before them has ended without an
+/// answer.
+TEST_F(returning_test, CallerWhoLeavesMakesRoomForTheNext)
+{
+    setEndpoints({"one"});
+    auto first = openAtOne();
+    first.endpoint.send(refusal("Retry-After: 0.3\r\nConnection: close\r\n"));
+    awaitUseOfOne(policy::endpoint_use::HeldOff);
+    const auto callers = callInParallel();
+    const auto endpoint = m_endpoints[0].accept();
+    EXPECT_FALSE(m_endpoints[0].hasConnection(200ms));
+    first.caller.close();
+    EXPECT_TRUE(m_endpoints[0].hasConnection(3s));
+}
+
 namespace {
 
 /// A listener that leaves further connections unopened while one waits to be accepted.
