Tests/Soak: Let endpoints start again under their former identity

The soak gave each start of an endpoint a new id. Now, if the list showed that an endpoint leaves, its next start has the same id in seven of ten cases, 0.1 to 4 s later. DRAIN and BUDGET count each start as an endpoint of its own, by the seal of its answers.

New check RETURN: such an endpoint gets requests, if callers go on for 8 s after its start and neither the list nor its link fails in this time.

--- a/Tests/Soak/callers.py
+++ b/Tests/Soak/callers.py
@@ -72,7 +72,7 @@
         return request
 
     def note_arrival(self, request, endpoint):
-        arrival = Arrival(time.monotonic(), request, endpoint, endpoint.id)
+        arrival = Arrival(time.monotonic(), request, endpoint, endpoint.lifetime)
         self.arrivals.setdefault(request.id, []).append(arrival)
         return arrival
 
--- a/Tests/Soak/checks.py
+++ b/Tests/Soak/checks.py
@@ -7,6 +7,7 @@
 LIST_LAG_SECONDS = 1.0  # max-lag-ms of the list, plus the clock lag of the fakes.
 WAIT_NOTICE_SECONDS = 0.5  # From an answer with Retry-After until it counts.
 REQUESTS_WITHIN_WAIT = 2
+RETURN_SECONDS = 8.0  # From the start under a former id until requests arrive, under faults.
 LOST_ON_KEPT_CONNECTIONS = 3  # Allowed outside planned stops.
 LATE_WORK = 5 / 6  # Fraction of the grace time; the endpoint may be cut off after it ...
 LATE_WORK_SENT_SECONDS = 3.0  # ... with a request sent up to this time after SIGTERM.
@@ -38,7 +39,7 @@
     for arrivals in record.arrivals.values():
         for arrival in arrivals:
             request, endpoint = arrival.request, arrival.endpoint
-            listed = endpoint.draining_since if endpoint.id == arrival.incarnation else None
+            listed = endpoint.draining_since if endpoint.lifetime == arrival.incarnation else None
             if listed and arrival.at > listed + DRAIN_SECONDS + LIST_LAG_SECONDS \
                     and not request.entry.faults.any_within(request.sent_at, arrival.at) \
                     and not list_outages.any_within(listed, arrival.at):
@@ -73,6 +74,17 @@
                 break
 
 
+def check_returned(record, returned, callers_end, worker_proxies, list_outages):
+    """Endpoints that get nothing after they have started again under their id."""
+    reached = {each.incarnation for arrivals in record.arrivals.values() for each in arrivals}
+    for endpoint, lifetime, at in returned:
+        due = at + RETURN_SECONDS
+        if due < callers_end and lifetime not in reached \
+                and not list_outages.any_within(at, due) \
+                and not worker_proxies[endpoint.name].disturbances.any_within(at, due):
+            yield f"RETURN {lifetime} got nothing in {callers_end - at:.1f} s after its start"
+
+
 def was_disturbed(request, arrivals, entry_proxy, worker_proxies):
     """Whether a fault of the host, a proxy or an endpoint excuses a lost answer."""
     start, end = request.sent_at - CONTACT_SECONDS, request.ended_at
--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -63,6 +63,7 @@
         self.longest_wait = 0.0
         self.running = 0
         self.incarnation = 0
+        self.starts = 0
         self.server = None
         self.writers = set()
         self.crashes = Disturbances()
@@ -72,8 +73,14 @@
     def id(self):
         return f"{self.name}-{self.incarnation}"
 
-    async def start(self):
-        self.incarnation += 1
+    @property
+    def lifetime(self):
+        """Unlike the id, which a later start may have too."""
+        return f"{self.id}/{self.starts}"
+
+    async def start(self, keeps_id=False):
+        self.starts += 1
+        self.incarnation += 0 if keeps_id else 1
         self.state, self.draining_since = "ready", None
         self.says_leaving = self.refuses = False
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
@@ -90,12 +97,13 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
-        incarnation = self.id
+        incarnation, lifetime = self.id, self.lifetime
         try:
             while head := await read_head(reader):
                 method, target, headers = head
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
-                if not await self.answer(incarnation, method, target, headers, body, writer):
+                if lifetime != self.lifetime \
+                        or not await self.answer(incarnation, method, target, headers, body, writer):
                     break
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -134,7 +142,7 @@
             else:
                 await asyncio.sleep(0.015)
                 answer = body_of(request_id)
-                writer.write(f"HTTP/1.1 200 OK\r\n{common}X-Response-Seal: {incarnation}\r\n"
+                writer.write(f"HTTP/1.1 200 OK\r\n{common}X-Response-Seal: {self.lifetime}\r\n"
                              f"Content-Length: {len(answer)}\r\n\r\n".encode() + answer)
                 await writer.drain()
         finally:
@@ -148,7 +156,7 @@
         await writer.drain()
 
     async def stream(self, request, headers, common, writer):
-        writer.write(f"HTTP/1.1 200 OK\r\n{common}X-Response-Seal: {self.id}\r\n"
+        writer.write(f"HTTP/1.1 200 OK\r\n{common}X-Response-Seal: {self.lifetime}\r\n"
                      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                      .encode())
         for number in range(int(headers.get("last-event-id", 0)) + 1, request.events + 1):
--- a/Tests/Soak/fault_soak.py
+++ b/Tests/Soak/fault_soak.py
@@ -18,7 +18,8 @@
 import time
 
 from callers import Callers, ExecutionRecord, Operator, Request, call
-from checks import DRAIN_SECONDS, check_drain, check_lost, check_requests, check_waits
+from checks import DRAIN_SECONDS, check_drain, check_lost, check_requests, \
+    check_returned, check_waits
 from fakes import Disturbances, Endpoint, EndpointList, Proxy
 from fleet import GRACE_SECONDS, PORTS, RESTART_SECONDS, ZONES, Fleet
 
@@ -38,6 +39,7 @@
         self.problems = self.record.problems
         self.operator = Operator(self.fleet.controls, self.problems)
         self.log = []
+        self.returned = []  # Endpoints that started again under their id: lifetime and time.
         self.endpoints = [Endpoint(f"desk-{index}", "desk", f"{prefix}.{index + 101}", 9000,
                                    self.record) for index in range(3)]
         self.endpoints += [Endpoint(f"pool-{index}", "pool", f"{prefix}.{index + 111}", 9000,
@@ -69,7 +71,7 @@
             await asyncio.sleep(1.5)
             end = time.monotonic() + self.options.seconds
             supervisor = asyncio.ensure_future(self.supervise())
-            self.callers = Callers(self, end)
+            self.callers, self.callers_end = Callers(self, end), end
             await asyncio.gather(self.callers.execute(), self.operators(end), self.faults(end))
             await self.callers.finish()
             await self.recover()
@@ -217,8 +219,7 @@
             self.log_event(f"drain {endpoint.id}")
             endpoint.drain()
             await asyncio.sleep(DRAIN_SECONDS + 3)
-            await endpoint.crash()
-            await endpoint.start()
+            await self.start_again(rng, endpoint)
 
     async def leave_by_answers(self, rng):
         """An endpoint leaves and says so in its answers. The list shows it late, or not at all, or
@@ -239,8 +240,19 @@
             if lag:
                 endpoint.drain()
             await asyncio.sleep(DRAIN_SECONDS + 1)
+        await self.start_again(rng, endpoint)
+
+    async def start_again(self, rng, endpoint):
+        """Ends an endpoint and starts it again. If the list showed that it leaves, the start may
+        have the same id."""
+        keeps_id = endpoint.state == "draining" and rng.random() < 0.7
         await endpoint.crash()
-        await endpoint.start()
+        if keeps_id:
+            await asyncio.sleep(rng.choice((0.1, 1.5, 4.0)))
+        await endpoint.start(keeps_id)
+        if keeps_id:
+            self.log_event(f"start {endpoint.lifetime} under its former id")
+            self.returned.append((endpoint, endpoint.lifetime, time.monotonic()))
 
     async def isolate(self, seconds):
         """Pauses all control hosts, and the list does not answer."""
@@ -345,6 +357,8 @@
         self.problems += check_requests(self.record, self.operator.removed_keys)
         self.problems += check_drain(self.record, self.list_outages)
         self.problems += check_waits(self.record, self.worker_proxies)
+        self.problems += check_returned(self.record, self.returned, self.callers_end,
+                                        self.worker_proxies, self.list_outages)
         self.problems += check_lost(self.record, entry_proxies, self.worker_proxies)
 
 
