--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -46,12 +46,22 @@
 
 void forwarder::setEndpoints(const std::vector<listed_endpoint> &list)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = m_options.now();
     m_endpoints.update(list, now);
     m_notices.update(now);
     m_heldRequests.resume();
 }
 
+void forwarder::confirmEndpoints()
+{
+    const auto now = m_options.now();
+    const auto started = m_endpoints.confirmList(now);
+    if (started.empty())
+        return;
+    m_notices.logStartedAgain(started, now);
+    m_heldRequests.resume();
+}
+
 void forwarder::acceptNext()
 {
     m_acceptor.async_accept([self = shared_from_this()](std::error_code error,
@@ -104,9 +114,8 @@
     m_timer.async_wait([self = shared_from_this()](std::error_code error) {
         if (error || self->m_stopped)
             return;
-        const auto now = std::chrono::steady_clock::now();
-        self->m_pool->closeIdle(now);
-        self->m_notices.update(now);
+        self->m_pool->closeIdle(std::chrono::steady_clock::now());
+        self->m_notices.update(self->now());
         self->m_log.flush();
         self->startTimer();
     });
@@ -160,6 +169,8 @@
 void forwarder::endRequests()
 {
     closeListener();
+    // Each request that ends would make room for a held one, which is ended as well.
+    m_heldRequests.stop();
     const auto sessions = m_sessions;
     for (const auto &session : sessions)
         session->endRequest();
