LibHttp: Ask before the first byte of a request, and pass on interim heads

Cause: a request was sent once its connection was open, whatever the sender had learned since; interim responses were dropped, so nothing in them could be read. Change: endpoint_request::mayStillSend is asked by libcurl's callback between the connection and the request; if not, the transfer ends with Withdrawn and nothing was sent. transfer_handler::onInterim gets interim heads.

--- a/Libraries/LibHttp/endpoint_client.cpp
+++ b/Libraries/LibHttp/endpoint_client.cpp
@@ -53,6 +53,8 @@
         return http_error::ConnectFailed;
     case CURLE_OPERATION_TIMEDOUT:
         return http_error::ConnectTimeout;
+    case CURLE_ABORTED_BY_CALLBACK: // Only beforeRequest() does that.
+        return http_error::Withdrawn;
     case CURLE_GOT_NOTHING:
     case CURLE_PARTIAL_FILE:
     case CURLE_RECV_ERROR:
@@ -68,7 +70,7 @@
 bool maybeSent(CURLcode code)
 {
     return code != CURLE_COULDNT_CONNECT && code != CURLE_OPERATION_TIMEDOUT
-        && code != CURLE_URL_MALFORMAT;
+        && code != CURLE_URL_MALFORMAT && code != CURLE_ABORTED_BY_CALLBACK;
 }
 
 struct watched_socket
@@ -218,6 +220,14 @@
         return target.m_headError ? 0 : bytes;
     }
 
+    /// Called once the connection is open.
+    static int beforeRequest(void *self, char *, char *, int, int)
+    {
+        const auto &target = *static_cast<transfer *>(self);
+        const bool maySend = !target.m_ended && target.m_request.mayStillSend();
+        return maySend ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+    }
+
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self)
     {
         auto &target = *static_cast<transfer *>(self);
@@ -318,6 +328,10 @@
     curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, &transfer::onBody);
     curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(m_easy, CURLOPT_PRIVATE, this);
+    if (m_request.mayStillSend) {
+        curl_easy_setopt(m_easy, CURLOPT_PREREQFUNCTION, &transfer::beforeRequest);
+        curl_easy_setopt(m_easy, CURLOPT_PREREQDATA, this);
+    }
     setUpBody();
     setUpHeaders();
     owner.configureConnectionReuse(m_easy, m_request);
@@ -376,12 +390,15 @@
     }
     long status = 0;
     curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
-    if (status < 200)
+    m_head.status = static_cast<std::uint16_t>(status);
+    if (status < 200) {
+        if (m_handler.onInterim)
+            m_handler.onInterim(m_head);
         return;
+    }
     checkIdentity();
     if (m_headError)
         return;
-    m_head.status = static_cast<std::uint16_t>(status);
     m_headDelivered = true;
     m_headBytes = 0; // From here on, of the trailer.
     m_handler.onHead(m_head);
--- a/Libraries/LibHttp/endpoint_client.h
+++ b/Libraries/LibHttp/endpoint_client.h
@@ -34,6 +34,9 @@
     /// The response must repeat the request's X-Request-Id, which no other request to the address
     /// has; see endpoint_client.
     bool checksIdentity = false;
+    /// If set, asked directly before the first byte is sent. If it returns false, nothing is sent
+    /// and the transfer ends with http_error::Withdrawn. Must not call the client.
+    std::function<bool()> mayStillSend = {};
     transfer_timeouts timeouts;
 };
 
@@ -50,6 +53,7 @@
     std::function<void(const response_head &)> onHead;
     std::function<void(std::string_view)> onBody;
     std::function<void(const transfer_result &)> onEnd;
+    std::function<void(const response_head &)> onInterim = {}; ///< May be empty.
 };
 
 /// A running transfer. All functions may be called from within a callback of its handler.
--- a/Libraries/LibHttp/http_error.cpp
+++ b/Libraries/LibHttp/http_error.cpp
@@ -36,6 +36,8 @@
             return "cancelled";
         case http_error::EventTooLarge:
             return "event of a stream is larger than allowed";
+        case http_error::Withdrawn:
+            return "withdrawn before it was sent";
         case http_error::CallerGone:
             return "caller closed its connection or stopped reading";
         }
--- a/Libraries/LibHttp/http_error.h
+++ b/Libraries/LibHttp/http_error.h
@@ -17,6 +17,7 @@
     BodyTooLarge, ///< Abandoned by the receiver.
     Cancelled,
     EventTooLarge,
+    Withdrawn, ///< The sender no longer wanted it; no byte of the request was sent.
     CallerGone, ///< The caller closed its connection or stopped reading.
 };
 
--- a/Tests/Http/test_endpoint_client.cpp
+++ b/Tests/Http/test_endpoint_client.cpp
@@ -90,6 +90,33 @@
     EXPECT_EQ(m_server.acceptedConnections(), 1U);
 }
 
+// Guards against a request that is sent although its sender no longer wants it once the connection
+// is open, and against a report that it may have been sent.
+TEST_F(endpoint_client_test, SendsNothingThatIsWithdrawn)
+{
+    for (const bool isOpen : {false, true}) {
+        if (isOpen)
+            await(start());
+        http::endpoint_request request;
+        request.method = "POST";
+        request.address = m_server.address();
+        request.target = "/orders";
+        request.timeouts = never;
+        std::size_t asked = 0;
+        request.mayStillSend = [&asked] { return ++asked == 0; };
+        std::optional<http::transfer_result> end;
+        m_client.start(std::move(request),
+                       {.onHead = [](const http::response_head &) { ADD_FAILURE(); },
+                        .onBody = [](std::string_view) { ADD_FAILURE(); },
+                        .onEnd = [&end](const http::transfer_result &result) { end = result; }});
+        ASSERT_TRUE(runUntil(m_context, [&] { return end.has_value(); }));
+        EXPECT_EQ(end->error, http_error::Withdrawn);
+        EXPECT_FALSE(end->maybeSent);
+        EXPECT_EQ(asked, 1U);
+        EXPECT_EQ(m_requests, isOpen ? 1U : 0U);
+    }
+}
+
 // Guards against libcurl resending a non-repeatable request. The server receives the request on a
 // reused connection and closes it without a response: libcurl resends an ordinary request, and must
 // not do so with sendOnce.
