LibPolicy, quetzalcleatd: Obey what endpoints say of themselves

Cause: the daemon read neither header, and kept leaving in endpoint_lifecycle, beside the table that the node asks. Change: the decision core holds endpoint_notices, keyed by name, address and number of the incarnation; notice_control enters the list, load reports, drains and answers that name their attempt, and all uses ask it: candidates, probes, preemption, retries, queued requests, and the moment before the first byte. endpoint_lifecycle is reduced to the number. A refusal with a wait is queued again without a fault of the endpoint. Callers whose target ends before all waits get 503 no_endpoint with a spread Retry-After.

--- a/Libraries/LibPolicy/admission_control.cpp
+++ b/Libraries/LibPolicy/admission_control.cpp
@@ -1,11 +1,31 @@
 #include "LibPolicy/admission_control.h"
 
+#include "LibCore/hash.h"
+#include "LibPolicy/notice_control.h"
 #include "LibPolicy/policy_error.h"
 
 #include <algorithm>
 
 namespace quetzalcleat::policy {
 
+namespace {
+
+/// Until a pool whose endpoints are all held off takes requests, spread by request id so that the
+/// callers do not return at the same time.
+std::chrono::milliseconds heldOffDelay(const core_tables &tables, const request_record &record,
+                                       core::instant now)
+{
+    constexpr std::uint64_t returnSpanMilliseconds = 1000;
+    const auto end = notice_control::heldOffUntil(tables, tables.pools[record.pool], now);
+    if (!end)
+        return std::chrono::milliseconds(0);
+    const auto spread = core::hash64(record.requestId) % returnSpanMilliseconds;
+    return std::chrono::ceil<std::chrono::milliseconds>(*end - now)
+        + std::chrono::milliseconds(static_cast<std::int64_t>(spread));
+}
+
+} // namespace
+
 core::result<void> admission_control::check(const core_tables &tables, const request_record &record,
                                             core::instant now)
 {
@@ -78,7 +98,7 @@
                                  classLimits.requests().timeUntilAllowed(1, now),
                                  accountLimits.tokens().timeUntilAllowed(record.work(), now),
                                  classLimits.tokens().timeUntilAllowed(record.work(), now)});
-    return std::clamp(delay, minimum, maximum);
+    return std::clamp(std::max(delay, heldOffDelay(tables, record, now)), minimum, maximum);
 }
 
 } // namespace quetzalcleat::policy
--- a/Libraries/LibPolicy/configurator.cpp
+++ b/Libraries/LibPolicy/configurator.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/hash.h"
 #include "LibPolicy/endpoint_subset.h"
+#include "LibPolicy/notice_control.h"
 
 #include <algorithm>
 
@@ -80,6 +81,7 @@
                 record.cache.reset();
             }
             record.description = endpoint;
+            notice_control::updateKey(record);
             record.nameHash = core::hash64(endpoint.name);
             record.distance = distanceTo(document, localDataCentre, endpoint.dataCentre);
             record.drained = false;
@@ -93,7 +95,7 @@
         if (const auto index = tables.endpoints.indexOf(drain.target)) {
             auto &record = tables.endpoints[*index];
             record.drained = true;
-            record.lifecycle.report(endpoint_state::Leaving, 0);
+            notice_control::reportLeaving(tables, record, notice_source::OperatorEdit, now);
         }
     }
 }
--- a/Libraries/LibPolicy/decision_core.cpp
+++ b/Libraries/LibPolicy/decision_core.cpp
@@ -9,6 +9,23 @@
 
 namespace quetzalcleat::policy {
 
+namespace {
+
+notice_source sourceOf(state_source source)
+{
+    switch (source) {
+    case state_source::Platform:
+        return notice_source::EndpointList;
+    case state_source::Endpoint:
+        return notice_source::HealthAnswer;
+    case state_source::Operator:
+        break;
+    }
+    return notice_source::OperatorEdit;
+}
+
+} // namespace
+
 template <routing_policy Routing>
 basic_decision_core<Routing>::basic_decision_core(std::uint64_t seed, const policy_options &options)
     : m_tables(options), m_random(seed), m_journal(options.journalEntries)
@@ -76,6 +93,9 @@
     auto draft = makeRecord(spec, *accountIndex, *classIndex, *pool, now);
     if (const auto admitted = admission_control::check(m_tables, draft, now); !admitted)
         return refuse(spec, static_cast<policy_error>(admitted.error().value()), now);
+    if (const auto end = notice_control::heldOffUntil(m_tables, m_tables.pools[*pool], now);
+        end && *end > draft.due)
+        return refuse(spec, policy_error::EndpointsHeldOff, now);
     std::optional<victim_selection::shed_victim> victim;
     if (!victim_selection::hasQueueSpace(m_tables, draft)) {
         if constexpr (Routing::usesTiers)
@@ -106,8 +126,9 @@
     const auto pool = m_tables.poolIndex.find(pool_key::of(spec));
     if (!accountIndex || !classIndex || pool == m_tables.poolIndex.end())
         return defaultDelay;
-    return admission_control::retryAfter(
-        m_tables, makeRecord(spec, *accountIndex, *classIndex, pool->second, now), now);
+    auto record = makeRecord(spec, *accountIndex, *classIndex, pool->second, now);
+    record.requestId = spec.requestId;
+    return admission_control::retryAfter(m_tables, record, now);
 }
 
 template <routing_policy Routing>
@@ -243,7 +264,7 @@
                                                  core::instant now)
 {
     auto &health = m_tables.endpoints[record.endpointIndex].health;
-    if (outcome == attempt_outcome::Cancelled) {
+    if (outcome == attempt_outcome::Cancelled || outcome == attempt_outcome::Refused) {
         if (record.probe)
             health.probeAbandoned();
     } else if (outcome == attempt_outcome::Completed) {
@@ -274,8 +295,8 @@
 bool basic_decision_core<Routing>::allowRetry(const request_record &record, attempt_outcome outcome,
                                               core::instant now)
 {
-    const bool wanted
-        = outcome == attempt_outcome::RetryBeforeFirstByte || outcome == attempt_outcome::Resume;
+    const bool wanted = outcome == attempt_outcome::RetryBeforeFirstByte
+        || outcome == attempt_outcome::Resume || outcome == attempt_outcome::Refused;
     if (!wanted || !record.repeatable || now >= record.deadline
         || record.failedAttempts + 1U >= m_tables.options.maximumAttempts)
         return false;
@@ -283,7 +304,7 @@
     const bool resumes = outcome == attempt_outcome::Resume || record.mustResume;
     const bool possible = std::ranges::any_of(pool.endpoints, [&](std::uint32_t index) {
         const auto &endpoint = m_tables.endpoints[index];
-        return endpoint.acceptsWork()
+        return notice_control::use(m_tables, endpoint, now) != endpoint_use::Gone
             && (!resumes || (index == record.endpointIndex && endpoint.description.canResume));
     });
     if (!possible)
@@ -303,6 +324,13 @@
     auto *record = m_tables.requests.find(request);
     if (record == nullptr || !record->running)
         return false;
+    if (outcome == attempt_outcome::Withdrawn) {
+        recordOutcome(*record, attempt_outcome::Cancelled, now);
+        m_tables.endAttempt(*record, now);
+        --record->attempts;
+        m_tables.enqueue(*record);
+        return true;
+    }
     recordOutcome(*record, outcome, now);
     const bool isRetried = allowRetry(*record, outcome, now);
     m_tables.endAttempt(*record, now);
@@ -317,6 +345,41 @@
     return true;
 }
 
+template <routing_policy Routing>
+bool basic_decision_core<Routing>::reportAnswer(request_id request, const answer_notice &answer,
+                                                core::instant now)
+{
+    m_now = now;
+    auto *record = m_tables.requests.find(request);
+    if (record == nullptr || !record->running)
+        return false;
+    return notice_control::reportAnswer(m_tables, *record, answer, now);
+}
+
+template <routing_policy Routing>
+bool basic_decision_core<Routing>::mayStillSend(request_id request, core::instant now) const
+{
+    const auto *record = m_tables.requests.find(request);
+    return record == nullptr || !record->running
+        || notice_control::mayStillSend(m_tables, *record, now);
+}
+
+template <routing_policy Routing>
+bool basic_decision_core<Routing>::acceptsCalls(std::string_view endpointName,
+                                                core::instant now) const
+{
+    const auto index = m_tables.endpoints.indexOf(std::string(endpointName));
+    return index
+        && notice_control::accepts(notice_control::use(m_tables, m_tables.endpoints[*index], now));
+}
+
+template <routing_policy Routing>
+std::vector<notice_event> basic_decision_core<Routing>::takeNoticeEvents(core::instant now)
+{
+    m_now = now;
+    return notice_control::takeEvents(m_tables, now);
+}
+
 template <routing_policy Routing>
 void basic_decision_core<Routing>::resetAfterRestart(endpoint_record &endpoint, core::instant now)
 {
@@ -335,10 +398,9 @@
     if (!index)
         return;
     auto &record = m_tables.endpoints[*index];
-    const bool isFirst = record.lifecycle.incarnation() == 0;
-    if (report.incarnation != 0 && report.incarnation < record.lifecycle.incarnation())
+    if (record.incarnation.isOutdated(report.incarnation))
         return;
-    if (record.lifecycle.report(endpoint_state::Live, report.incarnation) && !isFirst)
+    if (notice_control::reportIncarnation(m_tables, record, report.incarnation))
         resetAfterRestart(record, now);
     record.load.report(report, now);
     record.reportedModels = report.models;
@@ -357,8 +419,7 @@
 
 template <routing_policy Routing>
 void basic_decision_core<Routing>::reportEndpointState(std::string_view endpointName,
-                                                       state_source /*source*/,
-                                                       endpoint_state state,
+                                                       state_source source, endpoint_state state,
                                                        std::uint64_t incarnation, core::instant now)
 {
     m_now = now;
@@ -366,9 +427,12 @@
     if (!index)
         return;
     auto &record = m_tables.endpoints[*index];
-    const bool isFirst = record.lifecycle.incarnation() == 0;
-    if (record.lifecycle.report(state, incarnation) && !isFirst)
+    if (record.incarnation.isOutdated(incarnation))
+        return;
+    if (notice_control::reportIncarnation(m_tables, record, incarnation))
         resetAfterRestart(record, now);
+    if (state == endpoint_state::Leaving)
+        notice_control::reportLeaving(m_tables, record, sourceOf(source), now);
     m_tables.markPoolsChanged(record);
 }
 
@@ -385,19 +449,44 @@
     while (!m_tables.deadlines.empty() && m_tables.deadlines.begin()->at <= now) {
         auto &record = *m_tables.requests.find(m_tables.deadlines.begin()->request);
         const auto &pool = m_tables.pools[record.pool];
-        const bool isServed = std::ranges::any_of(pool.endpoints, [this](std::uint32_t index) {
-            return m_tables.endpoints[index].acceptsWork();
+        const bool isServed = std::ranges::any_of(pool.endpoints, [&](std::uint32_t index) {
+            return notice_control::use(m_tables, m_tables.endpoints[index], now)
+                != endpoint_use::Gone;
         });
-        auto decision = makeDecision(decision_kind::Expire, record,
-                                     isServed ? decision_reason::DeadlinePassed
-                                              : decision_reason::NoEndpoint);
-        decision.retryAfter = admission_control::retryAfter(m_tables, record, now);
-        recordStep(decision, record, now, nullptr, nullptr);
-        m_decisions.push_back(decision);
-        ++m_totals.expired;
-        m_tables.dequeue(record);
-        m_tables.requests.erase(decision.request);
+        endQueued(record, isServed ? decision_reason::DeadlinePassed : decision_reason::NoEndpoint,
+                  now);
+    }
+}
+
+template <routing_policy Routing>
+void basic_decision_core<Routing>::endQueued(request_record &record, decision_reason reason,
+                                             core::instant now)
+{
+    auto decision = makeDecision(decision_kind::Expire, record, reason);
+    decision.retryAfter = admission_control::retryAfter(m_tables, record, now);
+    recordStep(decision, record, now, nullptr, nullptr);
+    m_decisions.push_back(decision);
+    ++m_totals.expired;
+    m_tables.dequeue(record);
+    m_tables.requests.erase(decision.request);
+}
+
+template <routing_policy Routing>
+void basic_decision_core<Routing>::refuseHeldOff(const pool_record &pool, core::instant now)
+{
+    const auto end = notice_control::heldOffUntil(m_tables, pool, now);
+    if (!end)
+        return;
+    std::vector<request_id> refused;
+    for (const auto &queued : m_tables.deadlines) {
+        const auto &record = *m_tables.requests.find(queued.request);
+        // The caller of a broken stream has had its first token.
+        const auto target = record.mustResume ? record.deadline : record.due;
+        if (&m_tables.pools[record.pool] == &pool && target < *end)
+            refused.push_back(record.id);
     }
+    for (const auto request : refused)
+        endQueued(*m_tables.requests.find(request), decision_reason::EndpointsHeldOff, now);
 }
 
 template <routing_policy Routing>
@@ -432,7 +521,7 @@
     recordStep(decision, record, now, nullptr, &choice);
     m_decisions.push_back(decision);
     ++m_totals.dispatched;
-    m_candidates.recordDispatch(choice.endpointIndex);
+    m_candidates.recordDispatch(m_tables, choice.endpointIndex, now);
 }
 
 template <routing_policy Routing>
@@ -460,7 +549,7 @@
     const bool isUrgent = now <= waiting.due && now + prefill + margin >= waiting.due;
     if (m_preemptionsLeft == 0 || !isUrgent || waiting.mustResume)
         return false;
-    const auto victimId = victim_selection::chooseToPreempt(m_tables, waiting);
+    const auto victimId = victim_selection::chooseToPreempt(m_tables, waiting, now);
     if (!victimId)
         return false;
     --m_preemptionsLeft;
@@ -489,6 +578,7 @@
     // Cleared first, because a preemption in this pass is a change that the next tick has to see.
     pool.changed = false;
     pool.lastPassAt = now;
+    refuseHeldOff(pool, now);
     m_candidates.refresh(m_tables, pool, !Routing::usesTiers, now);
     m_scheduler.begin(m_tables, pool, now);
     pool.topTierHeadroom.decay(now, m_tables.options);
@@ -567,9 +657,15 @@
             continue;
         endpoint_view entry;
         entry.name = record.name;
-        entry.state = record.acceptsWork() ? endpoint_state::Live : endpoint_state::Leaving;
+        entry.state = notice_control::isStaying(m_tables, record) ? endpoint_state::Live
+                                                                  : endpoint_state::Leaving;
         entry.health = record.health.health();
-        entry.incarnation = record.lifecycle.incarnation();
+        entry.incarnation = record.incarnation.number();
+        if (const auto wait = m_tables.notices.wait(record.noticeKey, m_now))
+            entry.heldOffFor
+                = std::chrono::duration_cast<std::chrono::milliseconds>(wait->until - m_now);
+        if (const auto notice = m_tables.notices.leaving(record.noticeKey))
+            entry.leavingSource = toString(notice->source);
         entry.capacity = record.description.capacity;
         entry.inFlight = record.inFlight();
         entry.otherHostsLoad = record.load.estimate(0, m_tables.options.maximumReportAge, m_now);
--- a/Libraries/LibPolicy/decision_core.h
+++ b/Libraries/LibPolicy/decision_core.h
@@ -4,6 +4,7 @@
 #include "LibInventory/document.h"
 #include "LibPolicy/baseline_routing.h"
 #include "LibPolicy/decision_journal.h"
+#include "LibPolicy/notice_control.h"
 #include "LibPolicy/outlier_detector.h"
 #include "LibPolicy/policy_error.h"
 #include "LibPolicy/policy_options.h"
@@ -60,14 +61,31 @@
     /// about the preempted attempt: the request is already queued again.
     bool reportFinished(request_id request, attempt_outcome outcome, core::instant now);
 
+    /// Takes what an answer to the running attempt says of its endpoint. Returns whether the
+    /// endpoint begins to be held off.
+    bool reportAnswer(request_id request, const answer_notice &answer, core::instant now);
+
+    /// To be asked directly before the running attempt is sent, as notices may arrive while a
+    /// connection is opened. If not, it ends with attempt_outcome::Withdrawn.
+    bool mayStillSend(request_id request, core::instant now) const;
+
+    /// Whether an endpoint may be called beside the attempts, for example to cancel one.
+    bool acceptsCalls(std::string_view endpointName, core::instant now) const;
+
+    const notice_limits &noticeLimits() const { return m_tables.notices.limits(); }
+
+    /// Notices that have begun or ended since the last call.
+    std::vector<notice_event> takeNoticeEvents(core::instant now);
+
     /// A higher incarnation than before shows that the endpoint was restarted.
     void reportLoad(endpoint_id endpoint, const load_report &report, core::instant now);
 
     /// Repeated events are ignored; a gap in their sequence clears the view of the cache.
     void reportCacheEvent(endpoint_id endpoint, const cache_event &event, core::instant now);
 
-    /// The first Leaving holds until a report with a higher incarnation. An incarnation of 0 means
-    /// that the source does not know it: Leaving then concerns the current incarnation.
+    /// The first Leaving, from here or from an answer, holds until a report with a higher
+    /// incarnation. An incarnation of 0 means that the source does not know it: Leaving then
+    /// concerns the current incarnation.
     void reportEndpointState(std::string_view endpointName, state_source source,
                              endpoint_state state, std::uint64_t incarnation, core::instant now);
 
@@ -91,6 +109,9 @@
     void shed(request_id victim, decision_reason reason, const request_record &beneficiary,
               core::instant now);
     void expire(core::instant now);
+    void endQueued(request_record &record, decision_reason reason, core::instant now);
+    /// Refuses the requests whose targets pass before an endpoint of the pool takes requests.
+    void refuseHeldOff(const pool_record &pool, core::instant now);
     void schedulePools(core::instant now);
     void schedulePool(pool_record &pool, core::instant now);
     bool isBlockedByHeadroom(const pool_record &pool, const queue_selection &selection,
--- a/Libraries/LibPolicy/endpoint_notices.cpp
+++ b/Libraries/LibPolicy/endpoint_notices.cpp
@@ -93,6 +93,18 @@
     return true;
 }
 
+void endpoint_notices::move(const std::string &from, const std::string &to)
+{
+    if (m_records.contains(to))
+        return;
+    auto node = m_records.extract(from);
+    if (node.empty())
+        return;
+    node.key() = to;
+    m_records.insert(std::move(node));
+    std::replace(m_newLeaves.begin(), m_newLeaves.end(), from, to);
+}
+
 bool endpoint_notices::reportWait(const std::string &incarnation, std::chrono::milliseconds wait,
                                   std::string_view request, core::instant now)
 {
--- a/Libraries/LibPolicy/endpoint_notices.h
+++ b/Libraries/LibPolicy/endpoint_notices.h
@@ -122,6 +122,9 @@
     /// has the address.
     bool reportLeaving(const std::string &incarnation, leaving_notice notice, core::instant now);
 
+    /// The incarnation is known under another name from now on. Ignored if that has notices.
+    void move(const std::string &from, const std::string &to);
+
     /// A shorter wait does not end a longer one. Returns whether the endpoint was not held off.
     bool reportWait(const std::string &incarnation, std::chrono::milliseconds wait,
                     std::string_view request, core::instant now);
--- a/Libraries/LibPolicy/outlier_detector.cpp
+++ b/Libraries/LibPolicy/outlier_detector.cpp
@@ -1,5 +1,7 @@
 #include "LibPolicy/outlier_detector.h"
 
+#include "LibPolicy/notice_control.h"
+
 #include <algorithm>
 
 namespace quetzalcleat::policy {
@@ -9,10 +11,10 @@
 // Smaller differences are noise, whatever the ratio.
 constexpr double minimumLatencyDifferenceMilliseconds = 50;
 
-bool isComparable(const endpoint_record &endpoint, const policy_options &options)
+bool isComparable(const core_tables &tables, const endpoint_record &endpoint)
 {
-    return endpoint.acceptsWork()
-        && endpoint.health.firstToken.samples >= options.minimumOutlierSamples;
+    return notice_control::isStaying(tables, endpoint)
+        && endpoint.health.firstToken.samples >= tables.options.minimumOutlierSamples;
 }
 
 } // namespace
@@ -41,7 +43,7 @@
         const double excess
             = std::max(endpoint.health.firstToken.milliseconds - pool.medianFirstToken,
                        endpoint.health.betweenTokens.milliseconds - pool.medianBetweenTokens);
-        const bool isStraggler = isComparable(endpoint, tables.options)
+        const bool isStraggler = isComparable(tables, endpoint)
             && endpoint.health.ratioToPeers > tables.options.stragglerRatio
             && excess > minimumLatencyDifferenceMilliseconds;
         if (isStraggler && ejectIfAllowed(tables, pool, index, now))
@@ -91,12 +93,12 @@
 {
     m_values.clear();
     for (const std::uint32_t index : pool.endpoints)
-        if (isComparable(tables.endpoints[index], tables.options))
+        if (isComparable(tables, tables.endpoints[index]))
             m_values.push_back(tables.endpoints[index].health.firstToken.milliseconds);
     pool.medianFirstToken = median();
     m_values.clear();
     for (const std::uint32_t index : pool.endpoints)
-        if (isComparable(tables.endpoints[index], tables.options)
+        if (isComparable(tables, tables.endpoints[index])
             && tables.endpoints[index].health.betweenTokens.samples > 0)
             m_values.push_back(tables.endpoints[index].health.betweenTokens.milliseconds);
     pool.medianBetweenTokens = median();
@@ -107,7 +109,7 @@
 {
     auto &health = endpoint.health;
     health.ratioToPeers = 1;
-    if (!isComparable(endpoint, tables.options))
+    if (!isComparable(tables, endpoint))
         return;
     if (pool.medianFirstToken > 0)
         health.ratioToPeers = health.firstToken.milliseconds / pool.medianFirstToken;
@@ -124,7 +126,7 @@
     std::size_t unusable = 0;
     for (const std::uint32_t index : pool.endpoints) {
         const auto &endpoint = tables.endpoints[index];
-        if (!endpoint.acceptsWork())
+        if (!notice_control::isStaying(tables, endpoint))
             continue;
         const bool isUsable = endpoint.health.usableFraction(tables.options, now) > 0;
         (isUsable ? usable : unusable) += 1;
--- a/Libraries/LibPolicy/policy_error.cpp
+++ b/Libraries/LibPolicy/policy_error.cpp
@@ -30,6 +30,8 @@
             return "token rate of the class is exceeded";
         case policy_error::QueueFull:
             return "queue is full";
+        case policy_error::EndpointsHeldOff:
+            return "endpoints want no request yet";
         case policy_error::DeadlineUnreachable:
             return "deadline cannot be met";
         }
--- a/Libraries/LibPolicy/policy_error.h
+++ b/Libraries/LibPolicy/policy_error.h
@@ -14,6 +14,7 @@
     ClassRequestLimit,
     ClassTokenLimit,
     QueueFull,
+    EndpointsHeldOff, ///< All want no request until after the target of this one.
     DeadlineUnreachable, ///< The expected wait and service time exceed the deadline.
 };
 
--- a/Libraries/LibPolicy/policy_options.h
+++ b/Libraries/LibPolicy/policy_options.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "LibPolicy/endpoint_notices.h"
+
 #include <chrono>
 #include <cstdint>
 
@@ -80,6 +82,9 @@
     std::uint32_t maximumPreemptions = 2; ///< Of one request.
 
     std::uint32_t journalEntries = 1024;
+
+    /// What endpoints say of themselves. A leaving endpoint gets no new work after at most 3 s.
+    notice_limits notices{.drainTime = std::chrono::milliseconds(3000)};
 };
 
 } // namespace quetzalcleat::policy
--- a/Libraries/LibPolicy/policy_types.h
+++ b/Libraries/LibPolicy/policy_types.h
@@ -70,6 +70,7 @@
     WaitLimit,
     DeadlinePassed,
     NoEndpoint,
+    EndpointsHeldOff, ///< All that serve it want no request until after its target.
 };
 
 struct decision
@@ -91,6 +92,17 @@
     Resume, ///< Failed after a byte reached the caller; may continue at the same engine if that
             ///< can resume.
     Cancelled,
+    Refused, ///< Did not run, because the endpoint wants no request yet; may be queued again.
+    Withdrawn, ///< Was not sent, because of a notice since its dispatch; is queued again.
+};
+
+/// What an endpoint said of itself in an answer that names its attempt.
+struct answer_notice
+{
+    bool isInterim = false; ///< The final answer follows.
+    bool isRefusal = false;
+    bool isLeaving = false;
+    std::optional<std::chrono::milliseconds> wait; ///< Wants no request for this time.
 };
 
 /// State of an endpoint as the endpoint reported it.
--- a/Libraries/LibPolicy/policy_views.h
+++ b/Libraries/LibPolicy/policy_views.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace quetzalcleat::policy {
@@ -22,6 +23,8 @@
     endpoint_state state = endpoint_state::Live;
     endpoint_health health = endpoint_health::Healthy;
     std::uint64_t incarnation = 0;
+    std::string_view leavingSource; ///< Of the first notice; empty without one.
+    std::chrono::milliseconds heldOffFor{0}; ///< Left of the wait that the endpoint asked for.
     std::uint32_t capacity = 0;
     std::uint32_t inFlight = 0; ///< Attempts of this host.
     double otherHostsLoad = 0; ///< Estimated attempts of other hosts.
--- a/Libraries/LibPolicy/pool_candidates.cpp
+++ b/Libraries/LibPolicy/pool_candidates.cpp
@@ -1,5 +1,7 @@
 #include "LibPolicy/pool_candidates.h"
 
+#include "LibPolicy/notice_control.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -30,6 +32,8 @@
     m_local.clear();
     m_remote.clear();
     m_probes.clear();
+    m_lastResorts.clear();
+    m_anyUsable = false;
     m_localUsable = false;
     pool.usableSlots = 0;
     double inFlight = 0;
@@ -39,14 +43,16 @@
     for (std::uint32_t index = 0; index < pool.endpoints.size(); ++index) {
         const std::uint32_t endpointIndex = pool.endpoints[index];
         auto &endpoint = tables.endpoints[endpointIndex];
-        if (!endpoint.acceptsWork())
+        const auto use = notice_control::use(tables, endpoint, now);
+        if (!notice_control::accepts(use))
             continue;
         const bool isLocal = index < pool.localEndpoints;
         if (!isBaseline) {
             endpoint.health.advance(tables.options, now);
             if (!hasModelLoaded(endpoint, pool))
                 continue;
-            addEndpoint(tables, pool, endpointIndex, isLocal, meanInFlight, now);
+            addEndpoint(tables, pool, endpointIndex, isLocal, meanInFlight, now,
+                        use == endpoint_use::LastResort);
         } else if (endpoint.inFlight() < endpoint.description.capacity) {
             m_local.push_back({{endpointIndex, &endpoint, 0, false},
                                static_cast<double>(endpoint.description.capacity),
@@ -61,14 +67,15 @@
         = [](const entry &entry) { return entry.candidate.endpoint->inFlight() >= entry.limit; };
     std::erase_if(m_local, isFull);
     std::erase_if(m_remote, isFull);
+    std::erase_if(m_lastResorts, isFull);
 }
 
 void pool_candidates::addEndpoint(const core_tables &tables, const pool_record &pool,
                                   std::uint32_t endpointIndex, bool isLocal, double meanInFlight,
-                                  core::instant now)
+                                  core::instant now, bool isLastResort)
 {
     const auto &endpoint = tables.endpoints[endpointIndex];
-    if (endpoint.health.acceptsProbe()) {
+    if (endpoint.health.acceptsProbe() && !isLastResort) {
         m_probes.push_back({{endpointIndex, &endpoint, 0, true}, 0, 0});
         return;
     }
@@ -94,6 +101,11 @@
     entry.capacity = std::max(1.0, capacity);
     entry.candidate = {endpointIndex, &endpoint,
                        (endpoint.inFlight() + otherHostsLoad) / entry.capacity, false};
+    if (isLastResort) {
+        m_lastResorts.push_back(entry);
+        return;
+    }
+    m_anyUsable = true;
     m_localUsable = m_localUsable || isLocal;
     (isLocal ? m_local : m_remote).push_back(entry);
 }
@@ -145,31 +157,43 @@
         && now - request.submittedAt < spillDelay(tables, request);
     if (!mustWait)
         collect(m_remote, request);
+    // The rest of a broken stream can come from its own engine only.
+    if (m_result.empty() && (!m_anyUsable || request.mustResume))
+        collect(m_lastResorts, request);
     return m_result;
 }
 
 double pool_candidates::freeSlots() const
 {
     double free = 0;
-    for (const auto *entries : {&m_local, &m_remote})
-        for (const auto &entry : *entries)
+    const auto addFree = [&free](const std::vector<entry> &entries) {
+        for (const auto &entry : entries)
             free += entry.limit - entry.candidate.endpoint->inFlight();
+    };
+    addFree(m_local);
+    addFree(m_remote);
+    if (!m_anyUsable)
+        addFree(m_lastResorts);
     return free;
 }
 
-void pool_candidates::recordDispatch(std::uint32_t endpointIndex)
+void pool_candidates::recordDispatch(const core_tables &tables, std::uint32_t endpointIndex,
+                                     core::instant now)
 {
     std::erase_if(m_probes, [endpointIndex](const entry &entry) {
         return entry.candidate.endpointIndex == endpointIndex;
     });
-    for (auto *entries : {&m_local, &m_remote}) {
+    // After a wait, requests return one after another.
+    const bool takesMore = notice_control::accepts(
+        notice_control::use(tables, tables.endpoints[endpointIndex], now));
+    for (auto *entries : {&m_local, &m_remote, &m_lastResorts}) {
         const auto found = std::ranges::find_if(*entries, [endpointIndex](const entry &entry) {
             return entry.candidate.endpointIndex == endpointIndex;
         });
         if (found == entries->end())
             continue;
         found->candidate.load += 1 / found->capacity;
-        if (found->candidate.endpoint->inFlight() >= found->limit)
+        if (!takesMore || found->candidate.endpoint->inFlight() >= found->limit)
             entries->erase(found);
         return;
     }
--- a/Libraries/LibPolicy/pool_candidates.h
+++ b/Libraries/LibPolicy/pool_candidates.h
@@ -22,12 +22,15 @@
                                                   const request_record &request, core::instant now);
 
     /// Updates the load of an endpoint to which a request was dispatched.
-    void recordDispatch(std::uint32_t endpointIndex);
+    void recordDispatch(const core_tables &tables, std::uint32_t endpointIndex, core::instant now);
 
     /// Further attempts that the candidates can accept.
     double freeSlots() const;
 
-    bool empty() const { return m_local.empty() && m_remote.empty() && m_probes.empty(); }
+    bool empty() const
+    {
+        return m_local.empty() && m_remote.empty() && m_probes.empty() && m_lastResorts.empty();
+    }
 
 private:
     struct entry
@@ -39,14 +42,16 @@
 
     void addEndpoint(const core_tables &tables, const pool_record &pool,
                      std::uint32_t endpointIndex, bool isLocal, double meanInFlight,
-                     core::instant now);
+                     core::instant now, bool isLastResort);
     void collect(const std::vector<entry> &entries, const request_record &request);
     bool addProbe(const core_tables &tables, const request_record &request, core::instant now);
 
     std::vector<entry> m_local;
     std::vector<entry> m_remote;
     std::vector<entry> m_probes;
+    std::vector<entry> m_lastResorts; ///< Leaving; used if no other accepts work, full or not.
     std::vector<routing_candidate> m_result;
+    bool m_anyUsable = false; ///< Whether any endpoint that is not leaving accepts work.
     bool m_localUsable = false; ///< Whether any local endpoint accepts work, free slots or not.
 };
 
--- a/Libraries/LibPolicy/request_table.h
+++ b/Libraries/LibPolicy/request_table.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "LibPolicy/endpoint_notices.h"
 #include "LibPolicy/fair_queue.h"
 #include "LibPolicy/policy_types.h"
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,8 @@
     bool firstTokenSeen = false; ///< In the running attempt.
     bool probe = false; ///< The running attempt probes a half-open endpoint.
     bool promoted = false; ///< Dispatched by ageing or minimum share: exempt from preemption.
+    std::uint64_t incarnation = 0; ///< Of the endpoint when the attempt was dispatched.
+    std::optional<written_request> written; ///< Until the attempt is answered.
     core::instant submittedAt;
     core::instant due; ///< For the first token, or the deadline if the class has no target.
     core::instant deadline;
--- a/Libraries/LibPolicy/tables.cpp
+++ b/Libraries/LibPolicy/tables.cpp
@@ -1,5 +1,7 @@
 #include "LibPolicy/tables.h"
 
+#include <utility>
+
 namespace quetzalcleat::policy {
 
 void core_tables::enqueue(request_record &record)
@@ -46,6 +48,8 @@
     record.endpointIndex = endpointIndex;
     record.runningIndex = endpoint.inFlight();
     record.dispatchedAt = now;
+    record.incarnation = endpoint.incarnation.number();
+    record.written = notices.tryWrite(endpoint.noticeKey, now);
     record.lastTokenAt = now;
     ++record.attempts;
     endpoint.running.push_back(record.id);
@@ -57,6 +61,9 @@
 void core_tables::endAttempt(request_record &record, core::instant now)
 {
     auto &endpoint = endpoints[record.endpointIndex];
+    const auto written = std::exchange(record.written, std::nullopt);
+    if (written && endpoint.incarnation.isCurrent(record.incarnation))
+        notices.recordLoss(endpoint.noticeKey, *written);
     const request_id last = endpoint.running.back();
     endpoint.running[record.runningIndex] = last;
     endpoint.running.pop_back();
--- a/Libraries/LibPolicy/tables.h
+++ b/Libraries/LibPolicy/tables.h
@@ -2,7 +2,8 @@
 
 #include "LibInventory/document.h"
 #include "LibPolicy/endpoint_health_tracker.h"
-#include "LibPolicy/endpoint_lifecycle.h"
+#include "LibPolicy/endpoint_incarnation.h"
+#include "LibPolicy/endpoint_notices.h"
 #include "LibPolicy/entity_table.h"
 #include "LibPolicy/fair_queue.h"
 #include "LibPolicy/headroom.h"
@@ -35,7 +36,9 @@
     endpoint_distance distance = endpoint_distance::SameDataCentre;
     bool drained = false; ///< A drain of the document names it.
     bool inSubset = false;
-    endpoint_lifecycle lifecycle;
+    endpoint_incarnation incarnation;
+    std::string noticeKey; ///< Names the incarnation in core_tables::notices.
+    bool leftUnnumbered = false; ///< Said that it leaves before its incarnation had a number.
     endpoint_health_tracker health;
     other_hosts_load load;
     prefix_cache_view cache;
@@ -45,7 +48,7 @@
 
     bool isIdle() const { return running.empty(); }
     std::uint32_t inFlight() const { return static_cast<std::uint32_t>(running.size()); }
-    bool acceptsWork() const { return present && !drained && !lifecycle.isLeaving(); }
+    bool isConfigured() const { return present && !drained; }
 };
 
 struct account_record
@@ -136,12 +139,16 @@
 /// All state that the systems of the decision core work on.
 struct core_tables
 {
-    explicit core_tables(const policy_options &policyOptions) : options(policyOptions) { }
+    explicit core_tables(const policy_options &policyOptions)
+        : options(policyOptions), notices(policyOptions.notices)
+    {
+    }
 
     policy_options options;
     entity_table<endpoint_record> endpoints;
     entity_table<account_record> accounts;
     entity_table<class_record> classes;
+    endpoint_notices notices; ///< By endpoint_record::noticeKey.
     std::vector<pool_record> pools;
     std::map<pool_key, std::uint32_t> poolIndex;
     request_table requests;
--- a/Libraries/LibPolicy/victim_selection.cpp
+++ b/Libraries/LibPolicy/victim_selection.cpp
@@ -1,5 +1,7 @@
 #include "LibPolicy/victim_selection.h"
 
+#include "LibPolicy/notice_control.h"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -128,12 +130,14 @@
 }
 
 std::optional<request_id> victim_selection::chooseToPreempt(const core_tables &tables,
-                                                            const request_record &waiting)
+                                                            const request_record &waiting,
+                                                            core::instant now)
 {
     const request_record *best = nullptr;
     for (const std::uint32_t index : tables.pools[waiting.pool].endpoints) {
         const auto &endpoint = tables.endpoints[index];
-        const bool isUsable = endpoint.acceptsWork() && endpoint.description.canResume
+        const bool isUsable = notice_control::use(tables, endpoint, now) == endpoint_use::Free
+            && endpoint.description.canResume
             && endpoint.health.health() == endpoint_health::Healthy;
         if (!isUsable)
             continue;
--- a/Libraries/LibPolicy/victim_selection.h
+++ b/Libraries/LibPolicy/victim_selection.h
@@ -29,8 +29,8 @@
 
     /// A running request of a lower tier to preempt for `waiting`: preemptible, on an engine that
     /// can resume, from the lowest tier first. Empty if there is none.
-    static std::optional<request_id> chooseToPreempt(const core_tables &tables,
-                                                     const request_record &waiting);
+    static std::optional<request_id>
+    chooseToPreempt(const core_tables &tables, const request_record &waiting, core::instant now);
 
 private:
     static std::optional<request_id> lastRequestOfLargestAccount(const core_tables &tables,
--- a/Services/quetzalcleatd/completion_session.cpp
+++ b/Services/quetzalcleatd/completion_session.cpp
@@ -141,13 +141,8 @@
     case policy::decision_kind::Expire:
         break;
     }
-    const bool expired = decision.kind == policy::decision_kind::Expire;
     cancelTransfer();
-    const auto outcome = m_maybeSent ? call_outcome::Unknown : call_outcome::NotRun;
-    refuse({expired ? error_type::DeadlineExceeded : error_type::Shed,
-            expired ? "request could not be answered before its deadline"
-                    : "request gave way to one of a higher tier",
-            true, outcome, decision.retryAfter});
+    refuse(fromDecision(decision, m_maybeSent ? call_outcome::Unknown : call_outcome::NotRun));
 }
 
 void completion_session::dispatch(const policy::decision &decision)
@@ -174,6 +169,7 @@
     }
     m_events = http::event_parser(maximumEventBytes);
     m_engineStatus = 0;
+    m_isHeldOff = false;
     m_unusedBytes = 0;
     m_firstTokenReported = false;
     m_paused = false;
@@ -182,7 +178,8 @@
         engineRequest(decision, resumes),
         {.onHead = [self](const http::response_head &head) { self->onHead(head); },
          .onBody = [self](std::string_view chunk) { self->onBody(chunk); },
-         .onEnd = [self](const http::transfer_result &end) { self->onEnd(end); }});
+         .onEnd = [self](const http::transfer_result &end) { self->onEnd(end); },
+         .onInterim = [self](const http::response_head &head) { self->readNotice(head); }});
     updateBackPressure();
     m_environment.log.debug("dispatched to " + m_engine.name, m_requestId);
 }
@@ -205,12 +202,22 @@
     request.body = m_request.engineBody;
     request.checksIdentity = true;
     request.timeouts = m_environment.options.engine;
+    request.mayStillSend = [&decisions = m_environment.decisions, id = m_decisionId] {
+        return decisions.mayStillSend(id);
+    };
     return request;
 }
 
 void completion_session::onHead(const http::response_head &head)
 {
     m_engineStatus = head.status;
+    m_isHeldOff = readNotice(head);
+}
+
+bool completion_session::readNotice(const http::response_head &head)
+{
+    return m_environment.notices.readAnswer({m_decisionId, m_attemptId, m_requestId, m_engine},
+                                            head);
 }
 
 void completion_session::onBody(std::string_view chunk)
@@ -393,8 +400,13 @@
     m_transfer.reset();
     if (m_phase != phase::Running)
         return;
-    // An engine that responds with 4xx has not started to generate.
-    const bool declined = m_engineStatus >= 400 && m_engineStatus < 500;
+    if (end.error == http::http_error::Withdrawn) {
+        m_phase = phase::Queued;
+        m_environment.decisions.finished(m_decisionId, policy::attempt_outcome::Withdrawn);
+        return;
+    }
+    // An engine that responds with 4xx, or asks for a wait, has not started to generate.
+    const bool declined = m_isHeldOff || (m_engineStatus >= 400 && m_engineStatus < 500);
     m_maybeSent = m_maybeSent || (end.maybeSent && !declined);
     if (isRequestError(m_engineStatus) && !m_streaming) {
         rejectedByEngine();
@@ -430,6 +442,8 @@
     if (m_streaming)
         outcome = mayResume && m_engine.canResume ? policy::attempt_outcome::Resume
                                                   : policy::attempt_outcome::Failed;
+    if (m_isHeldOff && outcome != policy::attempt_outcome::Failed)
+        outcome = policy::attempt_outcome::Refused;
     m_phase = phase::Queued;
     flush();
     const bool queuedAgain = m_environment.decisions.finished(m_decisionId, outcome);
@@ -501,6 +515,10 @@
 
 void completion_session::cancelAtEngine()
 {
+    // The closed connection tells the engine, too.
+    if (!m_environment.decisions.core().acceptsCalls(m_engine.name,
+                                                     std::chrono::steady_clock::now()))
+        return;
     http::endpoint_request request;
     request.method = "DELETE";
     request.address = m_engine.address;
--- a/Services/quetzalcleatd/completion_session.h
+++ b/Services/quetzalcleatd/completion_session.h
@@ -37,6 +37,7 @@
     void dispatch(const policy::decision &decision);
     http::endpoint_request engineRequest(const policy::decision &decision, bool resumes) const;
     void onHead(const http::response_head &head);
+    bool readNotice(const http::response_head &head);
     void onBody(std::string_view chunk);
     void onEnd(const http::transfer_result &end);
     bool onEvent(std::string_view data);
@@ -79,6 +80,7 @@
     std::uint16_t m_engineStatus = 0;
     std::size_t m_unusedBytes = 0; ///< Of the body of the current attempt.
     bool m_maybeSent = false;
+    bool m_isHeldOff = false; ///< The engine refused the attempt and asked for a wait.
     bool m_engineMayStillRun = false; ///< The failed attempt may go on at the engine.
     bool m_firstTokenReported = false;
 
--- a/Services/quetzalcleatd/dispatcher.cpp
+++ b/Services/quetzalcleatd/dispatcher.cpp
@@ -66,6 +66,19 @@
     return queuedAgain;
 }
 
+bool dispatcher::answered(policy::request_id request, const policy::answer_notice &notice)
+{
+    const bool begins = m_core.reportAnswer(request, notice, now());
+    if (notice.isLeaving || notice.wait)
+        postTick();
+    return begins;
+}
+
+bool dispatcher::mayStillSend(policy::request_id request) const
+{
+    return m_core.mayStillSend(request, now());
+}
+
 void dispatcher::firstToken(policy::request_id request)
 {
     m_core.reportFirstToken(request, now());
--- a/Services/quetzalcleatd/dispatcher.h
+++ b/Services/quetzalcleatd/dispatcher.h
@@ -38,6 +38,12 @@
     /// Reports the end of an attempt. Returns true if the request was queued again.
     bool finished(policy::request_id request, policy::attempt_outcome outcome);
 
+    /// Reports what an answer says of its endpoint. Returns whether that begins to be held off.
+    bool answered(policy::request_id request, const policy::answer_notice &notice);
+
+    /// Whether an attempt that was dispatched may still be sent.
+    bool mayStillSend(policy::request_id request) const;
+
     void firstToken(policy::request_id request);
     void tokens(policy::request_id request, std::uint32_t count);
 
--- a/Services/quetzalcleatd/endpoint_observer.cpp
+++ b/Services/quetzalcleatd/endpoint_observer.cpp
@@ -158,13 +158,15 @@
 
 void endpoint_observer::pollAll()
 {
+    m_environment.notices.update();
     pollPlatform();
     const auto routing = m_environment.routing;
     if (!routing)
         return;
     std::set<std::string> inSubset;
     for (const auto &view : m_environment.decisions.core().dump().endpoints) {
-        if (view.inSubset)
+        // Leaving engines are asked, as their answers show the next incarnation.
+        if (view.inSubset && view.heldOffFor.count() == 0)
             inSubset.insert(view.name);
     }
     for (const auto &endpoint : routing->document().endpoints) {
--- a/Services/quetzalcleatd/entry.h
+++ b/Services/quetzalcleatd/entry.h
@@ -32,16 +32,12 @@
     entry(asio::io_context &context, Control &control, core::counter_registry &counters,
           entry_options options)
         : m_options(std::move(options)), m_control(control), m_log("quetzalcleatd"),
-          m_endpoints(context),
-          m_decisions(context, m_options.seed), m_environment{context,
-                                                              m_endpoints,
-                                                              m_decisions,
-                                                              counters,
-                                                              m_log,
-                                                              nullptr,
-                                                              m_options.hostName,
-                                                              m_options.hostIncarnation,
-                                                              m_options.sessions},
+          m_endpoints(context), m_decisions(context, m_options.seed),
+          m_notices(m_decisions, counters, m_log),
+          m_environment{context,           m_endpoints,        m_decisions,
+                        m_notices,         counters,           m_log,
+                        nullptr,           m_options.hostName, m_options.hostIncarnation,
+                        m_options.sessions},
           m_callers(context,
                     {m_options.callerAddress, m_options.maximumConnections,
                      m_options.callerProgressTimeout},
@@ -176,6 +172,7 @@
     core::logger m_log;
     http::endpoint_client m_endpoints;
     dispatcher m_decisions;
+    notice_recorder m_notices;
     session_environment m_environment;
     http::caller_server m_callers;
     http::caller_server m_operators;
--- a/Services/quetzalcleatd/error_response.cpp
+++ b/Services/quetzalcleatd/error_response.cpp
@@ -141,6 +141,7 @@
         response.type = error_type::NotReady;
         break;
     case policy::policy_error::NoEndpoint:
+    case policy::policy_error::EndpointsHeldOff:
         response.type = error_type::NoEndpoint;
         break;
     case policy::policy_error::QueueFull:
@@ -155,6 +156,21 @@
     return response;
 }
 
+error_response fromDecision(const policy::decision &decision, call_outcome outcome)
+{
+    error_response response{error_type::DeadlineExceeded,
+                            "request could not be answered before its deadline", true, outcome,
+                            decision.retryAfter};
+    if (decision.kind == policy::decision_kind::Shed) {
+        response.type = error_type::Shed;
+        response.message = "request gave way to one of a higher tier";
+    } else if (decision.reason == policy::decision_reason::EndpointsHeldOff) {
+        response.type = error_type::NoEndpoint;
+        response.message = "endpoints want no request yet";
+    }
+    return response;
+}
+
 error_response stoppingError(call_outcome outcome)
 {
     return {error_type::Stopping, "the host stops before the request could complete", true, outcome,
--- a/Services/quetzalcleatd/error_response.h
+++ b/Services/quetzalcleatd/error_response.h
@@ -2,6 +2,7 @@
 
 #include "LibHttp/caller_server.h"
 #include "LibHttp/message.h"
+#include "LibPolicy/policy_types.h"
 
 #include <chrono>
 #include <cstdint>
@@ -69,6 +70,9 @@
 /// The error for a refusal by policy::decision_core::submit().
 error_response fromRefusal(std::error_code refusal, std::chrono::milliseconds retryAfter);
 
+/// The error for a queued request that a Shed or Expire decision ends.
+error_response fromDecision(const policy::decision &decision, call_outcome outcome);
+
 /// The error for a request that starts, or is still running, at the end of a planned stop.
 error_response stoppingError(call_outcome outcome);
 
--- a/Services/quetzalcleatd/operator_views.cpp
+++ b/Services/quetzalcleatd/operator_views.cpp
@@ -81,6 +81,8 @@
         return "deadline_passed";
     case policy::decision_reason::NoEndpoint:
         return "no_endpoint";
+    case policy::decision_reason::EndpointsHeldOff:
+        return "endpoints_held_off";
     }
     return "unknown";
 }
@@ -91,6 +93,8 @@
             {"state", nameOf(view.state)},
             {"health", nameOf(view.health)},
             {"incarnation", view.incarnation},
+            {"leaving_source", view.leavingSource},
+            {"held_off_ms", view.heldOffFor.count()},
             {"capacity", view.capacity},
             {"in_flight", view.inFlight},
             {"foreign_load", view.otherHostsLoad},
--- a/Services/quetzalcleatd/service_session.h
+++ b/Services/quetzalcleatd/service_session.h
@@ -194,13 +194,8 @@
             // Only a call that has not been sent can be preempted; it stays queued.
             return;
         case policy::decision_kind::Shed:
-            refuse({error_type::Shed, "request gave way to one of a higher tier", true,
-                    outcomeWithoutResponse(), decision.retryAfter});
-            return;
         case policy::decision_kind::Expire:
-            refuse({error_type::DeadlineExceeded,
-                    "request could not be answered before its deadline", true,
-                    outcomeWithoutResponse(), decision.retryAfter});
+            refuse(fromDecision(decision, outcomeWithoutResponse()));
             return;
         }
     }
@@ -224,6 +219,7 @@
         m_endpoint = m_environment.routing->document().endpoints[decision.endpoint.value];
         m_phase = phase::Sent;
         m_head = {};
+        m_isHeldOff = false;
         m_body.clear();
         m_bodyBytes = 0;
         if (m_claimState == claim_state::Held)
@@ -233,18 +229,34 @@
         request.address = m_endpoint.address;
         request.target = m_call.target;
         // Callers choose their ids, and two of them may choose the same.
-        const auto attemptId = m_requestId + '.' + newRequestId();
-        request.headers = headersForService(incoming.headers, attemptId, m_identity.accountName);
+        m_attemptId = m_requestId + '.' + newRequestId();
+        request.headers = headersForService(incoming.headers, m_attemptId, m_identity.accountName);
         request.checksIdentity = true;
         request.body = incoming.body;
         request.sendOnce = m_nonRepeatable;
         request.timeouts = m_environment.options.service;
         const auto self = this->shared_from_this();
+        request.mayStillSend = [&decisions = m_environment.decisions, id = m_decisionId] {
+            return decisions.mayStillSend(id);
+        };
         m_transfer = m_environment.endpoints.start(
             std::move(request),
-            {.onHead = [self](const http::response_head &head) { self->m_head = head; },
+            {.onHead = [self](const http::response_head &head) { self->onHead(head); },
              .onBody = [self](std::string_view chunk) { self->onBody(chunk); },
-             .onEnd = [self](const http::transfer_result &end) { self->onEnd(end); }});
+             .onEnd = [self](const http::transfer_result &end) { self->onEnd(end); },
+             .onInterim = [self](const http::response_head &head) { self->readNotice(head); }});
+    }
+
+    void onHead(const http::response_head &head)
+    {
+        m_head = head;
+        m_isHeldOff = readNotice(head);
+    }
+
+    bool readNotice(const http::response_head &head)
+    {
+        return m_environment.notices.readAnswer(
+            {m_decisionId, m_attemptId, m_requestId, m_endpoint}, head);
     }
 
     void onBody(std::string_view chunk)
@@ -290,8 +302,16 @@
 
     void onResponse()
     {
-        m_environment.decisions.firstToken(m_decisionId);
-        m_environment.decisions.finished(m_decisionId, policy::attempt_outcome::Completed);
+        // A call that must not run twice keeps its answer, which settles its claim.
+        if (m_isHeldOff && !m_nonRepeatable) {
+            m_phase = phase::Queued;
+            if (m_environment.decisions.finished(m_decisionId, policy::attempt_outcome::Refused))
+                return;
+            m_phase = phase::Sent;
+        } else {
+            m_environment.decisions.firstToken(m_decisionId);
+            m_environment.decisions.finished(m_decisionId, policy::attempt_outcome::Completed);
+        }
         if (m_claimState == claim_state::Sent) {
             m_claimState = claim_state::None;
             m_control.finishClaim({m_attempt, true, storedResponse()});
@@ -323,6 +343,10 @@
 
     void sendFailed(const http::transfer_result &end)
     {
+        if (end.error == http::http_error::Withdrawn) {
+            sendAgain();
+            return;
+        }
         m_environment.log.warning("call to " + m_endpoint.name + " failed: " + end.error.message(),
                                   m_requestId);
         if (!end.maybeSent && m_claimState == claim_state::Sent)
@@ -343,6 +367,14 @@
                 {}});
     }
 
+    void sendAgain()
+    {
+        if (m_claimState == claim_state::Sent)
+            m_claimState = claim_state::Held;
+        m_phase = phase::Queued;
+        m_environment.decisions.finished(m_decisionId, policy::attempt_outcome::Withdrawn);
+    }
+
     call_outcome outcomeWithoutResponse() const
     {
         return m_maybeSent ? call_outcome::Unknown : call_outcome::NotRun;
@@ -448,6 +480,7 @@
     Control &m_control;
     std::shared_ptr<http::caller_exchange> m_exchange;
     std::string m_requestId;
+    std::string m_attemptId; ///< X-Request-Id of the current attempt.
     core::instant m_arrival;
     asio::steady_timer m_claimTimer;
     core::instant m_claimDeadline; ///< By this time the grant must arrive.
@@ -467,6 +500,7 @@
     std::string m_body;
     std::size_t m_bodyBytes = 0;
     bool m_bodyTooLarge = false;
+    bool m_isHeldOff = false; ///< The endpoint refused the attempt and asked for a wait.
     bool m_maybeSent = false;
 };
 
--- a/Services/quetzalcleatd/session_environment.h
+++ b/Services/quetzalcleatd/session_environment.h
@@ -5,6 +5,7 @@
 #include "LibCore/time.h"
 #include "LibHttp/endpoint_client.h"
 #include "quetzalcleatd/dispatcher.h"
+#include "quetzalcleatd/notice_recorder.h"
 #include "quetzalcleatd/routing_table.h"
 
 #include <asio/io_context.hpp>
@@ -35,6 +36,7 @@
     asio::io_context &context;
     http::endpoint_client &endpoints;
     dispatcher &decisions;
+    notice_recorder &notices;
     core::counter_registry &counters;
     const core::logger &log;
     std::shared_ptr<const routing_table> routing; ///< Null until a configuration is in force.
--- a/Tests/Daemon/daemon_fixture.cpp
+++ b/Tests/Daemon/daemon_fixture.cpp
@@ -193,4 +193,10 @@
     ASSERT_TRUE(runUntil(m_context, condition)) << "condition not met within the time limit";
 }
 
+void daemon_fixture::pass(std::chrono::milliseconds time)
+{
+    const auto end = std::chrono::steady_clock::now() + time;
+    await([&] { return std::chrono::steady_clock::now() >= end; });
+}
+
 } // namespace quetzalcleat::tests
--- a/Tests/Daemon/daemon_fixture.h
+++ b/Tests/Daemon/daemon_fixture.h
@@ -52,6 +52,7 @@
                                                     const std::string &body = {});
     void await(const caller_response &response);
     void await(const std::function<bool()> &condition);
+    void pass(std::chrono::milliseconds time); ///< Runs the event loop for this time.
 
     asio::io_context m_context;
     core::counter_registry m_counters;
--- a/Tests/Daemon/test_completion.cpp
+++ b/Tests/Daemon/test_completion.cpp
@@ -335,8 +335,10 @@
     daemon::dispatcher decisions(m_context, 1);
     decisions.start();
     auto parsed = inventory::parse(document(), "document");
-    daemon::session_environment environment{m_context, m_client, decisions, m_counters,        log,
-                                            nullptr,   "h1",     1,         m_options.sessions};
+    daemon::notice_recorder notices(decisions, m_counters, log);
+    daemon::session_environment environment{
+        m_context, m_client, decisions, notices, m_counters,
+        log,       nullptr,  "h1",      1,       m_options.sessions};
     environment.routing = std::make_shared<const daemon::routing_table>(
         1, "", std::get<inventory::document>(std::move(parsed)));
     decisions.configure(environment.routing->document(), {"h1", "d1"});
