Tests/Daemon: Let a caller's connection outlive its last read

The fault is the test's and does not need the load: a read is always in progress if the daemon closes the connection later than the test ends. Change: the connection keeps itself alive, and the caller closes it. What is checked stays.

--- a/Tests/Daemon/test_stop.cpp
+++ b/Tests/Daemon/test_stop.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <chrono>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <thread>
 
@@ -13,40 +14,63 @@
 
 namespace {
 
-/// A caller that controls when its connection opens and when each byte is sent.
+/// A caller that controls when its connection opens and when each byte is sent. The connection
+/// closes with it.
 class raw_caller
 {
 public:
-    raw_caller(asio::io_context &context, std::uint16_t port) : m_socket(context)
+    raw_caller(asio::io_context &context, std::uint16_t port)
+        : m_connection(std::make_shared<connection>(context))
     {
-        m_socket.connect({asio::ip::make_address("127.0.0.1"), port}, m_error);
+        m_connection->socket.connect({asio::ip::make_address("127.0.0.1"), port}, m_error);
     }
+    ~raw_caller()
+    {
+        std::error_code ignored;
+        m_connection->socket.close(ignored);
+    }
+    raw_caller(const raw_caller &) = delete;
+    raw_caller &operator=(const raw_caller &) = delete;
 
     bool isConnected() const { return !m_error; }
 
-    void send(const std::string &bytes) { asio::write(m_socket, asio::buffer(bytes), m_error); }
-
-    /// Reads in the event loop. The caller must stay where it is.
-    void read()
+    void send(const std::string &bytes)
     {
-        m_socket.async_read_some(asio::buffer(m_buffer),
-                                 [this](std::error_code error, std::size_t count) {
-                                     m_closed = static_cast<bool>(error);
-                                     m_received.append(m_buffer.data(), count);
-                                     if (!m_closed)
-                                         read();
-                                 });
+        asio::write(m_connection->socket, asio::buffer(bytes), m_error);
     }
 
-    const std::string &received() const { return m_received; }
-    bool isClosed() const { return m_closed; }
+    /// Reads in the event loop.
+    void read() { m_connection->read(); }
+
+    const std::string &received() const { return m_connection->received; }
+    bool isClosed() const { return m_connection->closed; }
 
 private:
-    asio::ip::tcp::socket m_socket;
+    /// Outlives the caller until its last read has ended.
+    struct connection : std::enable_shared_from_this<connection>
+    {
+        explicit connection(asio::io_context &context) : socket(context) { }
+
+        void read()
+        {
+            socket.async_read_some(
+                asio::buffer(buffer),
+                [self = shared_from_this()](std::error_code error, std::size_t count) {
+                    self->closed = static_cast<bool>(error);
+                    self->received.append(self->buffer.data(), count);
+                    if (!self->closed)
+                        self->read();
+                });
+        }
+
+        asio::ip::tcp::socket socket;
+        std::array<char, 4096> buffer{};
+        std::string received;
+        bool closed = false;
+    };
+
+    std::shared_ptr<connection> m_connection;
     std::error_code m_error;
-    std::array<char, 4096> m_buffer{};
-    std::string m_received;
-    bool m_closed = false;
 };
 
 constexpr const char *serviceRequest = "GET /services/booking/state HTTP/1.1\r\nHost: h\r\n"
