--- a/Services/quetzalcleatd/completion_session.cpp
+++ b/Services/quetzalcleatd/completion_session.cpp
@@ -476,7 +476,7 @@
     const bool queuedAgain = m_environment.decisions.finished(m_decisionId, outcome);
     if (std::exchange(m_engineMayStillRun, false)) {
         cancelReplacedAttempt();
-        m_replaced = {m_engine.address, m_attemptId};
+        m_replaced = {m_engine, m_attemptId};
         // If it is to be resumed, the cancellation waits, as it could end the generation.
         if (!(queuedAgain && m_streaming))
             cancelReplacedAttempt();
@@ -541,27 +541,26 @@
     m_transfer->cancel();
     m_transfer.reset();
     m_maybeSent = true;
-    cancelAtEngine(m_engine.address, m_attemptId);
+    cancelAtEngine({m_engine, m_attemptId});
 }
 
 void completion_session::cancelReplacedAttempt()
 {
     const auto replaced = std::exchange(m_replaced, std::nullopt);
     if (replaced)
-        cancelAtEngine(replaced->engine, replaced->id);
+        cancelAtEngine(*replaced);
 }
 
-void completion_session::cancelAtEngine(const core::socket_address &engine,
-                                        const std::string &attemptId)
+void completion_session::cancelAtEngine(const engine_attempt &cancelled)
 {
     // The closed connection tells the engine, too.
-    if (!m_environment.decisions.core().acceptsCalls(m_engine.name,
+    if (!m_environment.decisions.core().acceptsCalls(cancelled.engine.name,
                                                      std::chrono::steady_clock::now()))
         return;
     http::endpoint_request request;
     request.method = "DELETE";
-    request.address = engine;
-    request.target = "/v1/completions/" + attemptId;
+    request.address = cancelled.engine.address;
+    request.target = "/v1/completions/" + cancelled.id;
     request.timeouts = m_environment.options.engine;
     m_environment.endpoints.start(std::move(request),
                                   {.onHead = [](const http::response_head &) {},
--- a/Services/quetzalcleatd/completion_session.h
+++ b/Services/quetzalcleatd/completion_session.h
@@ -59,15 +59,15 @@
     bool isStalled() const;
     void abandonStalledAttempt();
     void cancelReplacedAttempt();
-    void cancelAtEngine(const core::socket_address &engine, const std::string &attemptId);
     void end(std::string_view result);
 
     /// An attempt that may go on at its engine.
     struct engine_attempt
     {
-        core::socket_address engine;
+        inventory::endpoint engine;
         std::string id;
     };
+    void cancelAtEngine(const engine_attempt &cancelled);
 
     session_environment &m_environment;
     std::shared_ptr<http::caller_exchange> m_exchange;
