--- a/Tests/Daemon/test_notices.cpp
+++ b/Tests/Daemon/test_notices.cpp
@@ -68,8 +68,10 @@
     std::vector<std::shared_ptr<caller_response>> callFiveTimes(const http::header_list &headers
                                                                 = {})
     {
+        constexpr std::size_t parallelCalls = 5;
         std::vector<std::shared_ptr<caller_response>> calls;
-        for (int index = 0; index < 5; ++index)
+        calls.reserve(parallelCalls);
+        while (calls.size() < parallelCalls)
             calls.push_back(call(headers));
         return calls;
     }
