Tests/Daemon: Send slowly in one place

The assertions stay; with the bound of the body and the question for stalled engines taken out, the three tests fail as before.

--- a/Libraries/LibPolicy/endpoint_incarnation.h
+++ b/Libraries/LibPolicy/endpoint_incarnation.h
@@ -15,17 +15,16 @@
         Restarted,
     };
 
-    /// Whether a report with this number is about the current incarnation or a later one.
+    /// Whether a report with this number is about an earlier incarnation.
     bool isOutdated(std::uint64_t reported) const { return reported != 0 && reported < m_number; }
 
     change report(std::uint64_t reported)
     {
         if (reported <= m_number)
             return change::None;
-        const bool isFirst = m_number == 0;
-        m_isFirst = isFirst;
+        m_isFirst = m_number == 0;
         m_number = reported;
-        return isFirst ? change::Numbered : change::Restarted;
+        return m_isFirst ? change::Numbered : change::Restarted;
     }
 
     /// Whether an attempt went to the current incarnation. `number` is that of its dispatch.
--- a/Tests/Daemon/fake_server.cpp
+++ b/Tests/Daemon/fake_server.cpp
@@ -12,7 +12,8 @@
 using asio::ip::tcp;
 
 fake_connection::fake_connection(tcp::socket socket, request_handler handler)
-    : m_socket(std::move(socket)), m_handler(std::move(handler)), m_readBuffer(16384, '\0')
+    : m_socket(std::move(socket)), m_handler(std::move(handler)), m_readBuffer(16384, '\0'),
+      m_slowTimer(m_socket.get_executor())
 {
 }
 
@@ -93,6 +94,20 @@
              [self = shared_from_this(), bytes, limit] { self->sendEndlessly(bytes, limit); });
 }
 
+void fake_connection::sendSlowly(const std::string &bytes, std::chrono::milliseconds pause,
+                                 int times)
+{
+    if (m_closed || m_slowTimes == times)
+        return;
+    ++m_slowTimes;
+    send(bytes);
+    m_slowTimer.expires_after(pause);
+    m_slowTimer.async_wait([self = shared_from_this(), bytes, pause, times](std::error_code error) {
+        if (!error)
+            self->sendSlowly(bytes, pause, times);
+    });
+}
+
 void fake_connection::close()
 {
     m_closeAfterWrites = true;
--- a/Tests/Daemon/fake_server.h
+++ b/Tests/Daemon/fake_server.h
@@ -5,7 +5,9 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -30,6 +32,10 @@
     /// Sends the bytes again and again until the connection closes or the limit is reached.
     void sendEndlessly(const std::string &bytes, std::size_t limit);
     std::size_t endlessBytes() const { return m_endlessBytes; }
+    /// Sends the bytes with a pause after each time, until the connection closes or they have been
+    /// sent that often.
+    void sendSlowly(const std::string &bytes, std::chrono::milliseconds pause, int times);
+    int slowTimes() const { return m_slowTimes; }
     /// Closes the connection once all bytes have been written.
     void close();
     bool isClosed() const { return m_closed; }
@@ -45,6 +51,8 @@
     std::string m_readBuffer;
     std::vector<std::pair<std::string, std::function<void()>>> m_output;
     std::size_t m_endlessBytes = 0;
+    asio::steady_timer m_slowTimer;
+    int m_slowTimes = 0; ///< How often sendSlowly() has sent.
     bool m_writing = false;
     bool m_closeAfterWrites = false;
     bool m_closed = false;
--- a/Tests/Daemon/test_operator.cpp
+++ b/Tests/Daemon/test_operator.cpp
@@ -1,10 +1,8 @@
 #include "daemon_fixture.h"
 
-#include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <chrono>
-#include <functional>
 #include <map>
 #include <utility>
 
@@ -133,22 +131,12 @@
     addEngine();
     constexpr std::chrono::milliseconds pause{20};
     constexpr int generousBytes = 100;
-    asio::steady_timer timer(m_context);
     std::shared_ptr<fake_connection> slow;
-    int sent = 0;
-    const std::function<void(std::error_code)> sendByte = [&](std::error_code error) {
-        if (error || slow->isClosed() || sent == generousBytes)
-            return;
-        ++sent;
-        slow->send(chunk(" "));
-        timer.expires_after(pause);
-        timer.async_wait(sendByte);
-    };
     fake_server platform(m_context, [&](const auto &connection, const auto &) {
         if (!slow) {
             slow = connection;
             slow->send(chunkedHead(200, "application/json"));
-            sendByte({});
+            slow->sendSlowly(chunk(" "), pause, generousBytes);
             return;
         }
         connection->send(completeResponse(200, R"({"hosts":[{"name":"e0","state":"leaving"}]})"));
@@ -161,9 +149,8 @@
         const auto view = m_daemon->dump().endpoints;
         return !view.empty() && view[0].state == policy::endpoint_state::Leaving;
     };
-    await([&] { return hasLeft() || sent == generousBytes; });
+    await([&] { return hasLeft() || (slow && slow->slowTimes() == generousBytes); });
     EXPECT_TRUE(hasLeft());
-    timer.cancel();
 }
 
 // Guards against a late copy of an earlier report that is taken for the next one, so that an engine
--- a/Tests/Daemon/test_service.cpp
+++ b/Tests/Daemon/test_service.cpp
@@ -2,11 +2,8 @@
 #include "LibState/replicated_state.h"
 #include "daemon_fixture.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <chrono>
-#include <functional>
 
 namespace quetzalcleat::tests {
 
@@ -340,32 +337,23 @@
     constexpr int generousBytes = 150; // They take ten times as long.
     m_options.sessions.service.body = bodyTime;
     startDaemon();
-    asio::steady_timer timer(m_context);
     std::shared_ptr<fake_connection> connection;
-    int sent = 0;
-    const std::function<void(std::error_code)> sendByte = [&](std::error_code error) {
-        if (error || connection->isClosed() || sent == generousBytes)
-            return;
-        ++sent;
-        connection->send(chunk("x"));
-        timer.expires_after(pause);
-        timer.async_wait(sendByte);
-    };
     m_onServiceCall = [&](const auto &from, const auto &) {
         connection = from;
         connection->send(chunkedHead(200));
-        sendByte({});
+        connection->sendSlowly(chunk("x"), pause, generousBytes);
     };
     const auto response = order("wire 7");
-    await([&] { return response->ended || sent == generousBytes; });
+    await([&] {
+        return response->ended || (connection && connection->slowTimes() == generousBytes);
+    });
     ASSERT_TRUE(response->ended);
-    EXPECT_LT(sent, generousBytes);
+    EXPECT_LT(connection->slowTimes(), generousBytes);
     EXPECT_EQ(response->errorField("type"), "endpoint_failed");
     EXPECT_EQ(response->errorField("outcome"), "unknown");
     EXPECT_EQ(m_serviceCalls.size(), 1U);
     ASSERT_EQ(m_control.finished.size(), 1U);
     EXPECT_FALSE(m_control.finished[0].outcomeKnown);
-    timer.cancel();
 }
 
 // Guards against reading without end from a service whose answer does not end.
--- a/Tests/Daemon/test_stalled_engines.cpp
+++ b/Tests/Daemon/test_stalled_engines.cpp
@@ -77,17 +77,7 @@
             m_options.sessions.engine.firstByte
                 = std::chrono::milliseconds(tokens == 0 ? 200 : 9000);
             startDaemon();
-            asio::steady_timer timer(m_context);
             std::shared_ptr<fake_connection> connection;
-            int sent = 0;
-            const std::function<void(std::error_code)> sendBytes = [&](std::error_code error) {
-                if (error || connection->isClosed() || sent == generousChunks)
-                    return;
-                ++sent;
-                connection->send(chunk(bytes));
-                timer.expires_after(pause);
-                timer.async_wait(sendBytes);
-            };
             engine.onCompletion = [&](const engine_call &call) {
                 if (connection)
                     return; // A second attempt waits until its time has passed.
@@ -95,13 +85,15 @@
                 connection->send(chunkedHead(200));
                 for (std::uint32_t index = 0; index < tokens; ++index)
                     connection->send(fake_engine::event(call, index, false));
-                sendBytes({});
+                connection->sendSlowly(chunk(bytes), pause, generousChunks);
             };
             const auto response = complete("q", true);
-            await([&] { return (connection && connection->isClosed()) || sent == generousChunks; });
-            EXPECT_LT(sent, generousChunks);
-            timer.cancel();
-            if (sent == generousChunks)
+            await([&] {
+                return connection
+                    && (connection->isClosed() || connection->slowTimes() == generousChunks);
+            });
+            EXPECT_LT(connection->slowTimes(), generousChunks);
+            if (connection->slowTimes() == generousChunks)
                 continue;
             await(*response);
             EXPECT_FALSE(response->endsWithDone());
