--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -645,6 +645,7 @@
                           {"cause", std::string(cause)},
                           {"may_have_run", mayHaveRun ? "yes" : "no"},
                           {"events", number(static_cast<std::int64_t>(m_events.eventCount()))},
+                          {"prompt_parts", std::string(promptParts())},
                           {"will_retry", again ? "yes" : "no"}});
     ++m_owner->counters().counter("attempts_failed_total", "service=\"" + m_service->name + '"');
     if (again)
@@ -782,7 +783,12 @@
         && m_owner->endpoints().notices().recordLoss(target->listed.incarnation, *written);
     recordFirstByte(*target);
     const bool wasEjected = target->ejectedUntil > m_owner->now();
+    const bool wasLost = target->lostAt.has_value();
     m_owner->endpoints().recordOutcome(*target, outcome, m_owner->now());
+    if (!wasLost && target->lostAt)
+        m_owner->log().write(
+            "endpoint_lost",
+            {{"endpoint", target->listed.incarnation}, {"service", target->listed.service}});
     if (!wasEjected && target->ejectedUntil > m_owner->now())
         m_owner->log().write(
             "endpoint_ejected",
@@ -852,7 +858,7 @@
          {"first_part_ms", number(m_timeToFirstPart.count())},
          {"longest_pause_ms", number(m_longestPause.count())},
          {"expected_wait_ms", number(m_expectedWait.count() / 1000)},
-         {"prompt_parts", std::string(m_request.value(m_owner->options().names.promptParts))},
+         {"prompt_parts", std::string(promptParts())},
          {"uncached_tokens", number(static_cast<std::int64_t>(m_uncachedTokens))},
          {"version", number(m_routes ? static_cast<std::int64_t>(m_routes->content().version) : 0)},
          {"lease_age_ms",
@@ -869,6 +875,11 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(m_arrived - *stopStart).count());
 }
 
+std::string_view exchange::promptParts() const
+{
+    return m_request.value(m_owner->options().names.promptParts);
+}
+
 /// Time until the first endpoint of the service takes requests; empty if one does now.
 std::optional<std::chrono::milliseconds> exchange::allHeldOffFor() const
 {
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -97,6 +97,7 @@
     void failRequest(std::string_view cause, bool mayHaveRun);
     void finish(int status, std::string_view cause);
     std::string arrivedAfterStop() const;
+    std::string_view promptParts() const;
     std::chrono::milliseconds timeLeft() const;
     std::chrono::milliseconds elapsed() const;
     std::chrono::milliseconds retryAfter() const;
