--- a/Tests/Fleet/control_node_fixture.h
+++ b/Tests/Fleet/control_node_fixture.h
@@ -49,27 +49,16 @@
     void start(const std::string &ip)
     {
         auto &started = m_hosts[ip];
-        peer::peer_network_options network;
-        network.identity = {"fleet", ip, ++m_incarnation, {"key number one, 16+ bytes"}};
-        network.control = true;
-        network.address = {ip, port(m_peerPort)};
-        network.commonPort = m_peerPort;
         node_settings settings;
-        for (const auto &seed : seeds) {
-            settings.seeds.push_back(seed);
-            if (seed != ip)
-                network.peers.push_back({seed, {}, {seed, m_peerPort}, true});
-        }
+        settings.seeds = seeds;
         settings.hostName = ip;
         settings.ip = ip;
         settings.controlAddress = core::socket_address{ip, port(m_controlPort)};
-        settings.peerPort = m_peerPort;
+        settings.peerPort = port(m_peerPort);
         settings.bootstrapsCluster = true;
         settings.dataFolder = m_folder / ip;
         std::filesystem::create_directories(settings.dataFolder);
-        auto created = peer::peer_network::create(m_context, started.counters, std::move(network));
-        ASSERT_TRUE(created) << created.error().message();
-        started.network = std::move(created).value();
+        started.network = startNetwork(ip, started.counters, true);
         auto node = control_node<number_dialect>::create(m_context, started.network,
                                                          started.counters, m_log, settings);
         ASSERT_TRUE(node) << node.error().message();
@@ -78,6 +67,23 @@
         started.network->start();
     }
 
+    std::shared_ptr<peer::peer_network> startNetwork(const std::string &ip,
+                                                     core::counter_registry &counters, bool control)
+    {
+        peer::peer_network_options network;
+        network.identity = {"fleet", ip, ++m_incarnation, {"key number one, 16+ bytes"}};
+        network.control = control;
+        network.address = {ip, port(m_peerPort)};
+        network.commonPort = m_peerPort;
+        for (const auto &seed : seeds) {
+            if (seed != ip)
+                network.peers.push_back({seed, {}, {seed, m_peerPort}, true});
+        }
+        auto created = peer::peer_network::create(m_context, counters, std::move(network));
+        EXPECT_TRUE(created) << created.error().message();
+        return std::move(created).value();
+    }
+
     /// Ends a host without any notice to the others.
     void kill(const std::string &ip)
     {
@@ -172,6 +178,7 @@
     inline static const std::vector<std::string> seeds{"127.0.3.1", "127.0.3.2", "127.0.3.3"};
     asio::io_context m_context;
     std::map<std::string, host> m_hosts;
+    forward::event_log m_log{"test", 2};
 
 private:
     std::uint16_t port(std::uint16_t &chosen)
@@ -185,7 +192,6 @@
 
     std::filesystem::path m_folder = std::filesystem::temp_directory_path()
         / ("quetzalcleat-control-" + core::sha256Hex(core::secureRandomBytes(16)).substr(0, 16));
-    forward::event_log m_log{"test", 2};
     std::uint16_t m_peerPort = 0;
     std::uint16_t m_controlPort = 0;
     std::uint64_t m_incarnation = 0;
