LibPolicy: Find the parts of prompts that crash engines

A part that requests share with sound ones must stay free, so a part counts only the crashes since any host has seen an answer with it, the hosts are asked before a decision, and each crash is attributed to one part. A crash counts once two hosts have lost the engine, so that a host that is cut off does not take all engines for crashed. Three crashes are needed, ten minutes later the part is released, and one more crash is enough then.

--- /dev/null
+++ b/Libraries/LibPolicy/part_quarantine.cpp
@@ -0,0 +1,263 @@
+#include "LibPolicy/part_quarantine.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace quetzalcleat::policy {
+
+part_quarantine::crash &part_quarantine::crashOf(const std::string &incarnation, core::instant at)
+{
+    const auto found = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const crash &entry) {
+        return entry.incarnation == incarnation && at - entry.at < m_limits.crashSpan
+            && entry.at - at < m_limits.crashSpan;
+    });
+    if (found != m_crashes.end())
+        return *found;
+    if (m_crashes.size() >= m_limits.maximumCrashes)
+        m_crashes.erase(
+            std::min_element(m_crashes.begin(), m_crashes.end(),
+                             [](const crash &a, const crash &b) { return a.at < b.at; }));
+    m_crashes.push_back({incarnation, at, {}, false, {}, {}});
+    return m_crashes.back();
+}
+
+part_quarantine::part_record &part_quarantine::recordOf(part_id part, core::instant at)
+{
+    if (m_parts.size() >= m_limits.maximumParts && !m_parts.contains(part))
+        m_parts.erase(
+            std::min_element(m_parts.begin(), m_parts.end(), [](const auto &a, const auto &b) {
+                return a.second.lastChange < b.second.lastChange;
+            }));
+    auto &record = m_parts[part];
+    record.lastChange = std::max(record.lastChange, at);
+    return record;
+}
+
+void part_quarantine::recordLoss(const std::string &host, const std::string &incarnation,
+                                 core::instant at)
+{
+    if (m_losses.size() >= m_limits.maximumLosses && !m_losses.contains(incarnation))
+        return;
+    m_losses[incarnation][host] = at;
+}
+
+void part_quarantine::recordSuspect(const std::string &host, const suspect_part &suspect)
+{
+    auto &entry = crashOf(suspect.incarnation, suspect.at);
+    entry.reporters.insert(host);
+    if (entry.parts.size() >= m_limits.maximumPartsPerCrash && !entry.parts.contains(suspect.part))
+        return;
+    auto &depth = entry.parts[suspect.part];
+    depth = std::max(depth, suspect.depth);
+    recordOf(suspect.part, suspect.at);
+}
+
+void part_quarantine::recordAnswer(part_id part, core::instant at)
+{
+    auto &record = recordOf(part, at);
+    record.answeredAt = std::max(record.answeredAt.value_or(at), at);
+}
+
+void part_quarantine::adopt(const quarantined_part &entry, core::instant now)
+{
+    if (entry.until <= now)
+        return;
+    auto &known = m_entries[entry.part];
+    known.until = std::max(known.until, entry.until);
+    known.releases = std::max(known.releases, entry.releases);
+    known.lastCrash = std::max(known.lastCrash, entry.until - lengthAfter(entry.releases));
+}
+
+std::chrono::milliseconds part_quarantine::lengthAfter(std::uint32_t releases) const
+{
+    return m_limits.quarantineTime * (1 << std::min(releases, m_limits.maximumDoublings));
+}
+
+void part_quarantine::confirmCrashes(std::size_t hosts)
+{
+    // A single host cannot be confirmed by others.
+    const auto required = std::min(m_limits.minimumReporters, std::max(hosts, std::size_t{1}));
+    for (auto &entry : m_crashes) {
+        if (entry.isConfirmed)
+            continue;
+        const auto losses = m_losses.find(entry.incarnation);
+        if (losses != m_losses.end()) {
+            for (const auto &[host, at] : losses->second) {
+                if (at > entry.at - m_limits.crashSpan)
+                    entry.reporters.insert(host);
+            }
+        }
+        entry.isConfirmed = entry.reporters.size() >= required;
+    }
+}
+
+bool part_quarantine::countsFor(const crash &entry, part_id part) const
+{
+    if (!entry.parts.contains(part))
+        return false;
+    const auto record = m_parts.find(part);
+    if (record != m_parts.end() && record->second.answeredAt
+        && *record->second.answeredAt > entry.at)
+        return false;
+    const auto known = m_entries.find(part);
+    return known == m_entries.end() || entry.at >= known->second.since;
+}
+
+/// The parts of the crashes that are attributed to no part yet.
+std::vector<part_quarantine::candidate> part_quarantine::candidates() const
+{
+    std::map<part_id, candidate> found;
+    for (const auto &entry : m_crashes) {
+        if (entry.cause || !entry.isConfirmed)
+            continue;
+        for (const auto &[part, depth] : entry.parts) {
+            if (!countsFor(entry, part))
+                continue;
+            auto &known = found[part];
+            known.part = part;
+            ++known.crashes;
+            known.depth = std::max(known.depth, depth);
+            known.lastCrash = std::max(known.lastCrash, entry.at);
+        }
+    }
+    std::vector<candidate> result;
+    result.reserve(found.size());
+    for (auto &[part, known] : found) {
+        const auto record = m_parts.find(part);
+        known.wasAnswered = record != m_parts.end() && record->second.answeredAt.has_value();
+        result.push_back(known);
+    }
+    std::sort(result.begin(), result.end(), [](const candidate &a, const candidate &b) {
+        return std::tuple(b.crashes, a.wasAnswered, b.depth, a.part)
+            < std::tuple(a.crashes, b.wasAnswered, a.depth, b.part);
+    });
+    return result;
+}
+
+void part_quarantine::forgetOld(core::instant now)
+{
+    for (auto &[incarnation, hosts] : m_losses)
+        std::erase_if(
+            hosts, [&](const auto &entry) { return now - entry.second > m_limits.lossRetention; });
+    std::erase_if(m_losses, [](const auto &entry) { return entry.second.empty(); });
+    std::erase_if(m_crashes,
+                  [&](const crash &entry) { return now - entry.at > m_limits.retention; });
+    std::erase_if(m_parts, [&](const auto &entry) {
+        return now - entry.second.lastChange > m_limits.retention;
+    });
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        auto &[part, known] = *entry;
+        // After the release, one crash is enough. A part that crashes nothing is forgotten.
+        if (known.until <= now && now - known.until > lengthAfter(known.releases)) {
+            entry = m_entries.erase(entry);
+            continue;
+        }
+        if (known.until <= now && known.since < known.until) {
+            known.since = known.until;
+            ++known.releases;
+        }
+        ++entry;
+    }
+}
+
+void part_quarantine::releaseAnswered()
+{
+    std::erase_if(m_entries, [&](const auto &entry) {
+        const auto record = m_parts.find(entry.first);
+        return record != m_parts.end() && record->second.answeredAt
+            && *record->second.answeredAt > entry.second.lastCrash;
+    });
+}
+
+std::size_t part_quarantine::requiredCrashes(part_id part) const
+{
+    const auto known = m_entries.find(part);
+    return known != m_entries.end() && known->second.releases > 0 ? 1 : m_limits.minimumCrashes;
+}
+
+void part_quarantine::attribute(core::instant now)
+{
+    // Attributed again from the start, as a later crash may show that another part is the cause.
+    std::set<part_id> causes;
+    for (auto &entry : m_crashes)
+        entry.cause.reset();
+    const auto explain = [&](part_id part) {
+        causes.insert(part);
+        for (auto &entry : m_crashes) {
+            if (!entry.cause && entry.parts.contains(part))
+                entry.cause = part;
+        }
+    };
+    for (;;) {
+        m_inquiries.clear();
+        const auto ordered = candidates();
+        const auto due = std::find_if(ordered.begin(), ordered.end(), [&](const candidate &entry) {
+            return entry.crashes >= requiredCrashes(entry.part);
+        });
+        // One crash less is enough to ask, so that the answers are known by the next crash.
+        for (const auto &entry : ordered) {
+            if (entry.crashes + 1 >= requiredCrashes(entry.part))
+                m_inquiries.insert(entry.part);
+        }
+        if (due == ordered.end())
+            break;
+        auto &record = recordOf(due->part, due->lastCrash);
+        const auto known = m_entries.find(due->part);
+        const bool isInForce = known != m_entries.end() && known->second.until > now;
+        if (!isInForce && (!record.inquiredAt || now - *record.inquiredAt < m_limits.inquiryTime))
+            break;
+        auto &entry = m_entries[due->part];
+        entry.lastCrash = std::max(entry.lastCrash, due->lastCrash);
+        entry.until = std::max(entry.until, due->lastCrash + lengthAfter(entry.releases));
+        explain(due->part);
+    }
+    // Those whose crashes are all attributed to another part were quarantined in error.
+    std::erase_if(m_entries, [&](const auto &known) {
+        if (causes.contains(known.first) || known.second.until <= now)
+            return false;
+        bool isInCrash = false;
+        for (const auto &entry : m_crashes) {
+            if (!countsFor(entry, known.first))
+                continue;
+            isInCrash = true;
+            if (!entry.cause)
+                return false;
+        }
+        return isInCrash;
+    });
+    for (auto &[part, record] : m_parts) {
+        if (!m_inquiries.contains(part))
+            record.inquiredAt.reset();
+        else if (!record.inquiredAt)
+            record.inquiredAt = now;
+    }
+}
+
+void part_quarantine::update(std::size_t hosts, core::instant now)
+{
+    if (m_updatedAt && now - *m_updatedAt < m_limits.updateInterval)
+        return;
+    m_updatedAt = now;
+    forgetOld(now);
+    confirmCrashes(hosts);
+    releaseAnswered();
+    if (!m_crashes.empty() || !m_inquiries.empty())
+        attribute(now);
+}
+
+std::vector<part_id> part_quarantine::inquiries() const
+{
+    return {m_inquiries.begin(), m_inquiries.end()};
+}
+
+std::vector<quarantined_part> part_quarantine::quarantined(core::instant now) const
+{
+    std::vector<quarantined_part> result;
+    for (const auto &[part, entry] : m_entries) {
+        if (entry.until > now)
+            result.push_back({part, entry.until, entry.releases});
+    }
+    return result;
+}
+
+} // namespace quetzalcleat::policy
--- /dev/null
+++ b/Libraries/LibPolicy/part_quarantine.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include "LibCore/time.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace quetzalcleat::policy {
+
+/// Names a part of a prompt that requests can share.
+using part_id = std::uint64_t;
+
+/// A part of a request that an engine was not yet answering when it crashed.
+struct suspect_part
+{
+    std::string incarnation; ///< Of the engine.
+    part_id part = 0;
+    std::uint32_t depth = 0; ///< Number of parts before it in the prompt.
+    core::instant at; ///< When the connection to the engine broke.
+};
+
+/// A part of a prompt that is taken to crash every engine; requests with it are not sent.
+struct quarantined_part
+{
+    part_id part = 0;
+    core::instant until;
+    std::uint32_t releases = 0; ///< How often it was released before and crashed an engine again.
+};
+
+struct quarantine_limits
+{
+    /// Crashes of different engines, or of one at different times, with the same part.
+    std::size_t minimumCrashes = 3;
+    /// Hosts that have lost an engine before it counts as crashed. A single host may have lost only
+    /// its own network path.
+    std::size_t minimumReporters = 2;
+    /// Between the first inquiry for answers with a part and its quarantine. Covers an interval
+    /// between two reports of a host in the largest fleet and the way there and back.
+    std::chrono::milliseconds inquiryTime{1500};
+    /// Reports of one incarnation within this time are of the same crash; it starts again later.
+    std::chrono::milliseconds crashSpan{2000};
+    /// Losses of engines are remembered for this long, to confirm crashes that are reported later.
+    std::chrono::milliseconds lossRetention{10'000};
+    /// Crashes are remembered for this long.
+    std::chrono::milliseconds retention{600'000};
+    /// Of the first quarantine, from the last crash; doubled each time that the part crashes an
+    /// engine again after its release.
+    std::chrono::milliseconds quarantineTime{600'000};
+    std::uint32_t maximumDoublings = 5;
+    /// Between two decisions, which take time in proportion to the crashes and their parts.
+    std::chrono::milliseconds updateInterval{200};
+    std::size_t maximumLosses = 1024;
+    std::size_t maximumCrashes = 128;
+    std::size_t maximumPartsPerCrash = 256;
+    std::size_t maximumParts = 10'000;
+};
+
+/// Finds the parts of prompts that crash engines, from what all hosts report.
+///
+/// Each crash has the parts of the requests that the engine was not yet answering. A part is
+/// quarantined if it is in the most crashes since any host has seen an answer to a request with it.
+/// These crashes then count for no other part. Of equal parts, the one that no answer is known of
+/// comes first, then the one later in the prompt, which fewer other requests share.
+///
+/// Used on the host that all others report to. Does no I/O; time is passed in.
+class part_quarantine
+{
+public:
+    explicit part_quarantine(quarantine_limits limits = {}) : m_limits(limits) { }
+
+    /// A host has found that an engine no longer runs.
+    void recordLoss(const std::string &host, const std::string &incarnation, core::instant at);
+    void recordSuspect(const std::string &host, const suspect_part &suspect);
+    /// An engine was answering a request with this part.
+    void recordAnswer(part_id part, core::instant at);
+    /// What a host was told by another instance of this table.
+    void adopt(const quarantined_part &entry, core::instant now);
+
+    /// Decides again, if that is due. `hosts` is the number of hosts that report.
+    void update(std::size_t hosts, core::instant now);
+
+    /// Parts of which the hosts are asked when they saw an answer to a request with them.
+    std::vector<part_id> inquiries() const;
+    std::vector<quarantined_part> quarantined(core::instant now) const;
+
+private:
+    struct crash
+    {
+        std::string incarnation;
+        core::instant at;
+        std::set<std::string> reporters;
+        bool isConfirmed = false; ///< By enough hosts.
+        std::map<part_id, std::uint32_t> parts; ///< With their depth.
+        std::optional<part_id> cause; ///< The quarantined part that it is attributed to.
+    };
+
+    struct part_record
+    {
+        std::optional<core::instant> answeredAt;
+        std::optional<core::instant> inquiredAt; ///< First inquiry since it became a candidate.
+        core::instant lastChange;
+    };
+
+    struct quarantine_entry
+    {
+        core::instant since; ///< Crashes before an earlier release do not count.
+        core::instant lastCrash;
+        core::instant until;
+        std::uint32_t releases = 0;
+    };
+
+    struct candidate
+    {
+        part_id part = 0;
+        std::size_t crashes = 0;
+        bool wasAnswered = false;
+        std::uint32_t depth = 0;
+        core::instant lastCrash;
+    };
+
+    crash &crashOf(const std::string &incarnation, core::instant at);
+    part_record &recordOf(part_id part, core::instant at);
+    void confirmCrashes(std::size_t hosts);
+    bool countsFor(const crash &entry, part_id part) const;
+    std::vector<candidate> candidates() const;
+    void forgetOld(core::instant now);
+    void releaseAnswered();
+    void attribute(core::instant now);
+    std::size_t requiredCrashes(part_id part) const;
+    std::chrono::milliseconds lengthAfter(std::uint32_t releases) const;
+
+    quarantine_limits m_limits;
+    /// When each host last found that an engine does not run, by incarnation.
+    std::map<std::string, std::map<std::string, core::instant>> m_losses;
+    std::vector<crash> m_crashes;
+    std::map<part_id, part_record> m_parts;
+    std::map<part_id, quarantine_entry> m_entries; ///< In force or released for a trial.
+    std::set<part_id> m_inquiries;
+    std::optional<core::instant> m_updatedAt;
+};
+
+} // namespace quetzalcleat::policy
