LibPeer: Carry reports of crashes to the leader and quarantined parts back

They travel with the requests for a lease on the configuration and their answers, so a host has them before it takes requests. Reports are repeated until a leader has answered; a new leader gets all of them and what the hosts know to be quarantined. No host reports anything yet.

--- a/Libraries/LibPeer/configuration_lease.cpp
+++ b/Libraries/LibPeer/configuration_lease.cpp
@@ -108,6 +108,8 @@
     request.revision = m_needsDocument ? 0 : m_revision;
     if (m_handlers.ownLoads)
         request.loads = m_handlers.ownLoads();
+    if (m_handlers.addCrashes)
+        m_handlers.addCrashes(request);
     request.listEpoch = m_endpoints.epoch();
     request.listVersion = m_endpoints.version();
     m_requestTimes[request.sequence] = now;
@@ -157,6 +159,8 @@
         if (changed && m_handlers.endpoints)
             m_handlers.endpoints(m_endpoints.entries());
     }
+    if (m_handlers.quarantine)
+        m_handlers.quarantine(answer);
     if (m_handlers.loads)
         m_handlers.loads(answer.loads, answer.hosts);
     if (!std::exchange(m_wasConfirmed, true) && m_handlers.confirmationChanged)
--- a/Libraries/LibPeer/configuration_lease.h
+++ b/Libraries/LibPeer/configuration_lease.h
@@ -46,6 +46,10 @@
         std::function<void(const std::vector<endpoint_load> &, std::uint32_t)> loads;
         /// The complete list of endpoints, after a change; see also listAge().
         std::function<void(const std::map<std::string, listed_endpoint> &)> endpoints;
+        /// Adds what this host has seen of crashes of engines.
+        std::function<void(configuration_lease_request &)> addCrashes;
+        /// A leader's answer to the request with its sequence, or a push.
+        std::function<void(const configuration_lease_answer &)> quarantine;
         std::function<void(bool)> confirmationChanged; ///< Whether a leader confirms.
     };
 
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -7,6 +7,7 @@
 #include "LibPeer/configuration_distributor.h"
 #include "LibPeer/configuration_feed.h"
 #include "LibPeer/configuration_publisher.h"
+#include "LibPeer/crash_reports.h"
 #include "LibPeer/endpoint_catalogue.h"
 #include "LibPeer/endpoint_list_transfers.h"
 #include "LibPeer/load_aggregator.h"
@@ -224,6 +225,7 @@
     std::shared_ptr<const endpoint_catalogue> m_catalogue;
     endpoint_list_transfers m_listTransfers; ///< While leading.
     load_aggregator m_loads; ///< Of the hosts that requested a lease recently.
+    policy::part_quarantine m_quarantine; ///< By the reports of the hosts in m_loads.
     configuration_distributor m_distributor;
     std::map<consensus::member_id, core::instant> m_lastHeard; ///< From other members.
     std::optional<share_allocator> m_shares; ///< Of the term in which this host leads.
@@ -722,9 +724,13 @@
     const auto now = currentTime();
     if (!m_loads.record(host, request.loads, now))
         return;
+    recordCrashes(m_quarantine, host, request, now);
     if (!answerConfigurationLeaseRequest(host, request, now)) {
         auto known = request;
         known.loads.clear();
+        known.crashSuspects.clear();
+        known.partAnswers.clear();
+        known.quarantinedParts.clear();
         m_unconfirmedRequests[host] = {std::move(known), now};
     }
 }
@@ -758,6 +764,8 @@
     m_distributor.answer(answer, host, request.revision, now);
     answer.sequence = request.sequence;
     answer.loads = m_loads.sumsExcluding(host, now);
+    m_quarantine.update(m_loads.hostCount(), now);
+    addQuarantine(answer, m_quarantine, m_network->incarnation(), now);
     const bool needsList
         = m_catalogue && m_catalogue->needsCompleteList(request.listEpoch, request.listVersion);
     if (m_catalogue && answer.confirmed && !(needsList && m_listTransfers.isInTransit(host, now)))
--- a/Libraries/LibPeer/message_fields.h
+++ b/Libraries/LibPeer/message_fields.h
@@ -65,10 +65,16 @@
 { return std::tuple(&listed_endpoint::incarnation, &listed_endpoint::service, &listed_endpoint::ip, &listed_endpoint::port, &listed_endpoint::dataCentre, &listed_endpoint::slots, &listed_endpoint::isLeaving); }
 constexpr auto fieldsOf(std::type_identity<endpoint_changes>)
 { return std::tuple(&endpoint_changes::epoch, &endpoint_changes::version, &endpoint_changes::ageMilliseconds, &endpoint_changes::isComplete, &endpoint_changes::entries, &endpoint_changes::compressedEntries, &endpoint_changes::removed); }
+constexpr auto fieldsOf(std::type_identity<crash_suspect>)
+{ return std::tuple(&crash_suspect::incarnation, &crash_suspect::part, &crash_suspect::depth, &crash_suspect::ageMilliseconds); }
+constexpr auto fieldsOf(std::type_identity<part_answer>)
+{ return std::tuple(&part_answer::part, &part_answer::ageMilliseconds); }
+constexpr auto fieldsOf(std::type_identity<part_quarantine_notice>)
+{ return std::tuple(&part_quarantine_notice::part, &part_quarantine_notice::remainingMilliseconds, &part_quarantine_notice::releases); }
 constexpr auto fieldsOf(std::type_identity<configuration_lease_request>)
-{ return std::tuple(&configuration_lease_request::sequence, &configuration_lease_request::revision, &configuration_lease_request::loads, &configuration_lease_request::listEpoch, &configuration_lease_request::listVersion); }
+{ return std::tuple(&configuration_lease_request::sequence, &configuration_lease_request::revision, &configuration_lease_request::loads, &configuration_lease_request::listEpoch, &configuration_lease_request::listVersion, &configuration_lease_request::crashSuspects, &configuration_lease_request::partAnswers, &configuration_lease_request::quarantinedParts); }
 constexpr auto fieldsOf(std::type_identity<configuration_lease_answer>)
-{ return std::tuple(&configuration_lease_answer::sequence, &configuration_lease_answer::confirmed, &configuration_lease_answer::revision, &configuration_lease_answer::hasDocument, &configuration_lease_answer::configuration, &configuration_lease_answer::patch, &configuration_lease_answer::leader, &configuration_lease_answer::controlHosts, &configuration_lease_answer::hosts, &configuration_lease_answer::loads, &configuration_lease_answer::endpoints); }
+{ return std::tuple(&configuration_lease_answer::sequence, &configuration_lease_answer::confirmed, &configuration_lease_answer::revision, &configuration_lease_answer::hasDocument, &configuration_lease_answer::configuration, &configuration_lease_answer::patch, &configuration_lease_answer::leader, &configuration_lease_answer::controlHosts, &configuration_lease_answer::hosts, &configuration_lease_answer::loads, &configuration_lease_answer::endpoints, &configuration_lease_answer::quarantineEpoch, &configuration_lease_answer::partInquiries, &configuration_lease_answer::quarantinedParts); }
 constexpr auto fieldsOf(std::type_identity<join>)
 { return std::tuple(&join::memberId, &join::host); }
 // clang-format on
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -282,6 +282,36 @@
     bool operator==(const endpoint_changes &) const = default;
 };
 
+/// A part of a prompt that an engine was not yet answering when it crashed; see part_quarantine.h.
+struct crash_suspect
+{
+    std::string incarnation; ///< Of the engine.
+    std::uint64_t part = 0;
+    std::uint32_t depth = 0; ///< Number of parts before it in the prompt.
+    std::uint64_t ageMilliseconds = 0; ///< Since the crash.
+
+    bool operator==(const crash_suspect &) const = default;
+};
+
+/// A part of a prompt that an engine has answered.
+struct part_answer
+{
+    std::uint64_t part = 0;
+    std::uint64_t ageMilliseconds = 0;
+
+    bool operator==(const part_answer &) const = default;
+};
+
+/// A part of a prompt that is taken to crash engines.
+struct part_quarantine_notice
+{
+    std::uint64_t part = 0;
+    std::uint64_t remainingMilliseconds = 0;
+    std::uint32_t releases = 0;
+
+    bool operator==(const part_quarantine_notice &) const = default;
+};
+
 /// Asks a control host to confirm that the configuration in force at the sender is the newest.
 struct configuration_lease_request
 {
@@ -290,6 +320,10 @@
     std::vector<endpoint_load> loads; ///< Of the sender.
     std::uint64_t listEpoch = 0; ///< Position in the list of endpoints; see endpoint_changes.
     std::uint64_t listVersion = 0;
+    std::vector<crash_suspect> crashSuspects; ///< Not acknowledged by an answer yet.
+    std::vector<part_answer> partAnswers; ///< To the inquiries of the last answer.
+    /// In force at the sender; only for a receiver that may not know them.
+    std::vector<part_quarantine_notice> quarantinedParts;
 
     bool operator==(const configuration_lease_request &) const = default;
 };
@@ -310,6 +344,11 @@
     std::uint32_t hosts = 0; ///< Hosts that sent requests recently, including the receiver.
     std::vector<endpoint_load> loads; ///< Sums over all other hosts.
     endpoint_changes endpoints;
+    /// Distinguishes the tables of crashes of this and earlier leaders; 0 if this is no answer of a
+    /// leader.
+    std::uint64_t quarantineEpoch = 0;
+    std::vector<std::uint64_t> partInquiries; ///< Has an engine answered requests with these?
+    std::vector<part_quarantine_notice> quarantinedParts; ///< All that are in force.
 
     bool operator==(const configuration_lease_answer &other) const
     {
@@ -318,7 +357,9 @@
             && configuration.revision == other.configuration.revision
             && configuration.document == other.configuration.document && patch == other.patch
             && leader == other.leader && controlHosts == other.controlHosts && hosts == other.hosts
-            && loads == other.loads && endpoints == other.endpoints;
+            && loads == other.loads && endpoints == other.endpoints
+            && quarantineEpoch == other.quarantineEpoch && partInquiries == other.partInquiries
+            && quarantinedParts == other.quarantinedParts;
     }
 };
 
