LibForward, LibFleet: Stop requests with parts of prompts that crash engines

A host now reports the parts of requests that break before the second event once it finds that the engine has ended, for which it opens a connection right after a connection broke. Requests with a quarantined part are refused as not run, with the end of the quarantine in Retry-After; those that an engine is not answering yet are ended, so that they do not crash the engine that they wait for. A request that may have run gets 502.

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -4,11 +4,15 @@
 #include "LibForward/forwarder.h"
 #include "LibForward/http_server.h"
 #include "LibPeer/configuration_lease.h"
+#include "LibPeer/crash_reports.h"
 #include "LibPeer/peer_network.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,6 +43,7 @@
                 const auto self = weak.lock();
                 return self ? self->m_lease->age() : std::chrono::milliseconds::max();
             });
+        m_crashReporter.emplace(m_forwarder->crashWitness());
         startLease(weak);
         forward::endpoint_list_reader_options list;
         list.address = m_settings.endpointListAddress;
@@ -190,6 +195,14 @@
             if (const auto self = weak.lock())
                 self->applyEntries(entries);
         };
+        handlers.addCrashes = [weak](peer::configuration_lease_request &request) {
+            if (const auto self = weak.lock())
+                self->m_crashReporter->addTo(request, self->m_forwarder->now());
+        };
+        handlers.quarantine = [weak](const peer::configuration_lease_answer &answer) {
+            if (const auto self = weak.lock())
+                self->applyQuarantine(answer);
+        };
         handlers.confirmationChanged = [weak](bool isConfirmed) {
             const auto self = weak.lock();
             if (!self)
@@ -308,6 +321,48 @@
             m_forwarder->confirmEndpoints();
     }
 
+    void applyQuarantine(const peer::configuration_lease_answer &answer)
+    {
+        auto &witness = m_forwarder->crashWitness();
+        const auto now = m_forwarder->now();
+        const auto before = witness.quarantined(now);
+        const bool added = m_crashReporter->read(m_lease->leader(), answer, now);
+        const auto after = witness.quarantined(now);
+        logQuarantine("part_quarantined", after, before);
+        logQuarantine("part_released", before, after);
+        if (added)
+            m_forwarder->endQuarantined();
+    }
+
+    /// As callers write it.
+    static std::string hexadecimal(policy::part_id part)
+    {
+        constexpr int base = 16;
+        std::array<char, 2 * sizeof(part)> digits{};
+        const auto end = std::to_chars(digits.begin(), digits.end(), part, base).ptr;
+        return {digits.begin(), end};
+    }
+
+    /// Logs the parts that are in the first list only.
+    void logQuarantine(const char *event, const std::vector<policy::quarantined_part> &parts,
+                       const std::vector<policy::quarantined_part> &others)
+    {
+        for (const auto &entry : parts) {
+            const bool isInBoth = std::any_of(others.begin(), others.end(), [&](const auto &other) {
+                return other.part == entry.part;
+            });
+            if (isInBoth)
+                continue;
+            const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+                entry.until - m_forwarder->now());
+            m_log.write(event,
+                        {{"part", hexadecimal(entry.part)},
+                         {"left_ms", std::to_string(left.count())},
+                         {"releases", std::to_string(entry.releases)},
+                         {"leader", m_lease->leader()}});
+        }
+    }
+
     void respondToReadiness(const forward::http_head &head,
                             const forward::http_server::responder &respond)
     {
@@ -339,6 +394,7 @@
     std::shared_ptr<peer::configuration_lease> m_lease;
     std::shared_ptr<forward::endpoint_list_reader<Dialect>> m_listReader;
     std::shared_ptr<forward::http_server> m_readinessServer;
+    std::optional<peer::crash_reporter> m_crashReporter; ///< Of what m_forwarder has seen.
     std::uint32_t m_hosts = 0;
     bool m_hasList = false;
     bool m_hasListOfControlHost = false; ///< The list in use came from a control host.
--- a/Libraries/LibForward/endpoint_table.h
+++ b/Libraries/LibForward/endpoint_table.h
@@ -62,6 +62,7 @@
     core::instant lastReceived; ///< Last byte of any response.
     std::optional<core::instant> lostAt; ///< No connection, or another incarnation answered.
     bool isProbing = false; ///< A single request tests it after an ejection.
+    bool isBeingChecked = false; ///< A connection is being opened to see whether it still runs.
 
     /// When each prompt part was last sent here.
     std::unordered_map<std::uint64_t, core::instant> partSentTimes;
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -45,6 +45,9 @@
 constexpr std::chrono::milliseconds returnSpan{1000};
 /// Requests that may wait on one host at the same time; each keeps its body in memory.
 constexpr std::size_t maximumWaitingRequests = 400;
+/// An engine that has sent so many events is answering the request. An engine may crash while it
+/// writes the first one.
+constexpr std::uint64_t eventsOfAnAnswer = 2;
 
 std::string seconds(std::chrono::milliseconds time)
 {
@@ -145,6 +148,13 @@
         respondWithError(503, "Service Unavailable", "no_service", minimumRetryAfter);
         return;
     }
+    if (m_service->engine) {
+        // The last part is that of the request itself or its session.
+        for (std::size_t index = 0; index + 1 < m_size.parts.size(); ++index) {
+            if (m_size.parts[index].id != 0)
+                m_sharedParts.push_back(m_size.parts[index].id);
+        }
+    }
     m_owner->retryBudget().recordRequest(m_service->name, m_owner->now());
     m_deadlineTimer.expires_at(m_deadline);
     m_deadlineTimer.async_wait([weak = weak_from_this()](std::error_code error) {
@@ -249,6 +259,10 @@
         handleDeadline();
         return;
     }
+    if (const auto quarantined = quarantine()) {
+        refuseQuarantined(*quarantined);
+        return;
+    }
     placement_request request;
     request.target = m_service;
     request.size = m_service->engine && m_hasPromptSize ? &m_size : nullptr;
@@ -302,6 +316,7 @@
     m_response = {};
     m_responseBody.clear();
     m_events.discardPartialEvent();
+    m_eventsBeforeAttempt = m_events.eventCount();
     const std::weak_ptr<exchange> weak = weak_from_this();
     attempt::handlers handlers;
     handlers.mayWrite = [weak] {
@@ -362,6 +377,44 @@
         m_owner->waitEnded();
 }
 
+/// The quarantine of a part of the prompt, if any.
+std::optional<policy::quarantined_part> exchange::quarantine() const
+{
+    return m_owner->crashWitness().findQuarantined(m_sharedParts, m_owner->now());
+}
+
+void exchange::refuseQuarantined(const policy::quarantined_part &quarantine)
+{
+    ++m_owner->counters().counter("requests_quarantined_total",
+                                  "service=\"" + m_service->name + '"');
+    const bool mayHaveRun = m_possibleRuns > 0;
+    if (m_responseStarted || mayHaveRun) {
+        failRequest("part_quarantined", mayHaveRun);
+        return;
+    }
+    respondWithError(
+        503, "Service Unavailable", "part_quarantined",
+        std::chrono::ceil<std::chrono::milliseconds>(quarantine.until - m_owner->now()));
+}
+
+/// Whether the engine of the attempt has begun to answer it.
+bool exchange::isBeingAnswered() const
+{
+    return isStream() ? m_events.eventCount() >= m_eventsBeforeAttempt + eventsOfAnAnswer
+                      : m_responseStarted;
+}
+
+void exchange::endIfQuarantined()
+{
+    if (m_done || m_service == nullptr || isBeingAnswered())
+        return;
+    const auto quarantined = quarantine();
+    if (!quarantined)
+        return;
+    dropAttempt();
+    refuseQuarantined(*quarantined);
+}
+
 bool exchange::isBefore(const exchange &other) const
 {
     return m_priority != other.m_priority ? m_priority < other.m_priority
@@ -501,6 +554,8 @@
         recordFirstByte(*m_endpoint);
         recordPart();
         startAttemptTimer();
+        if (isBeingAnswered())
+            m_owner->crashWitness().recordAnswered(m_sharedParts, m_owner->now());
     }
     if (!part.empty())
         passOn(part, session);
@@ -536,6 +591,12 @@
         handleWithdrawal();
         return;
     }
+    if (ending.error && ending.wasSent && m_service->engine) {
+        if (!isBeingAnswered())
+            m_owner->crashWitness().recordBroken(m_endpoint->listed.incarnation, m_sharedParts,
+                                                 m_owner->now());
+        m_owner->checkIsRunning(m_endpoint);
+    }
     if (!ending.wasSent) {
         releaseEndpoint(endpoint_outcome::Unreachable);
         attemptFailed("unreachable", false);
@@ -579,6 +640,8 @@
         return;
     }
     releaseEndpoint(m_response.status >= 500 ? endpoint_outcome::Failed : endpoint_outcome::Served);
+    if (isSuccess(m_response.status))
+        m_owner->crashWitness().recordAnswered(m_sharedParts, m_owner->now());
     if (m_response.status >= 500 && m_route->isRetrySafe() && tryAcquireRetry(true)) {
         m_owner->log().write("request_retried",
                              {{"id", m_id}, {"cause", "status " + number(m_response.status)}});
@@ -619,6 +682,7 @@
         return;
     }
     releaseEndpoint(endpoint_outcome::Served);
+    m_owner->crashWitness().recordAnswered(m_sharedParts, m_owner->now());
     const auto session = m_session.lock();
     if (!session)
         return;
@@ -782,20 +846,7 @@
     const bool mayOtherReturn = written
         && m_owner->endpoints().notices().recordLoss(target->listed.incarnation, *written);
     recordFirstByte(*target);
-    const bool wasEjected = target->ejectedUntil > m_owner->now();
-    const bool wasLost = target->lostAt.has_value();
-    m_owner->endpoints().recordOutcome(*target, outcome, m_owner->now());
-    if (!wasLost && target->lostAt)
-        m_owner->log().write(
-            "endpoint_lost",
-            {{"endpoint", target->listed.incarnation}, {"service", target->listed.service}});
-    if (!wasEjected && target->ejectedUntil > m_owner->now())
-        m_owner->log().write(
-            "endpoint_ejected",
-            {{"endpoint", target->listed.incarnation},
-             {"service", target->listed.service},
-             {"failure_percent", number(static_cast<std::int64_t>(target->failureShare * 100))},
-             {"ejections", number(target->ejections)}});
+    m_owner->recordOutcome(*target, outcome);
     if (mayOtherReturn)
         m_owner->heldRequests().resume();
 }
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -54,6 +54,9 @@
     /// Sends the request elsewhere instead, if that is allowed.
     void recall();
 
+    /// Ends the request if a part of its prompt is quarantined, unless an engine is answering it.
+    void endIfQuarantined();
+
     /// Whether this request is placed before the other one if both are held.
     bool isBefore(const exchange &other) const;
 
@@ -96,6 +99,9 @@
                           std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0));
     void failRequest(std::string_view cause, bool mayHaveRun);
     void finish(int status, std::string_view cause);
+    std::optional<policy::quarantined_part> quarantine() const;
+    void refuseQuarantined(const policy::quarantined_part &quarantine);
+    bool isBeingAnswered() const;
     std::string arrivedAfterStop() const;
     std::string_view promptParts() const;
     std::chrono::milliseconds timeLeft() const;
@@ -123,6 +129,8 @@
     generation_size m_size;
     bool m_hasPromptSize = false;
     std::uint64_t m_affinity = 0;
+    /// Parts of the prompt that other requests can have, if an engine answers this one.
+    std::vector<policy::part_id> m_sharedParts;
 
     std::shared_ptr<attempt> m_attempt;
     endpoint_table::endpoint_pointer m_endpoint; ///< Of the attempt in progress.
@@ -140,6 +148,7 @@
     http_head m_response; ///< Of the attempt in progress.
     std::string m_responseBody;
     event_splitter m_events;
+    std::uint64_t m_eventsBeforeAttempt = 0;
     bool m_responseStarted = false; ///< The head was passed to the caller.
     std::chrono::milliseconds m_timeToFirstPart{0}; ///< Arrival to the first part of the response.
     std::chrono::milliseconds m_longestPause{0}; ///< Between two parts of the response.
--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -206,6 +206,50 @@
         late[index]->recall();
 }
 
+void forwarder::recordOutcome(endpoint &target, endpoint_outcome outcome)
+{
+    const auto time = now();
+    const bool wasEjected = target.ejectedUntil > time;
+    const bool wasLost = target.lostAt.has_value();
+    m_endpoints.recordOutcome(target, outcome, time);
+    if (outcome == endpoint_outcome::Unreachable || outcome == endpoint_outcome::Replaced)
+        m_crashWitness.recordLost(target.listed.incarnation, time);
+    if (!wasLost && target.lostAt)
+        m_log.write("endpoint_lost",
+                    {{"endpoint", target.listed.incarnation}, {"service", target.listed.service}});
+    if (!wasEjected && target.ejectedUntil > time)
+        m_log.write(
+            "endpoint_ejected",
+            {{"endpoint", target.listed.incarnation},
+             {"service", target.listed.service},
+             {"failure_percent", std::to_string(static_cast<int>(target.failureShare * 100))},
+             {"ejections", std::to_string(target.ejections)}});
+}
+
+void forwarder::checkIsRunning(const endpoint_table::endpoint_pointer &target)
+{
+    if (target->isBeingChecked || endpoint_table::shouldReportLoss(*target, now()))
+        return;
+    target->isBeingChecked = true;
+    m_pool->open(target->listed.address, target->connectionKey(),
+                 [weak = weak_from_this(), target](bool isOpen) {
+                     target->isBeingChecked = false;
+                     const auto self = weak.lock();
+                     if (!self || self->m_stopped || isOpen)
+                         return;
+                     self->recordOutcome(*target, endpoint_outcome::Unreachable);
+                 });
+}
+
+void forwarder::endQuarantined()
+{
+    const auto sessions = m_sessions;
+    for (const auto &session : sessions) {
+        if (const auto request = session->currentExchange())
+            request->endIfQuarantined();
+    }
+}
+
 void forwarder::sessionEnded(const std::shared_ptr<caller_session> &session)
 {
     m_sessions.erase(session);
--- a/Libraries/LibForward/forwarder.h
+++ b/Libraries/LibForward/forwarder.h
@@ -11,6 +11,7 @@
 #include "LibForward/route_table.h"
 #include "LibForward/upstream.h"
 #include "LibForward/wire_names.h"
+#include "LibPolicy/crash_witness.h"
 
 #include <chrono>
 #include <functional>
@@ -107,6 +108,7 @@
     notice_recorder &notices() { return m_notices; }
     held_requests &heldRequests() { return m_heldRequests; }
     retry_budget &retryBudget() { return m_retryBudget; }
+    policy::crash_witness &crashWitness() { return m_crashWitness; }
     const std::shared_ptr<connection_pool> &pool() const { return m_pool; }
     const forwarder_options &options() const { return m_options; }
     core::counter_registry &counters() { return m_counters; }
@@ -118,6 +120,13 @@
     /// one is left and the others are sent elsewhere if they are safe to send again.
     void recallRequests(const endpoint &target);
 
+    /// Records how an attempt at the endpoint ended, and logs what follows from it.
+    void recordOutcome(endpoint &target, endpoint_outcome outcome);
+    /// Finds out whether the endpoint still runs after a connection to it broke.
+    void checkIsRunning(const endpoint_table::endpoint_pointer &target);
+    /// Ends the requests with quarantined parts that engines are not answering yet.
+    void endQuarantined();
+
     void sessionEnded(const std::shared_ptr<caller_session> &session);
     void requestStarted() { ++m_requests; }
     void requestEnded() { --m_requests; }
@@ -145,6 +154,7 @@
     notice_recorder m_notices;
     held_requests m_heldRequests;
     retry_budget m_retryBudget;
+    policy::crash_witness m_crashWitness;
     std::set<std::shared_ptr<caller_session>> m_sessions;
     std::map<std::string, core::latency_histogram> m_latencies;
     std::size_t m_requests = 0;
--- a/Libraries/LibForward/upstream.cpp
+++ b/Libraries/LibForward/upstream.cpp
@@ -132,6 +132,37 @@
                                   });
 }
 
+void connection_pool::open(const core::socket_address &address, const std::string &key,
+                           std::function<void(bool)> handler)
+{
+    const auto connection = std::make_shared<upstream_connection>(m_context);
+    connection->key = key;
+    std::error_code error;
+    const asio::ip::tcp::endpoint remoteEndpoint(asio::ip::make_address(address.ip, error),
+                                                 address.port);
+    if (!error)
+        connection->socket.open(remoteEndpoint.protocol(), error);
+    if (error) {
+        asio::post(m_context, [handler = std::move(handler)] { handler(false); });
+        return;
+    }
+    setSocketOptions(connection->socket, m_options);
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, m_options.connectTimeout);
+    timer->async_wait([connection](std::error_code cancelled) {
+        std::error_code ignored;
+        if (!cancelled)
+            connection->socket.close(ignored);
+    });
+    connection->socket.async_connect(remoteEndpoint,
+                                     [self = shared_from_this(), connection, timer,
+                                      handler = std::move(handler)](std::error_code failed) {
+                                         timer->cancel();
+                                         if (!failed)
+                                             self->release(connection, self->m_options.idleTime);
+                                         handler(!failed);
+                                     });
+}
+
 void connection_pool::closeIdle(core::instant now)
 {
     for (auto &[key, idle] : m_idle) {
--- a/Libraries/LibForward/upstream.h
+++ b/Libraries/LibForward/upstream.h
@@ -45,7 +45,7 @@
 };
 
 /// Idle connections by endpoint. One that the peer closes, or sends bytes on, is closed.
-class connection_pool
+class connection_pool : public std::enable_shared_from_this<connection_pool>
 {
 public:
     using connection_pointer = std::shared_ptr<upstream_connection>;
@@ -59,6 +59,9 @@
     connection_pointer acquire(const std::string &key);
     bool hasIdle(const std::string &key, core::instant now) const;
     void release(const connection_pointer &connection, std::chrono::milliseconds idleTime);
+    /// Opens a connection, which becomes idle, and tells whether that was possible.
+    void open(const core::socket_address &address, const std::string &key,
+              std::function<void(bool)> handler);
     void closeIdle(core::instant now);
     void closeAll();
 
