LibCore, platform, quetzalcleatd: Bound the nesting of JSON documents

Report of other operators: another writer left a very deeply nested entry in the list of endpoints, and the machines that read it ended again and again. It can happen here: a page of 3.8 MB, within the bound of 4 MB, with one entry of 1,900,000 nested arrays took 129 MB to read, and the smallest known host has 88 MB. The process would end at each read of the list.

parseJson() discards documents that are nested more than 64 levels deep, before anything is allocated; in a list, only the entry is dropped. All readers of the programs use it, as quetzalcleatd reads bodies of callers and answers of endpoints in the same way. An entry that is an array instead of an object hid the others; it is dropped too.

--- a/Services/quetzalcleatd/completion_request.cpp
+++ b/Services/quetzalcleatd/completion_request.cpp
@@ -1,8 +1,7 @@
 #include "quetzalcleatd/completion_request.h"
 
 #include "LibCore/hash.h"
-
-#include <nlohmann/json.hpp>
+#include "LibCore/json.h"
 
 #include <algorithm>
 #include <optional>
@@ -116,7 +115,7 @@
 {
     if (isTooDeep(body))
         return invalid("body is nested too deeply");
-    auto content = json::parse(body, nullptr, false);
+    auto content = core::parseJson(body);
     if (content.is_discarded() || !content.is_object())
         return invalid("body is not a JSON object");
     completion_request request;
--- a/Services/quetzalcleatd/endpoint_observer.cpp
+++ b/Services/quetzalcleatd/endpoint_observer.cpp
@@ -2,7 +2,7 @@
 
 #include "quetzalcleatd/admission.h"
 
-#include <nlohmann/json.hpp>
+#include "LibCore/json.h"
 
 #include <algorithm>
 #include <charconv>
@@ -266,7 +266,7 @@
 
 void endpoint_observer::onLoad(const std::string &name, std::string_view body)
 {
-    const auto content = json::parse(body, nullptr, false);
+    const auto content = core::parseJson(body);
     const auto routing = m_environment.routing;
     const auto endpoint = findEndpoint(routing->document(), name);
     if (!content.is_object() || !endpoint)
@@ -287,7 +287,7 @@
 
 void endpoint_observer::onCacheEvents(const std::string &name, std::string_view body)
 {
-    const auto content = json::parse(body, nullptr, false);
+    const auto content = core::parseJson(body);
     const auto routing = m_environment.routing;
     const auto endpoint = findEndpoint(routing->document(), name);
     if (!content.is_object() || !endpoint)
@@ -301,7 +301,7 @@
 
 void endpoint_observer::onHosts(std::string_view body)
 {
-    const auto content = json::parse(body, nullptr, false);
+    const auto content = core::parseJson(body);
     const auto routing = m_environment.routing;
     if (!content.is_object() || !routing)
         return;
--- a/Services/quetzalcleatd/generation_stream.cpp
+++ b/Services/quetzalcleatd/generation_stream.cpp
@@ -2,7 +2,7 @@
 
 #include "quetzalcleatd/daemon_error.h"
 
-#include <nlohmann/json.hpp>
+#include "LibCore/json.h"
 
 namespace quetzalcleat::daemon {
 
@@ -37,7 +37,7 @@
         m_done = true;
         return generation_event{{}, {}, true};
     }
-    auto event = nlohmann::json::parse(data, nullptr, false);
+    auto event = core::parseJson(data);
     if (!isWellFormed(event) || m_finished)
         return daemon_error::MalformedEvent;
     if (event["request_id"].get_ref<const std::string &>() != m_requestId)
--- a/Services/quetzalcleatd/operator_request.cpp
+++ b/Services/quetzalcleatd/operator_request.cpp
@@ -1,6 +1,6 @@
 #include "quetzalcleatd/operator_request.h"
 
-#include <nlohmann/json.hpp>
+#include "LibCore/json.h"
 
 namespace quetzalcleat::daemon {
 
@@ -33,7 +33,7 @@
 
 std::variant<edit_request, std::string> parseEditRequest(std::string_view body)
 {
-    const auto content = json::parse(body, nullptr, false);
+    const auto content = core::parseJson(body);
     if (!content.is_object())
         return std::string(notAnObject);
     edit_request request;
@@ -59,7 +59,7 @@
 
 std::variant<drain_request, std::string> parseDrainRequest(std::string_view body)
 {
-    const auto content = json::parse(body, nullptr, false);
+    const auto content = core::parseJson(body);
     if (!content.is_object())
         return std::string(notAnObject);
     auto target = readString(content, "target");
@@ -73,7 +73,7 @@
 
 std::variant<std::string, std::string_view> parseCheckRequest(std::string_view body)
 {
-    const auto content = json::parse(body, nullptr, false);
+    const auto content = core::parseJson(body);
     auto document = content.is_object() ? readString(content, "document") : std::nullopt;
     if (!document)
         return std::string_view("body must be a JSON object with a string \"document\"");
--- a/Tests/Platform/test_platform_dialect.cpp
+++ b/Tests/Platform/test_platform_dialect.cpp
@@ -1,5 +1,7 @@
 #include "platform/platform_dialect.h"
 
+#include <sys/resource.h>
+
 #include <gtest/gtest.h>
 
 using namespace quetzalcleat;
@@ -119,6 +121,61 @@
     }
 }
 
+/// Guards against a host that ends, or no longer follows the list, because another writer left an
+/// entry that is nested deeply: to read it took many times its length in memory.
+TEST(platform_dialect, DeepEntryHidesNoOtherAndTakesNoMemory)
+{
+    constexpr std::size_t depth = 1'900'000; // Within the bound of a page.
+    constexpr long smallestHostKilobytes = 88 * 1024;
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    const auto entry = [](const std::string &id, const std::string &more) {
+        return R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","id":")" + id
+            + "\"" + more + "}";
+    };
+    for (const auto &odd : {entry("i2", ",\"models\":" + nested), nested,
+                            std::string(depth, '{') + std::string(depth, '}')}) {
+        const auto text
+            = R"({"instances":[)" + entry("i1", "") + "," + odd + "," + entry("i3", "") + "]}";
+        rusage before{};
+        ASSERT_EQ(getrusage(RUSAGE_SELF, &before), 0);
+        const auto page = platform_dialect::readEndpointListPage(text);
+        rusage after{};
+        ASSERT_EQ(getrusage(RUSAGE_SELF, &after), 0);
+        ASSERT_TRUE(page);
+        EXPECT_EQ(page.value().endpoints.size(), 2U);
+        EXPECT_EQ(page.value().skipped, 1U);
+        EXPECT_LT(after.ru_maxrss - before.ru_maxrss, smallestHostKilobytes);
+    }
+    // Nothing can be read of a page that is nested itself.
+    EXPECT_FALSE(
+        platform_dialect::readEndpointListPage(R"({"instances":[],"next":)" + nested + "}"));
+}
+
+/// Guards against numbers and ports out of range that end a host or are cut to others.
+TEST(platform_dialect, EntriesWithNumbersOutOfRangeAreSkipped)
+{
+    const std::string good = R"({"service":"s","address":"10.0.0.9:80","state":"ready","id":"i1"})";
+    for (
+        const char *odd :
+        {R"({"service":"s","address":"10.0.0.8:65536","state":"ready","id":"i2"})",
+         R"({"service":"s","address":"10.0.0.8:0","state":"ready","id":"i2"})",
+         R"({"service":"s","address":"10.0.0.8:-1","state":"ready","id":"i2"})",
+         R"({"service":"s","address":"10.0.0.8:99999999999999999999","state":"ready","id":"i2"})",
+         R"({"service":"s","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":4294967296})",
+         R"({"service":"s","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":-1})",
+         R"({"service":"s","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":1e300})",
+         R"({"service":"s","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":1e999})",
+         R"({"service":"s","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":18446744073709551616})"}) {
+        SCOPED_TRACE(odd);
+        const auto page = platform_dialect::readEndpointListPage(
+            R"({"instances":[)" + std::string(odd) + "," + good + R"(],"next":"p-50"})");
+        ASSERT_TRUE(page);
+        ASSERT_EQ(page.value().endpoints.size(), 1U);
+        EXPECT_EQ(page.value().endpoints[0].incarnation, "i1");
+        EXPECT_EQ(page.value().skipped, 1U);
+    }
+}
+
 /// Guards against a process that starts with a missing address.
 TEST(platform_dialect, ReadsSettings)
 {
