--- a/Tests/Platform/test_platform_dialect.cpp
+++ b/Tests/Platform/test_platform_dialect.cpp
@@ -176,6 +176,22 @@
     }
 }
 
+/// Guards against an identity that adds headers to the requests that name it.
+TEST(platform_dialect, EntriesWhoseIdentityIsNoHeaderTextAreSkipped)
+{
+    for (const auto &odd :
+         {std::string("i\\r\\nX-Tenant: other"), std::string("i 2"), std::string("i\\u0000"),
+          std::string("\\u00e9"), std::string(), std::string(1000, 'i')}) {
+        SCOPED_TRACE(odd);
+        const auto page = platform_dialect::readEndpointListPage(
+            R"({"instances":[{"service":"s","address":"10.0.0.9:80","state":"ready","id":")" + odd
+            + R"("}]})");
+        ASSERT_TRUE(page);
+        EXPECT_TRUE(page.value().endpoints.empty());
+        EXPECT_EQ(page.value().skipped, 1U);
+    }
+}
+
 /// Guards against a process that starts with a missing address.
 TEST(platform_dialect, ReadsSettings)
 {
