LibPeer: Open the log again after a failed write

Ruled out: ending the process, as it would end again while the disk is full.

The host now drops its part of the log and opens it again every 500 ms, like a new process, until that succeeds: what a failed write left on the disk is not known. What was applied stays, as it was committed.

FullDisksAreUsedAgain fails on the old code: no leader within 60 s.

--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -38,6 +38,9 @@
 /// Interval of the tasks of runPeriodicTasks(), such as join requests and proposals of the seed.
 constexpr std::chrono::milliseconds periodicTaskInterval{500};
 
+/// Between two attempts to open the log again after a failed write.
+constexpr std::chrono::milliseconds reopenInterval{500};
+
 /// A voter heard from within this time counts as responsive; the heartbeat interval of raft is
 /// 150 ms.
 constexpr std::chrono::milliseconds responsiveTime{1500};
@@ -122,7 +125,7 @@
                    std::shared_ptr<configuration_publisher> publisher,
                    control_service_options options, consensus::log_store store)
         : m_network(std::move(network)), m_feed(std::move(feed)), m_publisher(std::move(publisher)),
-          m_options(std::move(options)), m_store(std::move(store)),
+          m_options(std::move(options)), m_identity(store.identity()), m_store(std::move(store)),
           m_tickTimer(m_network->context())
     {
     }
@@ -144,7 +147,7 @@
         m_catalogue = std::move(catalogue);
     }
     std::vector<std::string> voterHosts() const;
-    bool isVoter() const { return m_core && status().members.isVoter(m_store.identity().self); }
+    bool isVoter() const { return m_core && status().members.isVoter(m_identity.self); }
 
 private:
     struct unconfirmed_request
@@ -170,6 +173,11 @@
     void installSnapshot(const consensus::snapshot &snapshot);
     void saveSnapshotIfDue();
     void haltOnError(std::error_code error);
+    void haltUntilReopened(std::error_code error);
+    void reopenIfDue(core::instant now);
+    void finishReopening(std::optional<consensus::restored_state> restored,
+                         const consensus::store_problem &problem);
+    core::result<void> restore(consensus::restored_state restored);
 
     void handlePropose(const std::string &host, const propose &request);
     void proposeLocally(const std::string &host, const propose &request);
@@ -207,7 +215,9 @@
     std::shared_ptr<configuration_feed> m_feed;
     std::shared_ptr<configuration_publisher> m_publisher;
     control_service_options m_options;
-    consensus::log_store m_store; ///< Used by the disk thread only, once started.
+    consensus::store_identity m_identity; ///< Of the store.
+    /// Used by the disk thread only, once started. Empty while it cannot be opened again.
+    std::optional<consensus::log_store> m_store;
     asio::thread_pool m_diskThread{1};
     asio::steady_timer m_tickTimer;
     std::optional<consensus::raft_core> m_core;
@@ -217,6 +227,9 @@
     consensus::log_position m_applied;
     consensus::log_index m_snapshotIndex = 0;
     bool m_savingSnapshot = false;
+    bool m_mustReopen = false; ///< A write has failed.
+    bool m_isReopening = false;
+    core::instant m_lastReopenAttempt;
     std::map<consensus::member_id, std::string> m_memberHosts; ///< Known from their messages.
 
     proposal_table m_proposals;
@@ -242,20 +255,28 @@
 
 core::result<void> control_service::implementation::restore()
 {
-    auto restored = m_store.takeRestored();
+    return restore(m_store->takeRestored());
+}
+
+core::result<void> control_service::implementation::restore(consensus::restored_state restored)
+{
     if (restored.latestSnapshot) {
-        auto state = state::replicated_state::restore(*restored.latestSnapshot->content);
-        if (!state)
-            return state.error();
-        m_state = std::move(state).value();
-        m_applied = restored.latestSnapshot->last;
-        m_snapshotIndex = m_applied.index;
+        const auto last = restored.latestSnapshot->last;
+        // After the log was opened again, entries beyond the snapshot are applied already.
+        if (last.index > m_applied.index) {
+            auto state = state::replicated_state::restore(*restored.latestSnapshot->content);
+            if (!state)
+                return state.error();
+            m_state = std::move(state).value();
+            m_applied = last;
+        }
+        m_snapshotIndex = last.index;
     }
     consensus::raft_options options;
-    options.self = m_store.identity().self;
+    options.self = m_identity.self;
     options.electionTimeout = m_options.electionTimeout;
     options.heartbeatInterval = m_options.heartbeatInterval;
-    options.group = m_store.identity().group;
+    options.group = m_identity.group;
     const auto seed = core::hash64(core::secureRandomBytes(8));
     m_core.emplace(options, std::move(restored), seed, currentTime());
     return {};
@@ -312,6 +333,7 @@
     if (now - m_lastPeriodicTasks < periodicTaskInterval)
         return;
     m_lastPeriodicTasks = now;
+    reopenIfDue(now);
     requestToJoin();
     removeLostVoter();
     proposeSeed();
@@ -359,7 +381,7 @@
         }
         ++m_writesInProgress;
         asio::post(m_diskThread, [self = shared_from_this(), work] {
-            auto written = work->needsSync() ? self->m_store.write(*work) : core::result<void>();
+            auto written = work->needsSync() ? self->m_store->write(*work) : core::result<void>();
             asio::post(self->m_network->context(), [self, work, written] {
                 --self->m_writesInProgress;
                 if (self->m_stopped)
@@ -375,7 +397,7 @@
                                                     core::result<void> written)
 {
     if (!written) {
-        haltOnError(written.error());
+        haltUntilReopened(written.error());
         return;
     }
     if (status().halted)
@@ -396,6 +418,60 @@
         answerUndecided(origin);
 }
 
+/// The disk may have room again or answer again later.
+void control_service::implementation::haltUntilReopened(std::error_code error)
+{
+    if (!status().halted)
+        haltOnError(error);
+    m_mustReopen = true;
+    m_lastReopenAttempt = currentTime();
+}
+
+/// Starts again from what is on the disk, like a new process: a failed write may have left any part
+/// of it there. What was applied stays applied, since it was committed.
+void control_service::implementation::reopenIfDue(core::instant now)
+{
+    if (!m_mustReopen || m_isReopening || m_writesInProgress > 0 || m_savingSnapshot
+        || now - m_lastReopenAttempt < reopenInterval)
+        return;
+    m_isReopening = true;
+    m_lastReopenAttempt = now;
+    asio::post(m_diskThread, [self = shared_from_this()] {
+        // Releases the lock of the folder.
+        self->m_store.reset();
+        consensus::store_problem problem;
+        auto opened = consensus::log_store::open(self->m_options.dataFolder, {}, {}, &problem);
+        std::optional<consensus::restored_state> restored;
+        if (opened) {
+            restored = opened.value().takeRestored();
+            self->m_store.emplace(std::move(opened).value());
+        }
+        asio::post(self->m_network->context(),
+                   [self, restored = std::move(restored), problem = std::move(problem)]() mutable {
+                       self->finishReopening(std::move(restored), problem);
+                   });
+    });
+}
+
+void control_service::implementation::finishReopening(
+    std::optional<consensus::restored_state> restored, const consensus::store_problem &problem)
+{
+    m_isReopening = false;
+    if (m_stopped)
+        return;
+    if (!restored) {
+        log().warning("cannot open the log again yet: " + problem.code.message() + " in "
+                      + problem.file.string());
+        return;
+    }
+    m_mustReopen = false;
+    if (const auto done = restore(std::move(*restored)); !done) {
+        haltOnError(done.error());
+        return;
+    }
+    log().information("opened the log again; this host takes part in consensus");
+}
+
 void control_service::implementation::sendAll(const std::vector<consensus::raft_message> &messages)
 {
     for (const auto &raftMessage : messages) {
@@ -478,13 +554,13 @@
     const auto trailing = consensus::raft_options{}.trailingEntries;
     const auto compactionIndex = m_applied.index > trailing ? m_applied.index - trailing : 0;
     asio::post(m_diskThread, [self = shared_from_this(), saved, compactionIndex] {
-        const auto written = self->m_store.saveSnapshot(saved, compactionIndex);
+        const auto written = self->m_store->saveSnapshot(saved, compactionIndex);
         asio::post(self->m_network->context(), [self, saved, written] {
             self->m_savingSnapshot = false;
             if (self->m_stopped)
                 return;
             if (!written) {
-                self->haltOnError(written.error());
+                self->haltUntilReopened(written.error());
                 return;
             }
             self->m_snapshotIndex = saved.last.index;
@@ -671,16 +747,15 @@
         return;
     // A member that was removed while it was down still considers itself a member.
     const bool knowsLeader = current.leader != 0;
-    if (current.members.isVoter(m_store.identity().self)
-        && (knowsLeader || !m_options.rejoinWithoutLeader))
+    if (current.members.isVoter(m_identity.self) && (knowsLeader || !m_options.rejoinWithoutLeader))
         return;
     for (const auto &member : current.members.members) {
         if (member.name != m_network->host())
-            (void)m_network->send(member.name, join{m_store.identity().self, {}});
+            (void)m_network->send(member.name, join{m_identity.self, {}});
     }
     for (const auto &peer : m_network->options().peers) {
         if (peer.control)
-            (void)m_network->send(peer.name, join{m_store.identity().self, {}});
+            (void)m_network->send(peer.name, join{m_identity.self, {}});
     }
 }
 
@@ -700,7 +775,7 @@
         const auto heard = m_lastHeard.find(member.id);
         const auto last
             = heard == m_lastHeard.end() ? *m_leaderSince : std::max(heard->second, *m_leaderSince);
-        if (member.id == m_store.identity().self || now - last < responsiveTime)
+        if (member.id == m_identity.self || now - last < responsiveTime)
             ++liveness.responsive;
         else if (now - last > lostVoterTimeout)
             liveness.lost = member.id;
--- a/Tests/Peer/test_configuration_lease.cpp
+++ b/Tests/Peer/test_configuration_lease.cpp
@@ -1,6 +1,7 @@
 #include "LibPeer/endpoint_list_codec.h"
 #include "LibPeer/endpoint_list_transfers.h"
 #include "addressed_fleet.h"
+#include "file_size_limit.h"
 
 namespace quetzalcleat::peer::test {
 
@@ -80,6 +81,34 @@
     EXPECT_EQ(waiting.versions.back(), 4U);
 }
 
+/// Guards against changes that are refused for good once the disks of the control hosts were full
+/// for some seconds, though all of them have room again and all processes run.
+TEST_F(configuration_fleet, FullDisksAreUsedAgain)
+{
+    using namespace std::chrono_literals;
+    constexpr int rounds = 3;
+    for (std::uint64_t round = 1; round <= rounds; ++round) {
+        EXPECT_EQ(write(2 * round), write_outcome::Accepted);
+        {
+            const file_size_limit full;
+            std::optional<write_outcome> outcome;
+            controls.at(waitForLeader())
+                .writer->write(std::to_string(2 * round + 1), 2 * round + 1,
+                               [&](write_outcome result) { outcome = result; });
+            EXPECT_TRUE(until([&] { return outcome.has_value(); }));
+            EXPECT_NE(outcome, write_outcome::Accepted);
+            EXPECT_TRUE(until([this] { return leader().empty(); }));
+            // Longer than an attempt to open the logs again.
+            runFor(context, 1200ms);
+            EXPECT_TRUE(leader().empty());
+        }
+        EXPECT_GE(newestVersion(), 2 * round);
+    }
+    EXPECT_EQ(write(100), write_outcome::Accepted);
+    EXPECT_TRUE(entryHas(100));
+    EXPECT_TRUE(std::is_sorted(entry().versions.begin(), entry().versions.end()));
+}
+
 /// Guards against a confirmation by hosts that cannot know the newest configuration: without a
 /// majority no lease is renewed and nothing is read or accepted.
 TEST_F(configuration_fleet, MinorityConfirmsNothing)
