Tests/Forward: Show that late requests in a planned stop are refused or answered

Not found here: requests of three kinds every 50 ms through a stop, on connections that were kept, to endpoints that never answer. The test passes without any change.

--- a/Tests/Forward/test_stop_under_load.cpp
+++ b/Tests/Forward/test_stop_under_load.cpp
@@ -1,5 +1,8 @@
 #include "forwarder_fixture.h"
 
+#include <algorithm>
+#include <array>
+
 namespace quetzalcleat::forward::test {
 
 namespace {
@@ -312,4 +315,57 @@
         sender.join();
 }
 
+/// Guards against requests, among them orders, that arrive late in a planned stop and are passed
+/// on, and whose connections are closed without an answer at its end. No endpoint answers here.
+TEST_F(stop_under_load_test, LateRequestsAreRefusedOrAnswered)
+{
+    constexpr std::chrono::milliseconds notice{200};
+    constexpr std::chrono::milliseconds grace{1200};
+    constexpr std::chrono::milliseconds interval{50};
+    struct late_request
+    {
+        scripted_socket caller;
+        std::string path;
+        bool mayOutlastTheStop = false;
+    };
+    // Kept connections, opened before the stop.
+    std::vector<scripted_socket> kept;
+    for (auto left = grace; left.count() > 0; left -= interval)
+        kept.push_back(scripted_socket::connectTo(m_port));
+    const auto start = std::chrono::steady_clock::now();
+    inLoop([&] { m_forwarder->beginStop({start + notice, start + grace}); });
+    std::vector<late_request> requests;
+    const std::array<const char *, 3> paths{"/book/a", "/stream/a", "/read/a"};
+    for (auto &caller : kept) {
+        const bool isShort = requests.size() % 2 == 0;
+        const std::string path = paths.at(requests.size() % paths.size());
+        caller.send(request("POST", path,
+                            isShort ? "X-Time-Left-Ms: 100\r\n" : "X-Time-Left-Ms: 15000\r\n",
+                            "order"));
+        const auto sent = std::chrono::steady_clock::now();
+        requests.push_back({std::move(caller), path, !isShort && sent > start + notice});
+        std::this_thread::sleep_for(interval);
+    }
+    inLoop([this] { m_forwarder->endRequests(); });
+    for (auto &late : requests) {
+        const auto answer = late.caller.readMessage();
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 5")) << late.path << answer;
+        EXPECT_NE(answer.find("\r\n\r\n"), std::string::npos) << late.path << answer;
+        const bool isRefused = answer.starts_with("HTTP/1.1 503");
+        EXPECT_TRUE(isRefused || !late.mayOutlastTheStop) << late.path << answer;
+    }
+    // What was passed on after the notice had a deadline before the end.
+    std::size_t passedOn = 0;
+    for (auto &endpoint : m_endpoints) {
+        while (endpoint.hasConnection(std::chrono::milliseconds(50))) {
+            endpoint.accept();
+            ++passedOn;
+        }
+    }
+    const auto refused = static_cast<std::size_t>(std::count_if(
+        requests.begin(), requests.end(), [](const auto &late) { return late.mayOutlastTheStop; }));
+    EXPECT_GT(refused, 0U);
+    EXPECT_LE(passedOn, 2 * (requests.size() - refused));
+}
+
 } // namespace quetzalcleat::forward::test
