LibPolicy: Ask for answers as long as two reports of each host take

A part was quarantined 1.5 s after the hosts were first asked for answers with it, in any fleet, while each of up to 100 hosts reports every 250 ms. The leader now waits for two intervals of reports and 200 ms, 0.7 s in such a fleet and up to 2.2 s in the largest.

--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -6,6 +6,7 @@
 #include "LibCore/logger.h"
 #include "LibPeer/configuration_distributor.h"
 #include "LibPeer/configuration_feed.h"
+#include "LibPeer/configuration_lease.h"
 #include "LibPeer/configuration_publisher.h"
 #include "LibPeer/crash_reports.h"
 #include "LibPeer/endpoint_catalogue.h"
@@ -839,7 +840,10 @@
     m_distributor.answer(answer, host, request.revision, now);
     answer.sequence = request.sequence;
     answer.loads = m_loads.sumsExcluding(host, now);
-    m_quarantine.update(m_loads.hostCount(), now);
+    m_quarantine.update({m_loads.hostCount(),
+                         configuration_lease_options().intervalFor(
+                             static_cast<std::uint32_t>(m_loads.hostCount()))},
+                        now);
     addQuarantine(answer, m_quarantine, m_network->incarnation(), now);
     const bool needsList
         = m_catalogue && m_catalogue->needsCompleteList(request.listEpoch, request.listVersion);
--- a/Libraries/LibPolicy/part_quarantine.cpp
+++ b/Libraries/LibPolicy/part_quarantine.cpp
@@ -175,7 +175,7 @@
     return known != m_entries.end() && known->second.releases > 0 ? 1 : m_limits.minimumCrashes;
 }
 
-void part_quarantine::attribute(core::instant now)
+void part_quarantine::attribute(std::chrono::milliseconds inquiryTime, core::instant now)
 {
     // Attributed again from the start, as a later crash may show that another part is the cause.
     std::set<part_id> causes;
@@ -204,7 +204,7 @@
         auto &record = recordOf(due->part, due->lastCrash);
         const auto known = m_entries.find(due->part);
         const bool isInForce = known != m_entries.end() && known->second.until > now;
-        if (!isInForce && (!record.inquiredAt || now - *record.inquiredAt < m_limits.inquiryTime))
+        if (!isInForce && (!record.inquiredAt || now - *record.inquiredAt < inquiryTime))
             break;
         auto &entry = m_entries[due->part];
         entry.lastCrash = std::max(entry.lastCrash, due->lastCrash);
@@ -233,16 +233,16 @@
     }
 }
 
-void part_quarantine::update(std::size_t hosts, core::instant now)
+void part_quarantine::update(const report_conditions &conditions, core::instant now)
 {
     if (m_updatedAt && now - *m_updatedAt < m_limits.updateInterval)
         return;
     m_updatedAt = now;
     forgetOld(now);
-    confirmCrashes(hosts);
+    confirmCrashes(conditions.hosts);
     releaseAnswered();
     if (!m_crashes.empty() || !m_inquiries.empty())
-        attribute(now);
+        attribute(conditions.interval * m_limits.inquiryReports + m_limits.inquiryTransit, now);
 }
 
 std::vector<part_id> part_quarantine::inquiries() const
--- a/Libraries/LibPolicy/part_quarantine.h
+++ b/Libraries/LibPolicy/part_quarantine.h
@@ -40,9 +40,11 @@
     /// Hosts that have lost an engine before it counts as crashed. A single host may have lost only
     /// its own network path.
     std::size_t minimumReporters = 2;
-    /// Between the first inquiry for answers with a part and its quarantine. Covers an interval
-    /// between two reports of a host in the largest fleet and the way there and back.
-    std::chrono::milliseconds inquiryTime{1500};
+    /// Reports that each host has the time for between the first inquiry for answers with a part
+    /// and its quarantine. One of them may be lost.
+    std::uint32_t inquiryReports = 2;
+    /// Of an inquiry and a report, there and back between the most distant regions, on busy hosts.
+    std::chrono::milliseconds inquiryTransit{200};
     /// Reports of one incarnation within this time are of the same crash; it starts again later.
     std::chrono::milliseconds crashSpan{2000};
     /// Losses of engines are remembered for this long, to confirm crashes that are reported later.
@@ -61,6 +63,13 @@
     std::size_t maximumParts = 10'000;
 };
 
+/// How hosts report to a part_quarantine.
+struct report_conditions
+{
+    std::size_t hosts = 0;
+    std::chrono::milliseconds interval{0}; ///< Between two reports of a host.
+};
+
 /// Finds the parts of prompts that crash engines, from what all hosts report.
 ///
 /// Each crash has the parts of the requests that the engine was not yet answering. A part is
@@ -82,8 +91,8 @@
     /// What a host was told by another instance of this table.
     void adopt(const quarantined_part &entry, core::instant now);
 
-    /// Decides again, if that is due. `hosts` is the number of hosts that report.
-    void update(std::size_t hosts, core::instant now);
+    /// Decides again, if that is due.
+    void update(const report_conditions &conditions, core::instant now);
 
     /// Parts of which the hosts are asked when they saw an answer to a request with them.
     std::vector<part_id> inquiries() const;
@@ -131,7 +140,7 @@
     std::vector<candidate> candidates() const;
     void forgetOld(core::instant now);
     void releaseAnswered();
-    void attribute(core::instant now);
+    void attribute(std::chrono::milliseconds inquiryTime, core::instant now);
     std::size_t requiredCrashes(part_id part) const;
     std::chrono::milliseconds lengthAfter(std::uint32_t releases) const;
 
