LibPolicy: End inquiries for parts that no caller sends any more

A part with two crashes was asked for in each answer to each host for ten minutes if no request with it came again: 9 bytes, four times a second, to each host, by the encoding. It is asked for 10 s after its last crash now, and again with its next one. Found by reading; test added.

--- a/Libraries/LibPolicy/part_quarantine.cpp
+++ b/Libraries/LibPolicy/part_quarantine.cpp
@@ -196,7 +196,10 @@
         });
         // One crash less is enough to ask, so that the answers are known by the next crash.
         for (const auto &entry : ordered) {
-            if (entry.crashes + 1 >= requiredCrashes(entry.part))
+            const auto required = requiredCrashes(entry.part);
+            const bool isEarly = entry.crashes + 1 == required
+                && now - entry.lastCrash < m_limits.earlyInquiryTime;
+            if (entry.crashes >= required || isEarly)
                 m_inquiries.insert(entry.part);
         }
         if (due == ordered.end())
--- a/Libraries/LibPolicy/part_quarantine.h
+++ b/Libraries/LibPolicy/part_quarantine.h
@@ -45,6 +45,9 @@
     std::uint32_t inquiryReports = 2;
     /// Of an inquiry and a report, there and back between the most distant regions, on busy hosts.
     std::chrono::milliseconds inquiryTransit{200};
+    /// A part that lacks one crash is asked for this long after its last one, so that parts which
+    /// no caller sends any more do not fill all answers.
+    std::chrono::milliseconds earlyInquiryTime{10'000};
     /// Reports of one incarnation within this time are of the same crash; it starts again later.
     std::chrono::milliseconds crashSpan{2000};
     /// Losses of engines are remembered for this long, to confirm crashes that are reported later.
--- a/Tests/Policy/test_part_quarantine.cpp
+++ b/Tests/Policy/test_part_quarantine.cpp
@@ -125,6 +125,24 @@
     EXPECT_TRUE(quarantined().empty());
 }
 
+/// Guards against inquiries for parts that no caller sends any more, in each answer to each host,
+/// and against crashes that are too far apart to be connected.
+TEST_F(part_quarantine_test, InquiriesEndAndCrashesFarApartCount)
+{
+    crash({{deadly}});
+    wait(1s);
+    EXPECT_TRUE(quarantine.inquiries().empty());
+    crash({{deadly}});
+    wait(1s);
+    EXPECT_EQ(quarantine.inquiries(), parts{deadly});
+    wait(limits.earlyInquiryTime);
+    EXPECT_TRUE(quarantine.inquiries().empty());
+    wait(1min);
+    crash({{deadly}});
+    wait(2s);
+    EXPECT_EQ(quarantined(), parts{deadly});
+}
+
 /// Guards against a host that is cut off from all endpoints: to it, all of them seem to crash.
 TEST_F(part_quarantine_test, LossesOfOneHostAreNoCrashes)
 {
