LibPeer: Name the files of crash_reporter after their class

Found by reading the change as a newcomer would: one class a file of its name. No behaviour changes; a comment of configuration_lease promised pushes that its handler does not get.

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -4,7 +4,7 @@
 #include "LibForward/forwarder.h"
 #include "LibForward/http_server.h"
 #include "LibPeer/configuration_lease.h"
-#include "LibPeer/crash_reports.h"
+#include "LibPeer/crash_reporter.h"
 #include "LibPeer/peer_network.h"
 
 #include <algorithm>
--- a/Libraries/LibPeer/configuration_lease.h
+++ b/Libraries/LibPeer/configuration_lease.h
@@ -48,7 +48,7 @@
         std::function<void(const std::map<std::string, listed_endpoint> &)> endpoints;
         /// Adds what this host has seen of crashes of engines.
         std::function<void(configuration_lease_request &)> addCrashes;
-        /// A leader's answer to the request with its sequence, or a push.
+        /// The answer of a leader to one of the requests.
         std::function<void(const configuration_lease_answer &)> quarantine;
         std::function<void(bool)> confirmationChanged; ///< Whether a leader confirms.
     };
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -8,7 +8,7 @@
 #include "LibPeer/configuration_feed.h"
 #include "LibPeer/configuration_lease.h"
 #include "LibPeer/configuration_publisher.h"
-#include "LibPeer/crash_reports.h"
+#include "LibPeer/crash_reporter.h"
 #include "LibPeer/endpoint_catalogue.h"
 #include "LibPeer/endpoint_list_transfers.h"
 #include "LibPeer/load_aggregator.h"
--- a/Libraries/LibPeer/crash_reports.cpp
+++ b/Libraries/LibPeer/crash_reporter.cpp
@@ -1,4 +1,4 @@
-#include "LibPeer/crash_reports.h"
+#include "LibPeer/crash_reporter.h"
 
 #include <algorithm>
 #include <chrono>
--- a/Tests/Peer/test_crash_reports.cpp
+++ b/Tests/Peer/test_crash_reporter.cpp
@@ -1,4 +1,4 @@
-#include "LibPeer/crash_reports.h"
+#include "LibPeer/crash_reporter.h"
 
 #include <gtest/gtest.h>
 
@@ -7,7 +7,7 @@
 using namespace std::chrono_literals;
 
 /// A host and the leader that it reports to.
-class crash_reports_test : public testing::Test
+class crash_reporter_test : public testing::Test
 {
 protected:
     configuration_lease_request request()
@@ -35,7 +35,7 @@
 };
 
 /// Guards against reports that are dropped although no leader has received them.
-TEST_F(crash_reports_test, ReportsAreSentUntilALeaderAnswers)
+TEST_F(crash_reporter_test, ReportsAreSentUntilALeaderAnswers)
 {
     reporter.read("leader", answerOf(1, request().sequence), now);
     witness.recordBroken("engine", {5}, now);
@@ -56,7 +56,7 @@
 
 /// Guards against a change of leader that ends a quarantine: deadly requests are sent again until
 /// the new leader has counted crashes of its own.
-TEST_F(crash_reports_test, NewLeaderLearnsTheQuarantineFromHosts)
+TEST_F(crash_reporter_test, NewLeaderLearnsTheQuarantineFromHosts)
 {
     auto first = answerOf(1, request().sequence);
     first.quarantinedParts = {{7, 60'000, 0}};
@@ -86,7 +86,7 @@
 }
 
 /// Guards against ages that a host makes up: they are bounded.
-TEST_F(crash_reports_test, HugeAgesAreBounded)
+TEST_F(crash_reporter_test, HugeAgesAreBounded)
 {
     configuration_lease_request sent;
     sent.crashSuspects = {{"engine", 5, 0, ~std::uint64_t{0}}};
