LibForward: Open sockets to endpoints in one place

connection_pool::open(), added for the check whether an endpoint still runs, opened the socket and set its options once more beside attempt::connect(). Both call openSocket() now.

--- a/Libraries/LibForward/upstream.cpp
+++ b/Libraries/LibForward/upstream.cpp
@@ -45,6 +45,19 @@
               static_cast<int>(options.unacknowledgedTimeout.count()));
 }
 
+/// Opens the socket for a connection to the endpoint, with its options. Returns an error if that is
+/// not possible.
+std::error_code openSocket(asio::ip::tcp::socket &socket,
+                           const asio::ip::tcp::endpoint &remoteEndpoint,
+                           const upstream_options &options)
+{
+    std::error_code error;
+    socket.open(remoteEndpoint.protocol(), error);
+    if (!error)
+        setSocketOptions(socket, options);
+    return error;
+}
+
 /// What has arrived and was not read yet, up to readBytes.
 std::string arrivedBytes(asio::ip::tcp::socket &socket)
 {
@@ -141,12 +154,11 @@
     const asio::ip::tcp::endpoint remoteEndpoint(asio::ip::make_address(address.ip, error),
                                                  address.port);
     if (!error)
-        connection->socket.open(remoteEndpoint.protocol(), error);
+        error = openSocket(connection->socket, remoteEndpoint, m_options);
     if (error) {
         asio::post(m_context, [handler = std::move(handler)] { handler(false); });
         return;
     }
-    setSocketOptions(connection->socket, m_options);
     const auto timer = std::make_shared<asio::steady_timer>(m_context, m_options.connectTimeout);
     timer->async_wait([connection](std::error_code cancelled) {
         std::error_code ignored;
@@ -217,12 +229,11 @@
     const auto address = asio::ip::make_address(m_request.address.ip, error);
     const asio::ip::tcp::endpoint remoteEndpoint(address, m_request.address.port);
     if (!error)
-        m_connection->socket.open(remoteEndpoint.protocol(), error);
+        error = openSocket(m_connection->socket, remoteEndpoint, m_pool->options());
     if (error) {
         asio::post(m_pool->context(), [self = shared_from_this(), error] { self->finish(error); });
         return;
     }
-    setSocketOptions(m_connection->socket, m_pool->options());
     m_timer.expires_after(m_pool->options().connectTimeout);
     m_timer.async_wait([self = shared_from_this()](std::error_code cancelled) {
         if (!cancelled && !self->m_sent)
