--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -3,6 +3,7 @@
 The processes are started with the commands of deploy/system.toml. The platform restarts a process
 that ended, as DEPLOY.md says, and ends those that use more memory than their machine has.
 """
+import asyncio
 import http.client
 import http.server
 import json
@@ -76,6 +77,56 @@
     raise CannotRun("no free ports")
 
 
+class Links:
+    """The links between the control hosts: loopback proxies that delay each direction.
+
+    Each host has a peer port of its own, so that each of them finds a proxy at the address and port
+    at which it expects another host.
+    """
+
+    def __init__(self, nodes, ports, delay):
+        self.delay = delay
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        for node, own in zip(nodes, ports):
+            for port in ports:
+                if port != own:
+                    asyncio.run_coroutine_threadsafe(
+                        self.listen(node.ip, port, own), self.loop).result(5)
+
+    async def listen(self, ip, port, target):
+        async def accept(reader, writer):
+            try:
+                far_reader, far_writer = await asyncio.open_connection(ip, target)
+            except OSError:
+                writer.transport.abort()
+                return
+            await asyncio.gather(self.pump(reader, far_writer), self.pump(far_reader, writer))
+
+        await asyncio.start_server(accept, ip, port)
+
+    async def pump(self, reader, writer):
+        queue = asyncio.Queue()
+
+        async def write():
+            while True:
+                at, data = await queue.get()
+                await asyncio.sleep(max(0.0, at - self.loop.time()))
+                if data is None:
+                    writer.transport.abort()
+                    return
+                writer.write(data)
+
+        task = asyncio.ensure_future(write())
+        try:
+            while data := await reader.read(65536):
+                queue.put_nowait((self.loop.time() + self.delay, data))
+        except OSError:
+            pass
+        queue.put_nowait((self.loop.time() + self.delay, None))
+        await task
+
+
 class Node:
     """One machine with one process."""
 
@@ -83,6 +134,7 @@
         self.stage, self.name, self.role, self.ip, self.zone = stage, name, role, ip, zone
         self.folder = stage.folder / name
         self.data = self.folder / "data"
+        self.peer_port = None  # Of the stage, if the host has none of its own.
         self.child = None
         self.lock = threading.RLock()
         self.wanted = False
@@ -94,10 +146,11 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         stage, control = self.stage, self.role == "control"
         serves = "control" if control else "edge"
+        peer_port = self.peer_port or stage.peer_port
         lines = [f'node-name = "{self.name}"', f'role = "{self.role}"',
                  f'machine-class = "{"core" if control else "edge"}"', f'serves = ["{serves}"]',
                  f'ip = "{self.ip}"', f'zone = "{self.zone}"', f'region = "{self.zone[:-2]}"',
-                 f"port-range = [{stage.peer_port}, {stage.peer_port + PEER_PORTS - 1}]",
+                 f"port-range = [{peer_port}, {peer_port + PEER_PORTS - 1}]",
                  "seeds = " + json.dumps([f"{each.ip}:{stage.control_port}"
                                           for each in stage.controls]),
                  f"bootstrap = {'true' if bootstrap else 'false'}",
@@ -215,9 +268,17 @@
 
         server = http.server.ThreadingHTTPServer((f"{self.prefix}.200", 0), Handler)
         server.daemon_threads = True
+        server.handle_error = lambda *arguments: None  # A caller that has left.
         self.list_address = f"{self.prefix}.200:{server.server_address[1]}"
         threading.Thread(target=server.serve_forever, daemon=True).start()
 
+    def delay_links(self, seconds):
+        """Delays what the control hosts send to each other; to be called before start()."""
+        ports = [self.peer_port + n for n in range(len(self.controls))]
+        for node, port in zip(self.controls, ports):
+            node.peer_port = port
+        self.links = Links(self.controls, ports, seconds)
+
     def start(self):
         for node in self.nodes:
             node.start(bootstrap=True)
@@ -293,6 +354,18 @@
             path = "/" + path
         return None, "redirected too often"
 
+    def leader(self, seconds):
+        """The control host that answers by itself."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            for node in self.stage.controls:
+                self.last_host = None
+                status, _ = self.call_at(node.ip, "GET", None, 1.0)
+                if status == 200 and self.last_host == node.ip:
+                    return node
+            time.sleep(0.1)
+        raise CannotRun("no control host answers by itself")
+
     def until_answered(self, method, body, seconds, timeout=1.0):
         """Repeats the call at one host after the other. Returns status and body of the first clear
         answer, or the last failure, and the number of calls."""
@@ -342,11 +415,11 @@
     return content
 
 
-def run(folder, case):
+def run(folder, case, entries=0):
     """Runs a case; returns the exit code: 0 held, 1 broken, 2 could not run."""
     stage = None
     try:
-        stage = Stage(pathlib.Path(folder))
+        stage = Stage(pathlib.Path(folder), entries)
         held = case(stage, os.environ.get("TROUBLE", "1") != "0")
         stage.note("result: " + ("the rule held" if held else "the rule was broken"))
         return 0 if held else 1
