--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,78 +1,61 @@
-"""Many users send long bodies at once; others wait for answers on kept channels meanwhile."""
+"""Hundreds of changes of a desired state of 1,508 routes."""
+import json
 import pathlib
 import sys
-import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common"))
 
 import stage as staging  # noqa: E402
-import traffic  # noqa: E402
 
-ENTRY_MEMORY_MB = 110  # SYSTEM.md, kasavu-route.
-LONG_BODY = 4_194_304  # max-body-bytes.
-USUAL_BODY = 17_000
-USERS, WAITING = 16, 12
-WORK_SECONDS = 2.5
-DEADLINE_MS = 12_000
-ROUNDS = 3
-
-
-def answer(identifier, body):
-    time.sleep(WORK_SECONDS)
-    whole = (identifier * 50).encode()
-    return 200, {"X-Response-Seal": traffic.receipt_of(whole)}, whole
+ROUTES = 1508  # One `big_config` of the standard days of large/spennuvir-quetzal-large.toml.
+CHANGES = 690
+GAP_SECONDS = 0.06  # As `config_storm` of the same file.
+CHANGES_SECONDS = 82
+READ_SECONDS = 12  # contact-ms is 4 s; recovery-s is 12 s.
+NEEDED_KILLS = 3  # On half of the core, for the rule Fault.
 
 
 def case(stage, trouble):
-    staging.MEMORY_MB["entry"] = ENTRY_MEMORY_MB
     stage.limits_memory = True
-    for n in range(3):
-        traffic.Worker(stage, f"i-desk-{n}", "desk", f"{stage.prefix}.{101 + n}",
-                       staging.ZONES[n], answer)
     stage.start()
     operator = staging.Operator(stage)
-    entry = stage.entries[0]
-    acknowledged, reason = operator.put(staging.desired_state(1, timeout=DEADLINE_MS), 15)
-    if not acknowledged or not traffic.wait_until_ready(stage, entry, 15):
-        raise staging.CannotRun(f"not ready: {reason}")
-    body = b"x" * (LONG_BODY if trouble else USUAL_BODY)
-    results, lock = [], threading.Lock()
-
-    def send(name, rounds, content, start):
-        client = traffic.Client(entry.ip, stage.front_port, DEADLINE_MS / 1000)
-        for number in range(rounds):
-            if number == rounds - 1:
-                time.sleep(max(0.0, start - time.monotonic()))
-            identifier = f"{name}-{number}"
-            begun = time.monotonic()
-            status, _, got = client.request("POST" if content else "GET", "/path00000/x",
-                                            identifier, DEADLINE_MS, content)
-            with lock:
-                results.append((identifier, number, status))
-                stage.note(f"client: {identifier} got {status if status else got} "
-                           f"after {time.monotonic() - begun:.2f} s")
-
-    # The users with long bodies come half a second after the others have sent their last request.
-    start = time.monotonic() + 2 * WORK_SECONDS + 1.5
-    threads = [threading.Thread(target=send, args=(f"kept-{n}", ROUNDS, None, start))
-               for n in range(WAITING)]
-    threads += [threading.Thread(target=send, args=(f"long-{n}", 1, body, start + 0.5))
-                for n in range(USERS)]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    cut = [identifier for identifier, number, status in results
-           if identifier.startswith("kept") and number > 0 and status is None]
-    stage.note(f"{entry.name} over its memory: {len(entry.memory_kills)} times; "
-               f"{len(cut)} kept channels closed without an answer")
-    if len(cut) > 3:
-        stage.note("LOST: requests on kept channels were passed on, and their channels closed "
-                   "without an answer")
+    acknowledged, answer = operator.put(staging.desired_state(1), 10)
+    if not acknowledged:
+        raise staging.CannotRun(f"no first desired state: {answer}")
+    content = staging.desired_state(0, routes=ROUTES if trouble else 5)
+    del content["version"]
+    text = json.dumps(content)[1:]
+    stage.note(f"desired state of {len(content['routes'])} routes, {len(text)} bytes")
+    end = time.monotonic() + CHANGES_SECONDS
+    newest, refused = 1, 0
+    for version in range(2, CHANGES + 2):
+        if time.monotonic() > end or refused >= 2:
+            break
+        begun = time.monotonic()
+        acknowledged, answer = operator.put(f'{{"version": {version}, {text}'.encode(), 5, 3.0)
+        newest, refused = (version, 0) if acknowledged else (newest, refused + 1)
+        if version % 25 == 0 or not acknowledged:
+            stage.note(f"version {version}: {answer}; memory MB "
+                       f"{[round(each.memory_mb()) for each in stage.controls]}, disk MB "
+                       f"{[round(each.disk_mb()) for each in stage.controls]}")
+        time.sleep(max(0.0, begun + GAP_SECONDS - time.monotonic()))
+    stage.note(f"version {newest} is the newest that was acknowledged; no more changes are sent")
+    time.sleep(4)
+    version, answer = operator.read(READ_SECONDS)
+    stage.note(f"read back: version {version}, {answer}")
+    kills = [len(each.memory_kills) for each in stage.controls]
+    stage.note(f"control hosts over their memory: {kills} times")
+    if version is None or version < newest:
+        stage.note("CONFIG: the acknowledged desired state is not read back")
+        return False
+    if sum(count >= NEEDED_KILLS for count in kills) * 2 >= len(kills):
+        stage.note("Fault: half of the core ended three times without a disruption")
         return False
+    if newest < 600 and trouble:
+        raise staging.CannotRun("this machine is too slow for the number of changes")
     return True
 
 
-sys.exit(staging.run(HERE, case, entries=1))
+sys.exit(staging.run(HERE, case))
--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -54,7 +54,7 @@
     for _ in range(50):
         prefix = f"127.{random.randint(60, 250)}.{random.randint(1, 250)}"
         try:
-            for last in (1, 2, 3, 11, 12):
+            for last in (1, 2, 3, 4, 11, 12):
                 with socket.socket() as probe:
                     probe.bind((f"{prefix}.{last}", METRICS_PORT))
             return prefix
@@ -151,8 +151,7 @@
                  f'machine-class = "{"core" if control else "edge"}"', f'serves = ["{serves}"]',
                  f'ip = "{self.ip}"', f'zone = "{self.zone}"', f'region = "{self.zone[:-2]}"',
                  f"port-range = [{peer_port}, {peer_port + PEER_PORTS - 1}]",
-                 "seeds = " + json.dumps([f"{each.ip}:{stage.control_port}"
-                                          for each in stage.controls]),
+                 "seeds = " + json.dumps([f"{ip}:{stage.control_port}" for ip in stage.seeds]),
                  f"bootstrap = {'true' if bootstrap else 'false'}",
                  f"in-loss-budget = {'true' if control else 'false'}"]
         if control:
@@ -228,6 +227,8 @@
                               ZONES[n]) for n in range(3)]
         self.entries = [Node(self, f"entry-{n + 1}", "entry", f"{self.prefix}.{n + 11}", ZONES[n])
                         for n in range(entries)]
+        self.seeds = [each.ip for each in self.controls]
+        self.spares, self.gone = [], []
         first = self.controls[0].ip
         self.peer_port = free_port(first, PEER_PORTS)
         self.control_port = self.peer_port + PEER_PORTS + 1
@@ -274,10 +275,18 @@
 
     def delay_links(self, seconds):
         """Delays what the control hosts send to each other; to be called before start()."""
-        ports = [self.peer_port + n for n in range(len(self.controls))]
-        for node, port in zip(self.controls, ports):
+        nodes = self.controls + self.spares
+        ports = [self.peer_port + n for n in range(len(nodes))]
+        for node, port in zip(nodes, ports):
             node.peer_port = port
-        self.links = Links(self.controls, ports, seconds)
+        self.links = Links(nodes, ports, seconds)
+
+    def spare_control(self):
+        """A control host that has not been added yet; it starts without `bootstrap`."""
+        last = len(self.controls) + len(self.spares) + 1
+        self.spares.append(Node(self, f"control-{last}", "control", f"{self.prefix}.{last}",
+                                ZONES[0]))
+        return self.spares[-1]
 
     def start(self):
         for node in self.nodes:
@@ -311,7 +320,7 @@
         self.stopped.set()
         if self.supervisor.is_alive():
             self.supervisor.join(5)
-        for node in self.nodes:
+        for node in self.nodes + self.gone + self.spares:
             node.kill()
         self.record.close()
         if "KEEP" in os.environ:
