--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,7 +13,7 @@
 SYNC_SECONDS = staging.BOUNDS["sync-s"]
 # From the start of the successor to the SIGTERM of the machine that leaves.
 HANDOVER_SECONDS = 2.0
-MARGIN_SECONDS = 0.15
+MARGIN_SECONDS = 0.03
 ACK_SECONDS = 10
 READ_SECONDS = 25  # recovery-s is 12 s.
 
