--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -23,6 +23,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ("one-a", "two-a", "three-a")
 RESTART_SECONDS = 0.3
+LONGEST_SECONDS = 117  # Of one run.
 PEER_PORTS = 16
 METRICS_PORT = 9464  # In the commands of the deploy file.
 BOUNDS = {"seed-lag-s": 3, "addr-reuse-s": 2, "contact-ms": 4000, "ack-ms": 5000, "sync-s": 4,
@@ -316,6 +317,11 @@
                     time.sleep(RESTART_SECONDS)
                     node.start()
 
+    def give_up(self):
+        self.note("result: cannot run: the time is up")
+        self.stop()
+        os._exit(2)
+
     def stop(self):
         self.stopped.set()
         if self.supervisor.is_alive():
@@ -427,8 +433,12 @@
 def run(folder, case, entries=0):
     """Runs a case; returns the exit code: 0 held, 1 broken, 2 could not run."""
     stage = None
+    signal.signal(signal.SIGTERM, lambda *arguments: sys.exit(2))
     try:
         stage = Stage(pathlib.Path(folder), entries)
+        watchdog = threading.Timer(LONGEST_SECONDS, stage.give_up)
+        watchdog.daemon = True
+        watchdog.start()
         held = case(stage, os.environ.get("TROUBLE", "1") != "0")
         stage.note("result: " + ("the rule held" if held else "the rule was broken"))
         return 0 if held else 1
