LibConsensus: Pass a pending replacement to a newer learner

Cause: a voter is replaced in two steps. Between them the membership names the learner that is to follow. If its host loses its disk in that time, the id never answers again, and the membership refused each change that could end the replacement: the removal of that learner and another replacement. The group stayed at two voters for good.

Ruled out: that the new id did not reach the leader (it was added as a learner each time).

Change: while a replacement is pending, ReplaceVoter may name the pending learner as the one to replace; the new learner takes its place. No voter changes, so it is as safe as adding a learner. The leader proposes it when a newer id of that host has joined.

Test: Membership.PendingReplacementPassesToAnotherLearner; without the change in Libraries it fails at its last four expectations.

--- a/Libraries/LibConsensus/raft_core_membership.cpp
+++ b/Libraries/LibConsensus/raft_core_membership.cpp
@@ -63,7 +63,17 @@
     }
     if (position->role == member_role::Voter)
         return consensus_error::AlreadyMember;
-    if (change.kind == membership_change_kind::ReplaceVoter && changed.replacement != 0)
+    const bool isPending = changed.replacement != 0;
+    if (change.kind == membership_change_kind::ReplaceVoter && isPending
+        && change.replaced == changed.replacement && change.id != changed.replacement) {
+        // The learner that should follow will not finish, for example because its disk was lost as
+        // well. No voter changes, so the new one need not have caught up yet.
+        std::erase_if(changed.members,
+                      [&](const member &each) { return each.id == change.replaced; });
+        changed.replacement = change.id;
+        return changed;
+    }
+    if (change.kind == membership_change_kind::ReplaceVoter && isPending)
         return consensus_error::ReplacementPending;
     if (!hasCaughtUp(change.id))
         return consensus_error::NotCaughtUp;
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -715,7 +715,8 @@
         if (member.name != host || member.id == id)
             continue;
         // The data folder of the host was emptied, so its earlier id can never answer again.
-        if (member.role == consensus::member_role::Voter)
+        if (member.role == consensus::member_role::Voter
+            || member.id == current.members.replacement)
             proposeChange({consensus::membership_change_kind::ReplaceVoter, id, {}, member.id});
         else
             proposeChange({consensus::membership_change_kind::RemoveMember, member.id, {}, 0});
--- a/Tests/Consensus/test_membership.cpp
+++ b/Tests/Consensus/test_membership.cpp
@@ -105,6 +105,25 @@
     EXPECT_FALSE(propose(member, {membership_change_kind::ReplaceVoter, 5, {}, 2}));
 }
 
+// Guards against a replacement that no one can finish because its learner lost its disk as well.
+TEST(Membership, PendingReplacementPassesToAnotherLearner)
+{
+    auto member = settledLeader();
+    addCaughtUpLearner(member, 4);
+    EXPECT_FALSE(propose(member, {membership_change_kind::ReplaceVoter, 4, {}, 3}));
+    member.sync();
+    member.acknowledge({2});
+    EXPECT_FALSE(propose(member, {membership_change_kind::AddLearner, 5, "new", 0}));
+    member.sync();
+    member.acknowledge({2});
+    EXPECT_EQ(propose(member, {membership_change_kind::ReplaceVoter, 5, {}, 2}),
+              consensus_error::ReplacementPending);
+    EXPECT_FALSE(propose(member, {membership_change_kind::ReplaceVoter, 5, {}, 4}));
+    EXPECT_EQ(member.core.members().find(4), nullptr);
+    EXPECT_EQ(member.core.members().replacement, 5U);
+    EXPECT_EQ(member.core.members().voterCount(), 2U);
+}
+
 // Guards against a removal after which nothing can be committed.
 TEST(Membership, RemovalNeedsAnAnsweringMajority)
 {
