LibConsensus, LibPeer: Bound the log by its bytes

After 160 changes of a large desired state it was not read back any more.

The disk now drops the same entries as the memory: it had a computation of its own. A learner has caught up only if it misses at most 1 MiB: 64 entries may hold 25 MB. The bytes on their way to one member are bounded by less than the send queue of its connection, which dropped the rest.

--- a/Libraries/LibConsensus/raft_core.cpp
+++ b/Libraries/LibConsensus/raft_core.cpp
@@ -213,9 +213,23 @@
     return entryAt(index).position.term;
 }
 
+/// The index up to which entries are not needed for members that lag slightly.
+log_index raft_core::trailingIndex(log_index snapshotIndex) const
+{
+    auto index = snapshotIndex;
+    std::size_t bytes = 0;
+    while (index > m_base.index && snapshotIndex - index < m_options.trailingEntries) {
+        bytes += entryAt(index).payload.size();
+        if (bytes > m_options.trailingBytes)
+            break;
+        --index;
+    }
+    return index;
+}
+
 log_index raft_core::compactionIndex(log_index snapshotIndex) const
 {
-    auto floor = snapshotIndex - std::min(snapshotIndex, m_options.trailingEntries);
+    auto floor = trailingIndex(snapshotIndex);
     if (m_logBytes > m_options.maximumRetainedBytes)
         return floor;
     for (const auto &[id, state] : m_progress) {
--- a/Libraries/LibConsensus/raft_core.h
+++ b/Libraries/LibConsensus/raft_core.h
@@ -33,21 +33,28 @@
     /// Payload of one append request. An entry that is larger is sent alone.
     std::size_t maximumAppendBytes = std::size_t{256} * 1024;
     std::size_t maximumAppendEntries = 1024;
-    /// Unacknowledged append requests to one member.
+    /// Unacknowledged append requests to one member, and their payload. The bytes fit into the send
+    /// queue of a connection (peer::connection_options) together with other messages: what it
+    /// drops has to be sent again. A single entry may be larger.
     std::size_t maximumInFlight = 16;
+    std::size_t maximumInFlightBytes = std::size_t{2} * 1024 * 1024;
     /// Proposals beyond this many uncommitted bytes are refused as Overloaded.
     std::size_t maximumUncommittedBytes = std::size_t{16} * 1024 * 1024;
     std::size_t snapshotChunkBytes = std::size_t{256} * 1024;
     /// A larger snapshot is refused before any of it is stored.
     std::uint64_t maximumSnapshotBytes = std::uint64_t{512} * 1024 * 1024;
-    /// A learner with at most this many entries missing has caught up.
+    /// A learner has caught up if it misses at most this many entries and bytes, or one entry.
     log_index catchUpEntries = 64;
-    /// Entries kept behind a snapshot, so that a member that lags slightly needs no snapshot.
+    std::size_t catchUpBytes = std::size_t{1024} * 1024;
+    /// Entries and bytes kept behind a snapshot, so that a member that lags slightly needs no
+    /// snapshot. Without the bound of bytes an emptied member would get every large entry since the
+    /// first start in place of a snapshot that holds the last one.
     log_index trailingEntries = 1000;
+    std::size_t trailingBytes = std::size_t{4} * 1024 * 1024;
     /// Up to this log size the leader also keeps entries that responding members still need.
     /// Otherwise the entries after a snapshot that takes long to send would be gone when it
     /// arrives, and the member would need another snapshot each time.
-    std::size_t maximumRetainedBytes = std::size_t{64} * 1024 * 1024;
+    std::size_t maximumRetainedBytes = std::size_t{24} * 1024 * 1024;
 };
 
 /// The persistent state that log_store has read.
@@ -178,16 +185,24 @@
     /// The membership in force: the newest one in the log, committed or not.
     const membership &members() const { return m_memberships.back().members; }
     bool membershipCommitted() const { return m_memberships.back().index <= commitIndex(); }
+    /// Leader only: whether a member has so much of the log that it could be promoted.
+    bool hasCaughtUp(member_id id) const;
 
 private:
     enum class replication_mode { Probe, Replicate, Snapshot };
 
+    struct request_in_flight
+    {
+        log_index last = 0;
+        std::size_t bytes = 0;
+    };
+
     struct progress
     {
         replication_mode mode = replication_mode::Probe;
         log_index match = 0;
         log_index next = 1;
-        std::deque<log_index> inFlight; ///< Last index of each unacknowledged append request.
+        std::deque<request_in_flight> inFlight; ///< Append requests without a response.
         bool probeSent = false;
         std::optional<snapshot> outgoingSnapshot; ///< In mode Snapshot.
         std::uint64_t contentHash = 0;
@@ -256,6 +271,7 @@
     void handle(member_id from, term_number term, const snapshot_response &response);
     bool appendReceived(const append_request &request);
     void replicate(member_id to, progress &state);
+    bool isWindowFull(const progress &state) const;
     bool sendEntries(member_id to, progress &state);
     void sendHeartbeat(member_id to, progress &state);
     void startSnapshot(member_id to, progress &state);
@@ -270,7 +286,8 @@
     void membershipChanged();
     core::result<membership> changedMembership(const membership_change &change) const;
     bool isResponsive(const progress &state) const;
-    bool hasCaughtUp(member_id id) const;
+    bool misses(const progress &state, log_index entries, std::size_t bytes) const;
+    log_index trailingIndex(log_index snapshotIndex) const;
     void finishReplacement();
     void finishTransfer();
 
--- a/Libraries/LibConsensus/raft_core_membership.cpp
+++ b/Libraries/LibConsensus/raft_core_membership.cpp
@@ -22,6 +22,20 @@
     return state.lastResponse && m_now - *state.lastResponse < m_options.electionTimeout;
 }
 
+/// Whether the member lacks more than this many entries or bytes, and more than one entry.
+bool raft_core::misses(const progress &state, log_index entries, std::size_t bytes) const
+{
+    const auto missing = lastIndex() - std::min(state.match, lastIndex());
+    if (missing <= 1)
+        return false;
+    if (missing > entries || state.match < m_base.index)
+        return true;
+    std::size_t sum = 0;
+    for (auto index = state.match + 1; index <= lastIndex(); ++index)
+        sum += entryAt(index).payload.size();
+    return sum > bytes;
+}
+
 bool raft_core::hasCaughtUp(member_id id) const
 {
     const auto found = m_progress.find(id);
@@ -30,7 +44,7 @@
     const auto &state = found->second;
     // It must know of its own membership and respond, or it could not help to commit its promotion.
     return state.mode == replication_mode::Replicate
-        && state.match + m_options.catchUpEntries >= lastIndex()
+        && !misses(state, m_options.catchUpEntries, m_options.catchUpBytes)
         && state.match >= m_memberships.back().index && isResponsive(state);
 }
 
--- a/Libraries/LibConsensus/raft_core_replication.cpp
+++ b/Libraries/LibConsensus/raft_core_replication.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <numeric>
 #include <utility>
 
 namespace quetzalcleat::consensus {
@@ -173,7 +174,7 @@
         state.lastProgress = m_now;
     state.match = match;
     state.next = std::max(state.next, match + 1);
-    while (!state.inFlight.empty() && state.inFlight.front() <= match)
+    while (!state.inFlight.empty() && state.inFlight.front().last <= match)
         state.inFlight.pop_front();
     const bool snapshotDone = state.outgoingSnapshot && match >= state.outgoingSnapshot->last.index;
     // A response to a heartbeat at position 0 has match 0 and proves nothing about the log.
@@ -242,12 +243,22 @@
         sendHeartbeat(to, state);
 }
 
+/// Whether the member has to respond before more is sent to it.
+bool raft_core::isWindowFull(const progress &state) const
+{
+    const auto bytes = std::accumulate(
+        state.inFlight.begin(), state.inFlight.end(), std::size_t{0},
+        [](std::size_t sum, const request_in_flight &each) { return sum + each.bytes; });
+    return state.inFlight.size() >= m_options.maximumInFlight
+        || bytes >= m_options.maximumInFlightBytes;
+}
+
 /// Sends one append request. False if no more can be sent now.
 bool raft_core::sendEntries(member_id to, progress &state)
 {
     const bool probing = state.mode == replication_mode::Probe;
     if (state.mode == replication_mode::Snapshot || (probing && state.probeSent)
-        || state.inFlight.size() >= m_options.maximumInFlight)
+        || isWindowFull(state))
         return false;
     if (state.next <= m_base.index) {
         startSnapshot(to, state);
@@ -265,9 +276,9 @@
          && request.entries.size() < m_options.maximumAppendEntries;
          ++index) {
         const auto &entry = entryAt(index);
-        bytes += entry.payload.size();
-        if (bytes > m_options.maximumAppendBytes && !request.entries.empty())
+        if (bytes + entry.payload.size() > m_options.maximumAppendBytes && !request.entries.empty())
             break;
+        bytes += entry.payload.size();
         request.entries.push_back(entry);
     }
     const auto last = request.previous.index + request.entries.size();
@@ -277,7 +288,7 @@
         state.probeSent = true;
     } else {
         state.next = last + 1;
-        state.inFlight.push_back(last);
+        state.inFlight.push_back({last, bytes});
     }
     state.commitSent = std::min(request.commit, last);
     state.lastSend = m_now;
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -227,6 +227,8 @@
     std::size_t m_writesInProgress = 0;
     consensus::log_position m_applied;
     consensus::log_index m_snapshotIndex = 0;
+    std::size_t m_bytesSinceSnapshot = 0; ///< Payload of the entries applied since.
+    std::size_t m_snapshotBytes = 0; ///< Size of the last one.
     bool m_savingSnapshot = false;
     bool m_mustReopen = false; ///< A write has failed.
     bool m_isReopening = false;
@@ -502,6 +504,7 @@
         m_distributor.publish(m_state.currentConfiguration());
         pushConfiguration();
     }
+    saveSnapshotIfDue();
 }
 
 void control_service::implementation::apply(const consensus::log_entry &entry)
@@ -517,6 +520,7 @@
         }
     }
     m_applied = entry.position;
+    m_bytesSinceSnapshot += entry.payload.size();
     const auto origin = m_proposals.takeCommitted(entry.position.index, entry.position.term);
     if (!origin)
         return;
@@ -545,15 +549,17 @@
 
 void control_service::implementation::saveSnapshotIfDue()
 {
-    if (m_savingSnapshot || m_applied.index < m_snapshotIndex + m_options.snapshotEntries
-        || status().halted)
+    const bool isDue = m_applied.index >= m_snapshotIndex + m_options.snapshotEntries
+        || m_bytesSinceSnapshot >= std::max(m_options.snapshotBytes, 2 * m_snapshotBytes);
+    if (m_savingSnapshot || !isDue || status().halted)
         return;
     m_savingSnapshot = true;
+    m_bytesSinceSnapshot = 0;
     // FIXME: Encoding a large state holds up the event loop; measure and move it if it matters.
     consensus::snapshot saved{m_applied, m_core->membershipAt(m_applied.index),
                               std::make_shared<const std::vector<std::byte>>(m_state.snapshot())};
-    const auto trailing = consensus::raft_options{}.trailingEntries;
-    const auto compactionIndex = m_applied.index > trailing ? m_applied.index - trailing : 0;
+    m_snapshotBytes = saved.content->size();
+    const auto compactionIndex = m_core->compactionIndex(m_applied.index);
     asio::post(m_diskThread, [self = shared_from_this(), saved, compactionIndex] {
         const auto written = self->m_store->saveSnapshot(saved, compactionIndex);
         asio::post(self->m_network->context(), [self, saved, written] {
--- a/Libraries/LibPeer/control_service.h
+++ b/Libraries/LibPeer/control_service.h
@@ -28,8 +28,10 @@
     bool initialiseCluster = false;
     /// First configuration of a new cluster; empty for none.
     std::string seedDocument;
-    /// A snapshot is taken after this many applied entries.
+    /// A snapshot is taken after this many applied entries, or after this many bytes of them, but
+    /// at least twice the size of the last snapshot.
     std::uint64_t snapshotEntries = 10'000;
+    std::size_t snapshotBytes = std::size_t{4} * 1024 * 1024;
     /// See consensus::raft_options.
     std::chrono::milliseconds electionTimeout{1000};
     std::chrono::milliseconds heartbeatInterval{150};
--- a/Tests/Consensus/test_membership.cpp
+++ b/Tests/Consensus/test_membership.cpp
@@ -124,6 +124,25 @@
     EXPECT_EQ(member.core.members().voterCount(), 2U);
 }
 
+// Guards against a voter that needs longer to catch up than the next failure may take to come: few
+// entries can hold many bytes.
+TEST(Membership, LearnerThatLacksManyBytesHasNotCaughtUp)
+{
+    auto member = settledLeader();
+    addCaughtUpLearner(member, 4);
+    const std::vector<std::byte> large(options(1).catchUpBytes / 2 + 1);
+    ASSERT_TRUE(member.core.propose(large, member.now));
+    member.sync();
+    member.acknowledge({2, 3});
+    EXPECT_TRUE(member.core.hasCaughtUp(4));
+    ASSERT_TRUE(member.core.propose(large, member.now));
+    member.sync();
+    member.acknowledge({2, 3});
+    EXPECT_FALSE(member.core.hasCaughtUp(4));
+    EXPECT_EQ(propose(member, {membership_change_kind::PromoteLearner, 4, {}, 0}),
+              consensus_error::NotCaughtUp);
+}
+
 // Guards against a removal after which nothing can be committed.
 TEST(Membership, RemovalNeedsAnAnsweringMajority)
 {
--- a/Tests/Consensus/test_raft_core.cpp
+++ b/Tests/Consensus/test_raft_core.cpp
@@ -212,6 +212,50 @@
     EXPECT_EQ(member.core.propose(command, member.now).error(), consensus_error::Overloaded);
 }
 
+// Guards against a new member that gets every large entry since the first start in place of a
+// snapshot that holds the last one, and against a log that outgrows memory and disk.
+TEST(RaftCore, KeepsFewBytesBehindASnapshot)
+{
+    single_member member(voters({1, 2, 3}));
+    member.elect({2});
+    member.acknowledge({2, 3});
+    const std::vector<std::byte> large(std::size_t{400} * 1024);
+    for (int entry = 0; entry < 40; ++entry) {
+        ASSERT_TRUE(member.core.propose(large, member.now));
+        member.sync();
+        member.acknowledge({2, 3});
+    }
+    const auto applied = member.core.status().applied;
+    EXPECT_GT(member.core.compactionIndex(applied), applied - 15);
+    snapshot saved{{member.core.termAt(applied), applied}, member.core.members(),
+                   std::make_shared<const std::vector<std::byte>>()};
+    member.core.snapshotSaved(std::move(saved));
+    EXPECT_LE(member.core.status().logBytes, options(1).trailingBytes);
+    EXPECT_GT(member.core.status().logBytes, options(1).trailingBytes / 2);
+}
+
+// Guards against more bytes on their way to one member than the send queue of its connection takes:
+// what the queue drops is sent again, and the member falls behind.
+TEST(RaftCore, BoundsTheBytesInFlight)
+{
+    single_member member(voters({1, 2, 3}));
+    member.elect({2});
+    member.acknowledge({2, 3});
+    const std::vector<std::byte> large(std::size_t{400} * 1024);
+    std::size_t bytes = 0;
+    for (int entry = 0; entry < 16; ++entry) {
+        ASSERT_TRUE(member.core.propose(large, member.now));
+        for (const auto &message : member.sync()) {
+            const auto *request = std::get_if<append_request>(&message.body);
+            if (request == nullptr || message.to != 2)
+                continue;
+            for (const auto &each : request->entries)
+                bytes += each.payload.size();
+        }
+    }
+    EXPECT_LE(bytes, options(1).maximumInFlightBytes + large.size());
+}
+
 // Guards against acknowledged entries that a late snapshot removes.
 TEST(RaftCore, LateSnapshotKeepsAcknowledgedEntries)
 {
--- a/Tests/Peer/addressed_fleet.h
+++ b/Tests/Peer/addressed_fleet.h
@@ -24,7 +24,7 @@
 namespace quetzalcleat::peer::test {
 
 /// Hosts that are named by their loopback address, as in a fleet without a list of peers. Control
-/// hosts find each other through seeds. The text of a document is its version.
+/// hosts find each other through seeds. The text of a document begins with its version.
 class addressed_fleet : public testing::Test
 {
 public:
@@ -104,6 +104,14 @@
         controls.erase(ip);
     }
 
+    std::uintmax_t dataBytes(const std::string &ip) const
+    {
+        std::uintmax_t bytes = 0;
+        for (const auto &entry : std::filesystem::directory_iterator(m_folder / ip))
+            bytes += entry.is_regular_file() ? entry.file_size() : 0;
+        return bytes;
+    }
+
     void removeData(const std::string &ip) { std::filesystem::remove_all(m_folder / ip); }
 
     void startEntry(const std::string &ip, configuration_lease_options options = {})
@@ -136,15 +144,17 @@
         return leader();
     }
 
-    /// Sends a version to the leader until the outcome is known, as operators do.
-    write_outcome write(std::uint64_t version)
+    /// Sends a version to the leader until the outcome is known, as operators do. The document ends
+    /// with this many bytes that have no meaning.
+    write_outcome write(std::uint64_t version, std::size_t padding = 0)
     {
         for (;;) {
             const auto at = waitForLeader();
             if (at.empty())
                 return write_outcome::Undecided;
             std::optional<write_outcome> outcome;
-            controls.at(at).writer->write(std::to_string(version), version,
+            controls.at(at).writer->write(std::to_string(version) + std::string(padding, ' '),
+                                          version,
                                           [&](write_outcome result) { outcome = result; });
             EXPECT_TRUE(until([&] { return outcome.has_value(); }));
             if (outcome == write_outcome::Accepted || outcome == write_outcome::NotNewer)
