LibState, LibConsensus: Share one bound of documents

Operators' calls may have 32 MiB and an inventory 3 MiB, but a command of the log 896 KiB: a larger document was valid, and refused as undecided (503) for as long as it was sent. Each of several large additions of routes to a deployment adds 400 KB.

Change: a document may have 3 MiB; the bounds of commands, log entries, messages of the log and messages between hosts follow from it and are compared when the program is built. A larger document gets 413.

Test: membership_changes.LargestDocumentIsAccepted.

--- a/Libraries/LibConsensus/raft_core.h
+++ b/Libraries/LibConsensus/raft_core.h
@@ -29,7 +29,7 @@
     /// The lease is shorter than the election timeout by this many parts in a thousand, to allow
     /// for clocks that run at different rates.
     std::uint32_t leaseMarginPermille = 100;
-    std::size_t maximumCommandBytes = std::size_t{900} * 1024;
+    std::size_t maximumCommandBytes = maximumPayloadBytes;
     /// Payload of one append request. An entry that is larger is sent alone.
     std::size_t maximumAppendBytes = std::size_t{256} * 1024;
     std::size_t maximumAppendEntries = 1024;
--- a/Libraries/LibConsensus/raft_message.h
+++ b/Libraries/LibConsensus/raft_message.h
@@ -133,8 +133,11 @@
         body;
 };
 
-/// A message is at most this large, so that it fits into one peer frame of 1 MiB.
-constexpr std::size_t maximumMessageBytes = 960 * 1024;
+/// Largest payload of a log entry.
+constexpr std::size_t maximumPayloadBytes = std::size_t{3} * 1024 * 1024 + std::size_t{32} * 1024;
+
+/// Largest encoded message: one entry with the largest payload, or many that are smaller.
+constexpr std::size_t maximumMessageBytes = maximumPayloadBytes + std::size_t{64} * 1024;
 
 /// The wire form of a message: a version byte and fixed-width little-endian fields.
 std::vector<std::byte> encodeMessage(const raft_message &message);
--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -10,6 +10,7 @@
 #include "LibPeer/control_service.h"
 #include "LibPeer/endpoint_catalogue.h"
 #include "LibPeer/peer_network.h"
+#include "LibState/command.h"
 
 #include <algorithm>
 #include <chrono>
@@ -61,8 +62,8 @@
 
     /// Transfers leadership, so that a planned stop does not cost an election timeout, and leaves
     /// the membership if others take the place of this host. This is repeated until the stop:
-    /// another host may be transferring its leadership to this one. The host stops after the longest
-    /// time in any case.
+    /// another host may be transferring its leadership to this one. The host stops after the
+    /// longest time in any case.
     void beginStop(std::chrono::milliseconds longest)
     {
         m_stopAt = std::chrono::steady_clock::now() + longest;
@@ -300,6 +301,12 @@
 
     void write(const std::string &target, std::string body, responder respond)
     {
+        if (body.size() > state::maximumDocumentBytes) {
+            m_log.write("configuration_write",
+                        {{"outcome", "too_large"}, {"body_bytes", std::to_string(body.size())}});
+            respond({413, "application/json", {}, "{\"error\":\"document is too large\"}\n"});
+            return;
+        }
         // Only the leader parses the document, which takes time in proportion to its size.
         if (!m_service->isConfirmed()) {
             redirect(target, respond, "configuration_write");
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -13,6 +13,7 @@
 #include "LibPeer/endpoint_catalogue.h"
 #include "LibPeer/endpoint_list_transfers.h"
 #include "LibPeer/load_aggregator.h"
+#include "LibPeer/message_codec.h"
 #include "LibPeer/peer_error.h"
 #include "LibPeer/peer_network.h"
 #include "LibPeer/proposal_table.h"
@@ -46,6 +47,11 @@
 
 constexpr auto seedEditId = "seed";
 
+// What one side accepts, each part on the way to the others has to carry.
+static_assert(state::maximumEncodedCommandBytes <= consensus::maximumPayloadBytes);
+static_assert(consensus::maximumPayloadBytes < consensus::maximumBatchBytes);
+static_assert(consensus::maximumMessageBytes < maximumMessageBytes);
+
 const core::logger &log()
 {
     static const core::logger logger("control");
@@ -710,8 +716,7 @@
     changeMembership(now);
     if (m_planner.releases(*m_core, request.memberId, now))
         (void)m_network->send(
-            sender,
-            leave_answer{request.memberId, !m_core->members().isVoter(request.memberId)});
+            sender, leave_answer{request.memberId, !m_core->members().isVoter(request.memberId)});
 }
 
 void control_service::implementation::leave(std::chrono::milliseconds remaining)
--- a/Libraries/LibState/command.h
+++ b/Libraries/LibState/command.h
@@ -113,9 +113,11 @@
 };
 
 constexpr std::uint32_t commandVersion = 1;
-/// Below raft_options::maximumCommandBytes. A document for 1,900 endpoints has about 400 KB.
-constexpr std::size_t maximumEncodedCommandBytes = std::size_t{896} * 1024;
-constexpr std::size_t maximumDocumentBytes = std::size_t{880} * 1024;
+/// The largest document that is accepted. The bounds of everything that carries a document, such as
+/// commands, messages of the log and messages between hosts, follow from this one. A document for
+/// 1,900 endpoints has about 400 KB, as has one for 1,500 routes.
+constexpr std::size_t maximumDocumentBytes = std::size_t{3} * 1024 * 1024;
+constexpr std::size_t maximumEncodedCommandBytes = maximumDocumentBytes + std::size_t{16} * 1024;
 constexpr std::size_t maximumAnswerBytes = std::size_t{512} * 1024;
 constexpr std::size_t maximumNameBytes = 255;
 constexpr std::size_t maximumKeyBytes = 512;
--- a/Tests/Peer/test_membership_changes.cpp
+++ b/Tests/Peer/test_membership_changes.cpp
@@ -1,3 +1,4 @@
+#include "LibState/command.h"
 #include "addressed_fleet.h"
 
 namespace quetzalcleat::peer::test {
@@ -110,4 +111,24 @@
     EXPECT_EQ(newestVersion(), changes);
 }
 
+/// Guards against a document that operators may send and the log cannot carry: it was refused as
+/// undecided for as long as it was sent.
+TEST_F(membership_changes, LargestDocumentIsAccepted)
+{
+    EXPECT_EQ(write(1), write_outcome::Accepted);
+    const auto at = waitForLeader();
+    constexpr std::size_t padding = state::maximumDocumentBytes - 1;
+    std::optional<write_outcome> outcome;
+    controls.at(at).writer->write("2" + std::string(padding, ' '), 2,
+                                  [&](write_outcome result) { outcome = result; });
+    ASSERT_TRUE(until([&] { return outcome.has_value(); }));
+    EXPECT_EQ(*outcome, write_outcome::Accepted);
+    const auto emptied = follower();
+    stopControl(emptied);
+    removeData(emptied);
+    startControl(emptied, false);
+    EXPECT_TRUE(until([&] { return controls.at(emptied).feed->revision() != 0; }));
+    EXPECT_EQ(newestVersion(), 2U);
+}
+
 } // namespace quetzalcleat::peer::test
