--- a/Libraries/LibConsensus/membership.h
+++ b/Libraries/LibConsensus/membership.h
@@ -48,8 +48,8 @@
     PromoteLearner, ///< Refused until the learner has caught up. Ends a pending replacement.
     RemoveMember,
     /// Removes the voter `replaced` and, once that is committed, promotes the caught-up learner
-    /// `id`. Two steps, because swapping two members at once could give disjoint majorities. Between
-    /// them, `replaced` may also be the pending learner: `id` then takes its place.
+    /// `id`. Two steps, because swapping two members at once could give disjoint majorities.
+    /// Between them, `replaced` may also be the pending learner: `id` then takes its place.
     ReplaceVoter,
 };
 
--- a/Libraries/LibConsensus/membership_planner.cpp
+++ b/Libraries/LibConsensus/membership_planner.cpp
@@ -137,8 +137,8 @@
                                                                core::instant now) const
 {
     const auto heard = m_lastHeard.find(id);
-    const auto last = heard == m_lastHeard.end() ? m_listeningSince
-                                                 : std::max(heard->second, m_listeningSince);
+    const auto last
+        = heard == m_lastHeard.end() ? m_listeningSince : std::max(heard->second, m_listeningSince);
     return now - last;
 }
 
@@ -246,10 +246,9 @@
         if (!isCandidate(core, learner))
             continue;
         // Adding a voter without removing the earlier id would only raise the majority.
-        const bool replacesItself
-            = std::ranges::any_of(members.members, [&](const member &each) {
-                  return each.role == member_role::Voter && each.name == learner.name;
-              });
+        const bool replacesItself = std::ranges::any_of(members.members, [&](const member &each) {
+            return each.role == member_role::Voter && each.name == learner.name;
+        });
         if (!replacesItself && (hasFreeSeat || isSettled(learner.id, now)))
             changes.push_back({kind::PromoteLearner, learner.id, {}, 0});
     }
--- a/Libraries/LibConsensus/membership_planner.h
+++ b/Libraries/LibConsensus/membership_planner.h
@@ -56,8 +56,8 @@
     /// Whether the member asked to leave recently, so that it should not lead.
     bool isLeaving(member_id id) const { return m_leaving.contains(id); }
 
-    /// Whether a member that asked to leave may stop: it is no voter any more, or there is nobody to
-    /// take its place, so that waiting would not help. Then it counts as gone.
+    /// Whether a member that asked to leave may stop: it is no voter any more, or there is nobody
+    /// to take its place, so that waiting would not help. Then it counts as gone.
     bool releases(const raft_core &core, member_id id, core::instant now);
 
 private:
--- a/Libraries/LibPeer/control_service.h
+++ b/Libraries/LibPeer/control_service.h
@@ -85,8 +85,8 @@
 
     /// Begins a planned stop, after which the host may never start again: transfers leadership and
     /// asks the leader to take this host out of the membership, in favour of a host that is joining
-    /// if there is one. To be repeated until the stop, which follows in any case after the remaining
-    /// time.
+    /// if there is one. To be repeated until the stop, which follows in any case after the
+    /// remaining time.
     void leave(std::chrono::milliseconds remaining);
 
     /// Whether the leader has answered that this host may stop.
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -382,10 +382,10 @@
     }
 };
 
-using message = std::variant<hello, challenge, challenge_response, heartbeat, fragment,
-                             raft_payload, propose, propose_result, subscribe, configuration_update,
-                             gossip, status_request, status_report, join, share_request,
-                             share_grant, configuration_lease_request, configuration_lease_answer,
-                             leave, leave_answer>;
+using message
+    = std::variant<hello, challenge, challenge_response, heartbeat, fragment, raft_payload, propose,
+                   propose_result, subscribe, configuration_update, gossip, status_request,
+                   status_report, join, share_request, share_grant, configuration_lease_request,
+                   configuration_lease_answer, leave, leave_answer>;
 
 } // namespace quetzalcleat::peer
--- a/Tests/Consensus/test_raft_core.cpp
+++ b/Tests/Consensus/test_raft_core.cpp
@@ -227,7 +227,8 @@
     }
     const auto applied = member.core.status().applied;
     EXPECT_GT(member.core.compactionIndex(applied), applied - 15);
-    snapshot saved{{member.core.termAt(applied), applied}, member.core.members(),
+    snapshot saved{{member.core.termAt(applied), applied},
+                   member.core.members(),
                    std::make_shared<const std::vector<std::byte>>()};
     member.core.snapshotSaved(std::move(saved));
     EXPECT_LE(member.core.status().logBytes, options(1).trailingBytes);
--- a/Tests/Fleet/test_planned_stop.cpp
+++ b/Tests/Fleet/test_planned_stop.cpp
@@ -29,7 +29,10 @@
         return pending.status > 0 || pending.status == -1;
     }
 
-    void beginStop(const std::string &ip) { m_hosts.at(ip).node->beginStop(std::chrono::seconds(4)); }
+    void beginStop(const std::string &ip)
+    {
+        m_hosts.at(ip).node->beginStop(std::chrono::seconds(4));
+    }
 };
 
 /// Guards against an operator whose connection is closed before the outcome of the write is told.
--- a/Tests/Peer/addressed_fleet.h
+++ b/Tests/Peer/addressed_fleet.h
@@ -154,8 +154,7 @@
                 return write_outcome::Undecided;
             std::optional<write_outcome> outcome;
             controls.at(at).writer->write(std::to_string(version) + std::string(padding, ' '),
-                                          version,
-                                          [&](write_outcome result) { outcome = result; });
+                                          version, [&](write_outcome result) { outcome = result; });
             EXPECT_TRUE(until([&] { return outcome.has_value(); }));
             if (outcome == write_outcome::Accepted || outcome == write_outcome::NotNewer)
                 return *outcome;
--- a/Utilities/explore-schedules/main.cpp
+++ b/Utilities/explore-schedules/main.cpp
@@ -73,10 +73,9 @@
               << ", planned replacements " << sums.plannedReplacements << ", unplanned "
               << sums.unplannedReplacements << ", replaced successors " << sums.replacedSuccessors
               << ", kills " << sums.restarts << ", planned stops " << sums.plannedStops
-              << ", freezes " << sums.freezes << ", installed snapshots "
-              << sums.installedSnapshots << ", long logs " << sums.largeLogs
-              << ", longest time without a leader " << sums.longestWithoutLeader.count()
-              << " ms\n";
+              << ", freezes " << sums.freezes << ", installed snapshots " << sums.installedSnapshots
+              << ", long logs " << sums.largeLogs << ", longest time without a leader "
+              << sums.longestWithoutLeader.count() << " ms\n";
 }
 
 template <typename Schedule, typename Statistics>
--- a/Utilities/explore-schedules/membership_schedule.cpp
+++ b/Utilities/explore-schedules/membership_schedule.cpp
@@ -204,8 +204,8 @@
 void membership_schedule::start(host &each)
 {
     const auto &folder = each.folder;
-    consensus::restored_state restored{folder.hardState, folder.latestSnapshot,
-                                       {folder.entries.begin(), folder.entries.end()}};
+    consensus::restored_state restored{
+        folder.hardState, folder.latestSnapshot, {folder.entries.begin(), folder.entries.end()}};
     each.applied = folder.latestSnapshot ? folder.latestSnapshot->last.index : 0;
     each.core.emplace(options(each.id), std::move(restored), m_random.number(), m_now);
     each.planner.emplace(plannerOptions());
@@ -232,9 +232,8 @@
     }
     while (listed.size() > seedCount)
         listed.erase(listed.begin() + static_cast<std::ptrdiff_t>(m_random.below(listed.size())));
-    const auto running = [&](const std::string &name) {
-        return name != own && isEligible(find(name));
-    };
+    const auto running
+        = [&](const std::string &name) { return name != own && isEligible(find(name)); };
     for (const auto &each : m_hosts) {
         if (static_cast<std::size_t>(std::ranges::count_if(listed, running)) >= m_tolerableLosses)
             break;
@@ -317,7 +316,8 @@
         if (!each.core->proposeMembership(change, m_now))
             continue;
         note(each.name + " proposes change " + std::to_string(static_cast<int>(change.kind))
-             + " of " + std::to_string(change.id) + ", replaces " + std::to_string(change.replaced));
+             + " of " + std::to_string(change.id) + ", replaces "
+             + std::to_string(change.replaced));
         return;
     }
 }
@@ -352,8 +352,7 @@
         member_id best = 0;
         consensus::log_index bestMatch = 0;
         for (const auto &[id, match] : core.status().matches) {
-            if (core.members().isVoter(id) && match >= bestMatch
-                && !each.planner->isLeaving(id)) {
+            if (core.members().isVoter(id) && match >= bestMatch && !each.planner->isLeaving(id)) {
                 best = id;
                 bestMatch = match;
             }
@@ -450,8 +449,7 @@
     saved.members = each.core->membershipAt(each.applied);
     saved.content = std::make_shared<const std::vector<std::byte>>(each.document);
     const auto compaction = each.core->compactionIndex(each.applied);
-    while (!each.folder.entries.empty()
-           && each.folder.entries.front().position.index <= compaction)
+    while (!each.folder.entries.empty() && each.folder.entries.front().position.index <= compaction)
         each.folder.entries.pop_front();
     each.folder.latestSnapshot = saved;
     each.core->snapshotSaved(std::move(saved));
@@ -461,16 +459,14 @@
 
 void membership_schedule::send(const std::string &from, const std::string &to, content body)
 {
-    const auto found
-        = std::ranges::find(m_hosts, to, [](const auto &each) { return each->name; });
+    const auto found = std::ranges::find(m_hosts, to, [](const auto &each) { return each->name; });
     if (found == m_hosts.end() || !(*found)->core)
         return;
     const auto *raft = std::get_if<consensus::raft_message>(&body);
     const auto bytes = raft == nullptr ? std::size_t{64} : bytesOf(*raft);
     auto &isFree = m_linkFree[{from, to}];
     isFree = std::max(isFree, m_now) + milliseconds(bytes / linkBytesPerMillisecond);
-    m_inFlight.push_back(
-        {isFree + m_linkDelay, from, to, (*found)->starts, std::move(body)});
+    m_inFlight.push_back({isFree + m_linkDelay, from, to, (*found)->starts, std::move(body)});
 }
 
 void membership_schedule::sendAll(const host &from,
@@ -769,7 +765,8 @@
                 .count()
          << " ms\n";
     for (const auto &each : m_hosts) {
-        text << each->name << " member " << each->id << (lossOf(each->name) != nullptr ? " lost" : "");
+        text << each->name << " member " << each->id
+             << (lossOf(each->name) != nullptr ? " lost" : "");
         if (!each->core) {
             text << " down\n";
             continue;
--- a/Utilities/explore-schedules/membership_schedule.h
+++ b/Utilities/explore-schedules/membership_schedule.h
@@ -39,8 +39,8 @@
     void add(const membership_statistics &other);
 };
 
-/// Runs one random schedule of lost disks, replacements, stops and freezes of the hosts of a control
-/// group, and never loses more hosts at a time than the group has to bear.
+/// Runs one random schedule of lost disks, replacements, stops and freezes of the hosts of a
+/// control group, and never loses more hosts at a time than the group has to bear.
 ///
 /// A host is lost while it is down or frozen and for syncTime after it is back or, if it is new,
 /// after its start. One that is replaced counts together with its successor. The guarantee that is
@@ -86,7 +86,8 @@
         bool isRemoved = false;
     };
 
-    using content = std::variant<consensus::raft_message, join_request, leave_request, leave_answer>;
+    using content
+        = std::variant<consensus::raft_message, join_request, leave_request, leave_answer>;
 
     struct message_in_flight
     {
