--- a/Tests/Consensus/test_membership_planner.cpp
+++ b/Tests/Consensus/test_membership_planner.cpp
@@ -14,10 +14,10 @@
 namespace {
 
 /// Member 1 leads three voters; the others answer as the test says.
-class MembershipPlanner : public testing::Test
+class membership_planner_test : public testing::Test
 {
 public:
-    MembershipPlanner() : member(voters({1, 2, 3})), planner(plannerOptions())
+    membership_planner_test() : member(voters({1, 2, 3})), planner(plannerOptions())
     {
         member.elect({2});
         answer({2, 3});
@@ -73,7 +73,7 @@
 
 // Guards against a group that stays without a voter, and loses its majority with the next disk,
 // because a host lost its disk again between the two steps of its replacement.
-TEST_F(MembershipPlanner, EmptiedHostIsReplacedAgainBeforeItIsAVoter)
+TEST_F(membership_planner_test, EmptiedHostIsReplacedAgainBeforeItIsAVoter)
 {
     planner.joinRequested("3", 4, member.now);
     for (int round = 0; round < 20 && member.core.members().replacement != 4; ++round) {
@@ -94,7 +94,7 @@
 }
 
 // Guards against a replacement that blocks all others because its host never comes back.
-TEST_F(MembershipPlanner, AnotherHostTakesTheFreeSeat)
+TEST_F(membership_planner_test, AnotherHostTakesTheFreeSeat)
 {
     planner.joinRequested("3", 4, member.now);
     for (int round = 0; round < 20 && member.core.members().replacement != 4; ++round)
@@ -108,7 +108,7 @@
 
 // Guards against a voter that left as planned and counts on, so that the next lost disk takes the
 // majority: it stops only when it is no voter any more, and its successor takes its place first.
-TEST_F(MembershipPlanner, VoterThatLeavesIsRemovedBeforeItStops)
+TEST_F(membership_planner_test, VoterThatLeavesIsRemovedBeforeItStops)
 {
     planner.joinRequested("4", 4, member.now);
     run(milliseconds(300), {2, 3, 4});
@@ -122,7 +122,7 @@
 }
 
 // Guards against a planned restart that waits for a successor that does not exist.
-TEST_F(MembershipPlanner, VoterWithoutASuccessorMayStopAtOnce)
+TEST_F(membership_planner_test, VoterWithoutASuccessorMayStopAtOnce)
 {
     planner.leaveRequested(3, milliseconds(4000), member.now);
     EXPECT_TRUE(planner.releases(member.core, 3, member.now));
@@ -132,7 +132,7 @@
 
 // Guards against a fourth voter that is gone without notice and still counts when the next disk is
 // lost: the leader has to remove it before it steps down for lack of a majority.
-TEST_F(MembershipPlanner, SilentVoterBeyondTheWantedNumberIsRemovedInTime)
+TEST_F(membership_planner_test, SilentVoterBeyondTheWantedNumberIsRemovedInTime)
 {
     planner.joinRequested("4", 4, member.now);
     run(milliseconds(2500), {2, 3, 4});
@@ -146,7 +146,7 @@
 
 // Guards against a leader that was paused, has not read its messages yet and takes the others for
 // gone.
-TEST_F(MembershipPlanner, PausedLeaderReplacesNobody)
+TEST_F(membership_planner_test, PausedLeaderReplacesNobody)
 {
     planner.joinRequested("4", 4, member.now);
     run(milliseconds(300), {2, 3, 4});
@@ -157,7 +157,7 @@
 
 // Guards against learners of hosts that are gone, which would fill the bound of the members until
 // no host could join.
-TEST_F(MembershipPlanner, LostLearnersAreRemoved)
+TEST_F(membership_planner_test, LostLearnersAreRemoved)
 {
     for (member_id id = 10; id < 10 + 2 * maximumMembers; ++id) {
         planner.joinRequested("new-" + std::to_string(id), id, member.now);
@@ -170,7 +170,7 @@
 }
 
 // Guards against the removal of a voter by a late request of an earlier process of its host.
-TEST_F(MembershipPlanner, LateRequestOfAnEarlierIdChangesNoVoter)
+TEST_F(membership_planner_test, LateRequestOfAnEarlierIdChangesNoVoter)
 {
     planner.joinRequested("3", 99, member.now);
     run(milliseconds(1400), {2, 3});
