--- a/Libraries/LibPeer/configuration_distributor.cpp
+++ b/Libraries/LibPeer/configuration_distributor.cpp
@@ -31,13 +31,17 @@
     const auto newest = m_documents.back().revision;
     answer.revision = newest;
     auto &known = m_positions[host];
+    if (revision != known.reported)
+        known.unreportedSince = now;
     known.reported = revision;
-    const bool isInTransit = known.sent == newest && now - known.sentAt < lossTimeout;
-    if (revision >= newest || isInTransit)
+    if (revision >= newest)
         return;
-    fill(answer, revision);
-    known.sent = newest;
-    known.sentAt = now;
+    // What was lost may be a patch that the host cannot read, so the complete document follows.
+    const bool isLost
+        = known.sent > revision && now - known.unreportedSince >= lossTimeoutOf(known);
+    if (!isLost && known.sent == newest && isInTransit(known, now))
+        return;
+    send(answer, known, isLost ? 0 : revision, now);
 }
 
 bool configuration_distributor::push(configuration_lease_answer &answer, const std::string &host,
@@ -52,31 +56,60 @@
         return false;
     // A configuration in transit arrives before this one, as both use the same connection, so the
     // patch can be based on it.
-    const bool isInTransit = known.sent > known.reported && now - known.sentAt < lossTimeout;
-    fill(answer, isInTransit ? known.sent : known.reported);
-    known.sent = newest;
-    known.sentAt = now;
-    return true;
+    return send(answer, known, isInTransit(known, now) ? known.sent : known.reported, now);
 }
 
-void configuration_distributor::retain(const std::vector<std::string> &hosts)
+std::chrono::milliseconds configuration_distributor::lossTimeoutOf(const position &known)
 {
-    std::erase_if(m_positions, [&](const auto &entry) {
-        return std::find(hosts.begin(), hosts.end(), entry.first) == hosts.end();
-    });
+    return std::max(lossTimeout,
+                    std::chrono::milliseconds(2 * known.sentBytes / linkBytesPerMillisecond));
+}
+
+bool configuration_distributor::isInTransit(const position &known, core::instant now)
+{
+    return known.sent > known.reported && now - known.sentAt < lossTimeoutOf(known);
+}
+
+/// Whether the leader can keep one more complete document until it is sent.
+bool configuration_distributor::hasRoom(core::instant now) const
+{
+    std::size_t bytes = m_documents.back().document.size();
+    for (const auto &[host, known] : m_positions)
+        bytes += isInTransit(known, now) ? known.sentBytes : 0;
+    return bytes <= maximumTransitBytes;
 }
 
-void configuration_distributor::fill(configuration_lease_answer &answer, std::uint64_t base)
+/// Base 0 stands for a host whose document is unknown or was lost. False if nothing can be sent
+/// now.
+bool configuration_distributor::send(configuration_lease_answer &answer, position &known,
+                                     std::uint64_t base, core::instant now)
 {
     const auto &newest = m_documents.back();
+    const auto *patch = patchFrom(base);
+    if (patch == nullptr && !hasRoom(now))
+        return false;
     answer.hasDocument = true;
     answer.configuration.revision = newest.revision;
     answer.configuration.editId = newest.editId;
     answer.configuration.author = newest.author;
-    if (const auto *patch = patchFrom(base))
+    if (patch != nullptr)
         answer.patch = *patch;
     else
         answer.configuration.document = newest.document;
+    // Later configurations do not extend the time in which the host has to report the first one.
+    if (base == 0 || known.sent <= known.reported)
+        known.unreportedSince = now;
+    known.sent = newest.revision;
+    known.sentAt = now;
+    known.sentBytes = patch == nullptr ? newest.document.size() : 0;
+    return true;
+}
+
+void configuration_distributor::retain(const std::vector<std::string> &hosts)
+{
+    std::erase_if(m_positions, [&](const auto &entry) {
+        return std::find(hosts.begin(), hosts.end(), entry.first) == hosts.end();
+    });
 }
 
 const document_patch *configuration_distributor::patchFrom(std::uint64_t base)
@@ -92,7 +125,10 @@
         patch.baseRevision = base;
         found = m_patches.emplace(base, std::move(patch)).first;
     }
-    return patchBytes(found->second) < newest.document.size() / 2 ? &found->second : nullptr;
+    const auto &patch = found->second;
+    const bool isSmall
+        = patch.steps.size() <= maximumPatchSteps && patchBytes(patch) < newest.document.size() / 2;
+    return isSmall ? &patch : nullptr;
 }
 
 } // namespace quetzalcleat::peer
--- a/Libraries/LibPeer/configuration_distributor.h
+++ b/Libraries/LibPeer/configuration_distributor.h
@@ -24,10 +24,17 @@
     /// Bounds of the documents that are retained as bases of patches.
     static constexpr std::size_t maximumRetainedDocuments = 16;
     static constexpr std::size_t maximumRetainedBytes = std::size_t{8} * 1024 * 1024;
+    /// A patch with more steps is not sent. Not above the maximumListLength of earlier versions.
+    static constexpr std::size_t maximumPatchSteps = 4096;
     /// A configuration counts as lost if the host has not reported it this long after it was sent.
     /// Longer than the 0.4 s that 500 KB take over a link of 10 Mbit/s, and short enough to send a
-    /// lost configuration again before it has to be in force, after 2.5 s.
+    /// lost configuration again before it has to be in force, after 2.5 s. For a larger one it is
+    /// twice the time that such a link needs.
     static constexpr std::chrono::milliseconds lossTimeout{800};
+    static constexpr std::size_t linkBytesPerMillisecond = 1250;
+    /// Bound of the complete documents in transit, which wait in the memory of the leader. Further
+    /// hosts get theirs with a later request.
+    static constexpr std::size_t maximumTransitBytes = std::size_t{64} * 1024 * 1024;
 
     void publish(const state::configuration &newest);
 
@@ -48,9 +55,16 @@
         std::uint64_t reported = 0; ///< In force at the host, by its last report.
         std::uint64_t sent = 0;
         core::instant sentAt;
+        std::size_t sentBytes = 0; ///< Of its complete document; 0 if it was a patch.
+        /// Of the first one that was sent after the one in `reported`, or of its report.
+        core::instant unreportedSince;
     };
 
-    void fill(configuration_lease_answer &answer, std::uint64_t base);
+    static std::chrono::milliseconds lossTimeoutOf(const position &known);
+    static bool isInTransit(const position &known, core::instant now);
+    bool hasRoom(core::instant now) const;
+    bool send(configuration_lease_answer &answer, position &known, std::uint64_t base,
+              core::instant now);
     const document_patch *patchFrom(std::uint64_t base);
 
     std::deque<state::configuration> m_documents; ///< The newest one last.
--- a/Libraries/LibPeer/connection.cpp
+++ b/Libraries/LibPeer/connection.cpp
@@ -1,5 +1,6 @@
 #include "LibPeer/connection.h"
 
+#include "LibCore/logger.h"
 #include "LibPeer/message_codec.h"
 #include "LibPeer/peer_error.h"
 
@@ -22,6 +23,12 @@
 /// Memory of a queue entry besides its text.
 constexpr std::size_t queueEntryBytes = 64;
 
+const core::logger &log()
+{
+    static const core::logger logger("peer");
+    return logger;
+}
+
 core::instant currentTime()
 {
     return std::chrono::steady_clock::now();
@@ -74,9 +81,13 @@
 {
     if (m_state != connection_state::Open)
         return peer_error::NotConnected;
-    auto body = encodeMessage(content);
-    if (body.size() > maximumMessageBytes)
-        return peer_error::MessageTooLarge;
+    auto encoded = encodeForPeer(content);
+    if (!encoded) {
+        log().error("cannot send a message of type " + std::to_string(content.index()) + " to "
+                    + host() + ": " + encoded.error().message());
+        return encoded.error();
+    }
+    auto &body = encoded.value();
     if (!m_queue.empty() && m_queuedBytes + body.size() > m_options.maximumQueuedBytes)
         return peer_error::SendQueueFull;
     m_lastUsed = currentTime();
--- a/Libraries/LibPeer/document_patch.cpp
+++ b/Libraries/LibPeer/document_patch.cpp
@@ -36,17 +36,20 @@
         const auto piece = nextPiece(to.substr(offset));
         offset += piece.size();
         auto *last = patch.steps.empty() ? nullptr : &patch.steps.back();
-        const auto found = known.find(piece);
-        if (found == known.end()) {
-            if (last == nullptr || last->length != 0)
-                last = &patch.steps.emplace_back();
-            last->text.append(piece);
-        } else if (last != nullptr && last->length != 0
-                   && last->offset + last->length == found->second) {
+        // Many entries may share a piece; the one that follows what was copied last needs no step.
+        if (last != nullptr && last->length != 0
+            && from.substr(last->offset + last->length, piece.size()) == piece) {
             last->length += piece.size();
-        } else {
+            continue;
+        }
+        const auto found = known.find(piece);
+        if (found != known.end()) {
             patch.steps.push_back({found->second, piece.size(), {}});
+            continue;
         }
+        if (last == nullptr || last->length != 0)
+            last = &patch.steps.emplace_back();
+        last->text.append(piece);
     }
     return patch;
 }
--- a/Libraries/LibPeer/message_codec.cpp
+++ b/Libraries/LibPeer/message_codec.cpp
@@ -44,6 +44,9 @@
         std::apply([&](auto... member) { (write(value.*member), ...); }, detail::fields<Structure>);
     }
 
+    /// Of the lists written so far.
+    std::size_t longestList() const { return m_longestList; }
+
 private:
     void write(bool value)
     {
@@ -72,6 +75,7 @@
     template <typename Element>
     void write(const std::vector<Element> &elements)
     {
+        m_longestList = std::max(m_longestList, elements.size());
         m_packer.pack_array(static_cast<std::uint32_t>(elements.size()));
         for (const auto &element : elements)
             write(element);
@@ -85,8 +89,30 @@
     }
 
     string_packer &m_packer;
+    std::size_t m_longestList = 0;
+};
+
+struct encoded_message
+{
+    std::string bytes;
+    std::size_t longestList = 0;
 };
 
+encoded_message encode(const message &content)
+{
+    string_buffer buffer;
+    string_packer packer(buffer);
+    field_writer writer(packer);
+    std::visit(
+        [&]<typename Message>(const Message &alternative) {
+            packer.pack_array(1 + detail::fieldCount<Message>);
+            packer.pack_uint64(content.index());
+            writer.fields(alternative);
+        },
+        content);
+    return {buffer.take(), writer.longestList()};
+}
+
 /// Reads the elements of one array in turn. After a mismatch it reads nothing more.
 class field_reader
 {
@@ -226,23 +252,25 @@
 
 std::string encodeMessage(const message &content)
 {
-    string_buffer buffer;
-    string_packer packer(buffer);
-    std::visit(
-        [&]<typename Message>(const Message &alternative) {
-            packer.pack_array(1 + detail::fieldCount<Message>);
-            packer.pack_uint64(content.index());
-            field_writer(packer).fields(alternative);
-        },
-        content);
-    return buffer.take();
+    return encode(content).bytes;
+}
+
+core::result<std::string> encodeForPeer(const message &content)
+{
+    auto encoded = encode(content);
+    if (encoded.longestList > maximumListLength)
+        return peer_error::ListTooLong;
+    if (encoded.bytes.size() > maximumMessageBytes)
+        return peer_error::MessageTooLarge;
+    return std::move(encoded.bytes);
 }
 
 core::result<message> decodeMessage(std::string_view bytes)
 {
     if (bytes.size() > maximumMessageBytes)
         return peer_error::MessageTooLarge;
-    const msgpack::unpack_limit limits(maximumListLength, 0, 0, bytes.size(), 0, maximumDepth);
+    const msgpack::unpack_limit limits(std::min(bytes.size(), maximumListLength), 0, 0,
+                                       bytes.size(), 0, maximumDepth);
     // The parser reports malformed input by exceptions only.
     try {
         std::size_t offset = 0;
--- a/Libraries/LibPeer/peer_error.cpp
+++ b/Libraries/LibPeer/peer_error.cpp
@@ -30,6 +30,8 @@
             return "message is not allowed in this state of the connection";
         case peer_error::MessageTooLarge:
             return "message is larger than allowed";
+        case peer_error::ListTooLong:
+            return "a list in the message is longer than allowed";
         case peer_error::AuthenticationFailed:
             return "peer does not know a valid key";
         case peer_error::FrameNotAuthentic:
--- a/Libraries/LibPeer/peer_error.h
+++ b/Libraries/LibPeer/peer_error.h
@@ -15,6 +15,7 @@
     UnknownMessage,
     UnexpectedMessage,
     MessageTooLarge,
+    ListTooLong,
     AuthenticationFailed,
     FrameNotAuthentic, ///< Altered, replayed, or out of order.
     WrongCluster,
--- a/Tests/Peer/test_configuration_distributor.cpp
+++ b/Tests/Peer/test_configuration_distributor.cpp
@@ -1,5 +1,6 @@
 #include "LibPeer/configuration_distributor.h"
 #include "LibPeer/document_patch.h"
+#include "LibPeer/message_codec.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -84,6 +85,109 @@
     EXPECT_LT(patchBytes(makePatch(from, documentOf(11, 1351))), 1000U);
 }
 
+/// Guards against a patch with a step for each route where most routes are split between the same
+/// services: a piece that many routes share was copied from its first occurrence, and no entry host
+/// could decode the steps.
+TEST(document_patch, SplitRoutesThatShareTheirPartsNeedFewSteps)
+{
+    const auto documentOfSplits = [](int routes, const std::string &service) {
+        std::string text = "{\"routes\":[{\"name\":\"first\",\"service\":\"" + service + "\"}";
+        for (int route = 0; route < routes; ++route) {
+            const auto weight = std::to_string(10 * (route % 9 + 1));
+            text += ",{\"name\":\"r" + std::to_string(route)
+                + "\",\"split\":[{\"service\":\"a\",\"weight\":" + weight
+                + "},{\"service\":\"b\",\"weight\":10}],\"attempts\":2}";
+        }
+        return text + "]}";
+    };
+    const auto from = documentOfSplits(1508, "a");
+    const auto to = documentOfSplits(1508, "b");
+    const auto patch = makePatch(from, to);
+    EXPECT_LT(patch.steps.size(), 5U);
+    EXPECT_EQ(applyPatch(from, patch), to);
+}
+
+/// Guards against a patch that no host can decode, because it has more steps than a list may have.
+TEST(configuration_distributor, PatchWithManyStepsIsSentAsTheDocument)
+{
+    constexpr int pieces = 10'000;
+    const std::string padding(100, 'x');
+    std::string from;
+    std::string to;
+    for (int piece = 0; piece < pieces; ++piece) {
+        from += std::to_string(piece) + padding + '}';
+        to += std::to_string(pieces - 1 - piece) + padding + '}';
+    }
+    configuration_distributor leader;
+    leader.publish({1, from, "e", "h"});
+    leader.publish({2, to, "e", "h"});
+    configuration_lease_answer answer;
+    leader.answer(answer, "host", 1, start);
+    EXPECT_GT(makePatch(from, to).steps.size(), configuration_distributor::maximumPatchSteps);
+    EXPECT_TRUE(answer.patch.steps.empty());
+    EXPECT_EQ(answer.configuration.document, to);
+    EXPECT_TRUE(decodeMessage(encodeMessage(answer)));
+}
+
+/// Guards against a host that is held at an old version because it cannot read a patch, also while
+/// changes follow each other sooner than one counts as lost.
+TEST(configuration_distributor, HostThatReadsNoPatchGetsTheDocument)
+{
+    for (const auto gap : {milliseconds(333), milliseconds(5000)}) {
+        configuration_distributor leader;
+        std::uint64_t revision = 1;
+        std::uint64_t inForce = 1;
+        leader.publish(configurationOf(revision, 1350));
+        auto behindSince = start;
+        const auto receive = [&](const configuration_lease_answer &answer) {
+            if (answer.hasDocument && answer.patch.baseRevision == 0)
+                inForce = answer.configuration.revision;
+        };
+        for (auto now = start; now < start + milliseconds(10'000); now += milliseconds(1)) {
+            const auto elapsed = (now - start) / milliseconds(1);
+            if (elapsed % gap.count() == 0) {
+                leader.publish(configurationOf(++revision, 1350));
+                configuration_lease_answer push;
+                if (leader.push(push, "host", now))
+                    receive(push);
+            }
+            const auto before = inForce;
+            if (elapsed % 250 == 0) {
+                configuration_lease_answer answer;
+                leader.answer(answer, "host", inForce, now);
+                receive(answer);
+            }
+            if (inForce != before || inForce == revision)
+                behindSince = now;
+            ASSERT_LT(now - behindSince, milliseconds(2500));
+        }
+    }
+}
+
+/// Guards against a leader that runs out of memory when all hosts need a very large document at
+/// once, and against a host that never gets it.
+TEST(configuration_distributor, BoundsTheDocumentsInTransit)
+{
+    configuration_distributor leader;
+    const std::string document(std::size_t{2} * 1024 * 1024, 'x');
+    leader.publish({1, document, "e", "h"});
+    const auto request = [&](int host, core::instant now) {
+        configuration_lease_answer answer;
+        leader.answer(answer, "host-" + std::to_string(host), 0, now);
+        return answer.hasDocument;
+    };
+    std::size_t sent = 0;
+    for (int host = 0; host < 100; ++host)
+        sent += request(host, start) ? 1 : 0;
+    EXPECT_EQ(sent, configuration_distributor::maximumTransitBytes / document.size());
+    for (int host = 0; host < 100; ++host) {
+        configuration_lease_answer answer;
+        if (host < static_cast<int>(sent))
+            leader.answer(answer, "host-" + std::to_string(host), 1, start + milliseconds(500));
+    }
+    EXPECT_TRUE(request(99, start + milliseconds(600)));
+}
+
 /// Load pattern: a large configuration that changes several times a second, over links with delay.
 /// Guards against complete documents that are queued again with each request of a host, until the
 /// leader runs out of memory (seen with fleetbench on spennuvir-quetzal-grown, fresh-f275).
--- a/Tests/Peer/test_frames.cpp
+++ b/Tests/Peer/test_frames.cpp
@@ -188,6 +188,24 @@
     EXPECT_EQ(peer::decodeMessage(nested).error(), peer::peer_error::MalformedBody);
 }
 
+// Guards against a message that is sent again and again although no receiver can decode it: what
+// the sender encodes is decoded, and what is too long is refused at the sender.
+TEST(MessageCodec, SenderRefusesWhatTheReceiverWould)
+{
+    peer::configuration_lease_answer answer;
+    answer.patch.steps.resize(peer::maximumListLength);
+    const auto longest = peer::encodeForPeer(answer);
+    ASSERT_TRUE(longest) << longest.error().message();
+    const auto decoded = peer::decodeMessage(longest.value());
+    ASSERT_TRUE(decoded) << decoded.error().message();
+    EXPECT_EQ(std::get<peer::configuration_lease_answer>(decoded.value()).patch.steps.size(),
+              peer::maximumListLength);
+    answer.patch.steps.emplace_back();
+    EXPECT_EQ(peer::encodeForPeer(answer).error(), peer::peer_error::ListTooLong);
+    const peer::raft_payload large{std::string(peer::maximumMessageBytes, 'x')};
+    EXPECT_EQ(peer::encodeForPeer(large).error(), peer::peer_error::MessageTooLarge);
+}
+
 // Guards against an allocation of the announced size before the limit is checked.
 TEST(Frame, RefusesLengthsOutsideTheLimit)
 {
