LibForward: Choose the low-latency class by start and pauses

The class for the low-latency engines was chosen by the latency objective alone. Where two classes share it, long prompts run beside streams whose event gap objective they exceed. The class is now the one that tolerates a stall the least: the smaller of its latency objective and twice its gap objective. Deployments whose tightest latency objective belongs to the tightest gap are unchanged.

--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -267,8 +267,8 @@
     request.target = m_service;
     request.size = m_service->engine && m_hasPromptSize ? &m_size : nullptr;
     if (request.size != nullptr && isStream())
-        request.pool = m_routes->hasTightestObjective(*m_route) ? engine_pool::LowLatency
-                                                                : engine_pool::LongPrompt;
+        request.pool = m_routes->isLeastTolerant(*m_route) ? engine_pool::LowLatency
+                                                           : engine_pool::LongPrompt;
     request.affinity = m_service->engine ? m_affinity : 0;
     request.objective = m_route->latencyObjective;
     request.excluded = m_excluded;
--- a/Libraries/LibForward/route_table.cpp
+++ b/Libraries/LibForward/route_table.cpp
@@ -17,6 +17,15 @@
 
 } // namespace
 
+std::chrono::milliseconds stallTolerance(const route &entry)
+{
+    constexpr int gapWeight = 2;
+    const auto gap = entry.eventGapObjective * gapWeight;
+    if (entry.latencyObjective.count() == 0 || gap.count() == 0)
+        return std::max(entry.latencyObjective, std::chrono::milliseconds(gap));
+    return std::min(entry.latencyObjective, std::chrono::milliseconds(gap));
+}
+
 core::result<std::shared_ptr<const route_table>> route_table::create(configuration content)
 {
     std::shared_ptr<route_table> table(new route_table(std::move(content)));
@@ -44,12 +53,13 @@
         if (weight == 0)
             return forward_error::NoWeight;
         for (const auto &target : entry.services) {
-            if (entry.kind != request_kind::Stream || entry.latencyObjective.count() == 0)
+            const auto tolerance = stallTolerance(entry);
+            if (entry.kind != request_kind::Stream || tolerance.count() == 0)
                 continue;
-            auto &range = m_objectives[target.service];
-            range.loosest = std::max(range.loosest, entry.latencyObjective);
-            if (range.tightest.count() == 0 || entry.latencyObjective < range.tightest)
-                range.tightest = entry.latencyObjective;
+            auto &range = m_tolerances[target.service];
+            range.largest = std::max(range.largest, tolerance);
+            if (range.smallest.count() == 0 || tolerance < range.smallest)
+                range.smallest = tolerance;
         }
         if (!m_routes.emplace(routeKey(entry.host, entry.pathPrefix), &entry).second)
             return forward_error::DuplicateRoute;
@@ -78,15 +88,14 @@
     return nullptr;
 }
 
-bool route_table::hasTightestObjective(const route &entry) const
+bool route_table::isLeastTolerant(const route &entry) const
 {
-    for (const auto &target : entry.services) {
-        const auto range = m_objectives.find(target.service);
-        if (range != m_objectives.end() && range->second.tightest < range->second.loosest
-            && entry.latencyObjective == range->second.tightest)
-            return true;
-    }
-    return false;
+    const auto tolerance = stallTolerance(entry);
+    return std::any_of(entry.services.begin(), entry.services.end(), [&](const auto &target) {
+        const auto range = m_tolerances.find(target.service);
+        return range != m_tolerances.end() && range->second.smallest < range->second.largest
+            && tolerance == range->second.smallest;
+    });
 }
 
 const client_account *route_table::findAccount(std::string_view key) const
--- a/Libraries/LibForward/route_table.h
+++ b/Libraries/LibForward/route_table.h
@@ -4,6 +4,7 @@
 #include "LibForward/configuration.h"
 #include "LibForward/forward_error.h"
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -11,6 +12,12 @@
 
 namespace quetzalcleat::forward {
 
+/// How long a prefill in the same batch may delay a stream of this route before the stream is late:
+/// its start by the latency objective, its events by the event gap objective. Callers abandon a
+/// stream after four latency objectives or eight gap objectives, so a gap counts twice. 0 for a
+/// route without objectives.
+std::chrono::milliseconds stallTolerance(const route &entry);
+
 /// A validated configuration with indexes for look-ups by host, path and key.
 class route_table
 {
@@ -26,9 +33,9 @@
 
     const service *findService(std::string_view name) const;
 
-    /// Whether the route has the tightest latency objective among the streams of one of its
-    /// services. False where all streams have the same objective.
-    bool hasTightestObjective(const route &entry) const;
+    /// Whether the streams of the route are the least tolerant of prefills in the same batch among
+    /// those of one of its services; see stallTolerance(). False where all streams are alike.
+    bool isLeastTolerant(const route &entry) const;
 
     const configuration &content() const { return m_content; }
 
@@ -41,13 +48,13 @@
     std::unordered_map<std::string, const route *> m_routes;
     std::unordered_map<std::string, const client_account *> m_accounts;
     std::unordered_map<std::string, const service *> m_services;
-    /// Tightest and loosest latency objective of the streams of each engine service.
-    struct objective_range
+    /// Smallest and largest tolerance among the streams of each engine service.
+    struct tolerance_range
     {
-        std::chrono::milliseconds tightest{0};
-        std::chrono::milliseconds loosest{0};
+        std::chrono::milliseconds smallest{0};
+        std::chrono::milliseconds largest{0};
     };
-    std::unordered_map<std::string, objective_range> m_objectives;
+    std::unordered_map<std::string, tolerance_range> m_tolerances;
 };
 
 } // namespace quetzalcleat::forward
--- a/Tests/Forward/test_route_table.cpp
+++ b/Tests/Forward/test_route_table.cpp
@@ -76,22 +76,47 @@
     EXPECT_EQ(errorOf(open), forward_error::BadField);
 }
 
-/// Guards against long prompts on the engines of low-latency requests: only the tightest objective
-/// of a service's streams counts as low latency, and none if all are equal.
-TEST(route_table, OnlyTheTightestObjectiveIsLowLatency)
+configuration twoStreams(std::chrono::milliseconds firstObjective,
+                         std::chrono::milliseconds firstGap,
+                         std::chrono::milliseconds secondObjective,
+                         std::chrono::milliseconds secondGap)
 {
     auto content = twoServices();
     content.routes = {routeTo("/a/", "one"), routeTo("/b/", "one"), routeTo("/c/", "two")};
     for (auto &entry : content.routes)
         entry.kind = request_kind::Stream;
-    content.routes[0].latencyObjective = std::chrono::milliseconds(500);
-    content.routes[1].latencyObjective = std::chrono::milliseconds(2500);
+    content.routes[0].latencyObjective = firstObjective;
+    content.routes[0].eventGapObjective = firstGap;
+    content.routes[1].latencyObjective = secondObjective;
+    content.routes[1].eventGapObjective = secondGap;
     content.routes[2].latencyObjective = std::chrono::milliseconds(500);
-    const auto table = route_table::create(content);
-    ASSERT_TRUE(table);
-    EXPECT_TRUE(table.value()->hasTightestObjective(content.routes[0]));
-    EXPECT_FALSE(table.value()->hasTightestObjective(content.routes[1]));
-    EXPECT_FALSE(table.value()->hasTightestObjective(content.routes[2]));
+    return content;
+}
+
+/// Guards against long prompts on the engines of the streams that they delay most: those that are
+/// late first by their start or by their pauses are told apart from the others of their service,
+/// and none is where all are alike.
+TEST(route_table, OnlyTheStreamsThatTolerateTheLeastAreLowLatency)
+{
+    using std::chrono::milliseconds;
+    const auto isFirstOnly = [](const configuration &content) {
+        const auto table = route_table::create(content).value();
+        EXPECT_FALSE(table->isLeastTolerant(content.routes[2]));
+        return table->isLeastTolerant(content.routes[0])
+            && !table->isLeastTolerant(content.routes[1]);
+    };
+    constexpr milliseconds none{0};
+    EXPECT_TRUE(isFirstOnly(twoStreams(milliseconds(500), none, milliseconds(2500), none)));
+    // The same start, other pauses; then the same pauses, another start.
+    EXPECT_TRUE(isFirstOnly(
+        twoStreams(milliseconds(1500), milliseconds(300), milliseconds(1500), milliseconds(500))));
+    EXPECT_TRUE(isFirstOnly(
+        twoStreams(milliseconds(500), milliseconds(600), milliseconds(2500), milliseconds(600))));
+    const auto alike
+        = twoStreams(milliseconds(1500), milliseconds(300), milliseconds(1500), milliseconds(300));
+    const auto table = route_table::create(alike).value();
+    EXPECT_FALSE(table->isLeastTolerant(alike.routes[0]));
+    EXPECT_FALSE(table->isLeastTolerant(alike.routes[1]));
 }
 
 /// Guards against a key that gives access to another account.
