LibPeer, LibForward, LibFleet, platform: Add the interfaces of duties and ordered endpoints

The parts for duties, for ordered endpoints and for limits on callers need the same messages, fields of the configuration and settings. Separate messages, because a new field of configuration_lease_request would need a new frame version, which hosts of the version before refuse; they are sent only where duties are set. Nothing uses them yet.

--- a/Libraries/LibFleet/node_settings.h
+++ b/Libraries/LibFleet/node_settings.h
@@ -44,6 +44,22 @@
     std::chrono::milliseconds retryWindow{10'000};
     double additionalRetries = 0; ///< Per window on top of the ratio, over all hosts.
     std::uint64_t descriptorLimit = 4096;
+    /// Bytes at which the platform ends this process; 0 if it states no limit.
+    std::uint64_t memoryLimit = 0;
+
+    /// Calls to the platform that one host at a time makes for the whole fleet.
+    struct duty_settings
+    {
+        bool reportsUsage = false;
+        bool ordersEndpoints = false;
+        double requestRate = 0; ///< Allowed calls per second, over all hosts and duties.
+        std::chrono::milliseconds leaseTime{3000};
+        std::chrono::milliseconds usageWindow{5000};
+        std::chrono::milliseconds usageDelay{10'000}; ///< A report is due so long after its window.
+
+        bool any() const { return reportsUsage || ordersEndpoints; }
+    };
+    duty_settings duties;
 };
 
 } // namespace quetzalcleat::fleet
--- a/Libraries/LibForward/configuration.h
+++ b/Libraries/LibForward/configuration.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -54,12 +55,24 @@
     std::uint32_t tokensPerEvent = 1;
 };
 
+/// Bounds and prices for ordering endpoints of a service.
+struct autoscale_profile
+{
+    /// For each data centre, over ordinary and spot endpoints together.
+    std::uint32_t minimum = 0;
+    std::uint32_t maximum = 0;
+    std::chrono::milliseconds startupTime{0}; ///< From an order until a new endpoint serves.
+    double spotPrice = 1; ///< Of a spot endpoint, as a share of the price of an ordinary one.
+    std::map<std::string, double> prices; ///< By data centre; 1 where it is absent.
+};
+
 struct service
 {
     std::string name;
     std::string healthPath;
     std::uint32_t connectionLimit = 0; ///< Per endpoint, over all hosts; 0 for none.
     std::optional<engine_profile> engine; ///< Absent for plain services.
+    std::optional<autoscale_profile> autoscale; ///< Absent if its endpoints are not ordered.
 };
 
 /// A customer's account, identified by its keys.
--- a/Libraries/LibPeer/message_fields.h
+++ b/Libraries/LibPeer/message_fields.h
@@ -81,6 +81,16 @@
 { return std::tuple(&leave::memberId, &leave::remaining); }
 constexpr auto fieldsOf(std::type_identity<leave_answer>)
 { return std::tuple(&leave_answer::memberId, &leave_answer::isRemoved); }
+constexpr auto fieldsOf(std::type_identity<usage_count>)
+{ return std::tuple(&usage_count::window, &usage_count::account, &usage_count::count); }
+constexpr auto fieldsOf(std::type_identity<service_demand>)
+{ return std::tuple(&service_demand::service, &service_demand::requests, &service_demand::prefillTokens, &service_demand::outputTokens); }
+constexpr auto fieldsOf(std::type_identity<duty_report>)
+{ return std::tuple(&duty_report::sequence, &duty_report::wallMilliseconds, &duty_report::usage, &duty_report::demand); }
+constexpr auto fieldsOf(std::type_identity<endpoint_leave>)
+{ return std::tuple(&endpoint_leave::incarnation, &endpoint_leave::remainingMilliseconds); }
+constexpr auto fieldsOf(std::type_identity<duty_report_answer>)
+{ return std::tuple(&duty_report_answer::sequence, &duty_report_answer::fleetMilliseconds, &duty_report_answer::leaving); }
 // clang-format on
 
 template <typename Message>
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -382,10 +382,62 @@
     }
 };
 
-using message
-    = std::variant<hello, challenge, challenge_response, heartbeat, fragment, raft_payload, propose,
-                   propose_result, subscribe, configuration_update, gossip, status_request,
-                   status_report, join, share_request, share_grant, configuration_lease_request,
-                   configuration_lease_answer, leave, leave_answer>;
+/// Requests of one client account that endpoints began to run in one usage window, as one process
+/// of an entry host has counted them so far.
+struct usage_count
+{
+    std::uint64_t window = 0;
+    std::string account;
+    std::uint64_t count = 0;
+
+    bool operator==(const usage_count &) const = default;
+};
+
+/// Work that one process of an entry host has sent to the engines of a service since its start.
+struct service_demand
+{
+    std::string service;
+    std::uint64_t requests = 0;
+    std::uint64_t prefillTokens = 0; ///< Prompt tokens not expected in the cache of the engine.
+    std::uint64_t outputTokens = 0;
+
+    bool operator==(const service_demand &) const = default;
+};
+
+/// Sent by an entry host to the leader, only in deployments with duties.
+struct duty_report
+{
+    std::uint64_t sequence = 0; ///< Grows within the sender's incarnation.
+    std::uint64_t wallMilliseconds = 0; ///< Time of day of the sender, since 1970.
+    std::vector<usage_count> usage; ///< Changed since the last report that was answered.
+    std::vector<service_demand> demand;
+
+    bool operator==(const duty_report &) const = default;
+};
+
+/// An endpoint that leaves at a known time.
+struct endpoint_leave
+{
+    std::string incarnation;
+    std::uint64_t remainingMilliseconds = 0;
+
+    bool operator==(const endpoint_leave &) const = default;
+};
+
+/// Answer of a confirmed leader to duty_report.
+struct duty_report_answer
+{
+    std::uint64_t sequence = 0; ///< Of the report.
+    std::uint64_t fleetMilliseconds = 0; ///< True time since 1970; 0 if it is not known.
+    std::vector<endpoint_leave> leaving;
+
+    bool operator==(const duty_report_answer &) const = default;
+};
+
+using message = std::variant<hello, challenge, challenge_response, heartbeat, fragment,
+                             raft_payload, propose, propose_result, subscribe, configuration_update,
+                             gossip, status_request, status_report, join, share_request,
+                             share_grant, configuration_lease_request, configuration_lease_answer,
+                             leave, leave_answer, duty_report, duty_report_answer>;
 
 } // namespace quetzalcleat::peer
