--- a/Libraries/LibPeer/messages.cpp
+++ b/Libraries/LibPeer/messages.cpp
@@ -19,7 +19,9 @@
     wire.outcome = propose_outcome::Committed;
     // The state machine gives no errors of other categories.
     wire.error = static_cast<std::uint32_t>(result.error.value());
-    wire.kind = static_cast<verdict_kind>(result.verdict.index());
+    // The verdicts of duties stay on the host that proposed them, which reads the state instead.
+    if (!std::holds_alternative<state::usage_verdict>(result.verdict))
+        wire.kind = static_cast<verdict_kind>(result.verdict.index());
     if (const auto *edit = std::get_if<state::edit_verdict>(&result.verdict))
         wire.edit = *edit;
     else if (const auto *claim = std::get_if<state::claim_verdict>(&result.verdict))
--- a/Libraries/LibState/command.cpp
+++ b/Libraries/LibState/command.cpp
@@ -89,6 +89,27 @@
         optional(body.dataCentre, maximumNameBytes);
     }
 
+    void operator()(const duty_acquire &body)
+    {
+        required(body.host, maximumNameBytes);
+        expect(body.kind <= duty::Autoscale);
+    }
+
+    void operator()(const usage_close &body)
+    {
+        expect(body.counts.size() <= maximumUsageAccounts && body.undeliveredWindows > 0);
+        for (const auto &[account, count] : body.counts)
+            required(account, maximumNameBytes);
+    }
+
+    void operator()(const usage_delivered & /*body*/) const { }
+
+    void operator()(const capacity_order &body)
+    {
+        required(body.subject.service, maximumNameBytes);
+        optional(body.subject.dataCentre, maximumNameBytes);
+    }
+
     std::error_code error() const { return m_error; }
 
 private:
--- a/Libraries/LibState/command.h
+++ b/Libraries/LibState/command.h
@@ -3,6 +3,7 @@
 #include "LibCore/result.h"
 #include "LibCore/time.h"
 #include "LibState/claims.h"
+#include "LibState/duties.h"
 #include "LibState/edits.h"
 
 #include <chrono>
@@ -100,9 +101,12 @@
     bool operator==(const member_contact &) const = default;
 };
 
+/// Program versions before duties skip the last four as malformed, so these are proposed only where
+/// the settings name duties.
 using command_body
     = std::variant<apply_edit, claim_begin, claim_finish, claim_abandon, claim_close, host_register,
-                   control_lease_acquire, order_begin, order_finish, member_contact>;
+                   control_lease_acquire, order_begin, order_finish, member_contact, duty_acquire,
+                   usage_close, usage_delivered, capacity_order>;
 
 /// One entry for the replicated state machine.
 struct command
@@ -122,6 +126,8 @@
 constexpr std::size_t maximumNameBytes = 255;
 constexpr std::size_t maximumKeyBytes = 512;
 constexpr std::size_t maximumDetailBytes = 4096;
+/// Client accounts of a usage window. With the longest names they fit into a command.
+constexpr std::size_t maximumUsageAccounts = 10'000;
 
 /// Checks lengths and required fields, as the decoder does; to be called before proposing.
 core::result<void> checkCommand(const command &value);
--- a/Libraries/LibState/command_codec.cpp
+++ b/Libraries/LibState/command_codec.cpp
@@ -100,6 +100,39 @@
         writer.text(body.address);
         writer.text(body.dataCentre);
     }
+
+    void operator()(const duty_acquire &body) const
+    {
+        writer.array(3);
+        writer.number(static_cast<std::uint64_t>(body.kind));
+        writer.text(body.host);
+        writer.number(body.incarnation);
+    }
+
+    void operator()(const usage_close &body) const
+    {
+        writer.array(4);
+        writer.number(body.generation);
+        writer.number(body.window);
+        writer.number(body.undeliveredWindows);
+        write(writer, body.counts);
+    }
+
+    void operator()(const usage_delivered &body) const
+    {
+        writer.array(1);
+        writer.number(body.window);
+    }
+
+    void operator()(const capacity_order &body) const
+    {
+        writer.array(5);
+        writer.number(body.generation);
+        writer.text(body.subject.service);
+        writer.text(body.subject.dataCentre);
+        writer.flag(body.subject.isSpot);
+        writer.number(body.desired);
+    }
 };
 
 void read(msgpack_array_reader &reader, apply_edit &body)
@@ -175,6 +208,35 @@
     body.dataCentre = reader.text();
 }
 
+void read(msgpack_array_reader &reader, duty_acquire &body)
+{
+    body.kind = reader.enumeration(duty::Autoscale);
+    body.host = reader.text();
+    body.incarnation = reader.number();
+}
+
+void read(msgpack_array_reader &reader, usage_close &body)
+{
+    body.generation = reader.number();
+    body.window = reader.number();
+    body.undeliveredWindows = reader.number();
+    body.counts = detail::readCounts(reader);
+}
+
+void read(msgpack_array_reader &reader, usage_delivered &body)
+{
+    body.window = reader.number();
+}
+
+void read(msgpack_array_reader &reader, capacity_order &body)
+{
+    body.generation = reader.number();
+    body.subject.service = reader.text();
+    body.subject.dataCentre = reader.text();
+    body.subject.isSpot = reader.flag();
+    body.desired = reader.number();
+}
+
 /// Reads the body whose index in command_body is `kind`.
 template <std::size_t Index = 0>
 void readBody(msgpack_array_reader &reader, std::uint64_t kind, command_body &body)
--- a/Libraries/LibState/command_result.h
+++ b/Libraries/LibState/command_result.h
@@ -2,6 +2,7 @@
 
 #include "LibState/claims.h"
 #include "LibState/command.h"
+#include "LibState/duties.h"
 #include "LibState/edits.h"
 
 #include <chrono>
@@ -40,7 +41,8 @@
 struct command_result
 {
     std::error_code error; ///< If set, nothing has changed; `verdict` may still describe the state.
-    std::variant<std::monostate, edit_verdict, claim_verdict, control_lease_verdict, order_verdict>
+    std::variant<std::monostate, edit_verdict, claim_verdict, control_lease_verdict, order_verdict,
+                 usage_verdict>
         verdict;
 };
 
--- a/Libraries/LibState/msgpack_fields.h
+++ b/Libraries/LibState/msgpack_fields.h
@@ -4,6 +4,7 @@
 
 #include "LibCore/time.h"
 #include "LibState/claims.h"
+#include "LibState/duties.h"
 
 #include <chrono>
 #include <cstddef>
@@ -207,4 +208,40 @@
     return value;
 }
 
+/// As one text, since the number of elements of an array is limited.
+inline void write(msgpack_array_writer &writer, const account_counts &counts)
+{
+    msgpack_array_writer entries;
+    for (const auto &[account, count] : counts) {
+        entries.array(2);
+        entries.text(account);
+        entries.number(count);
+    }
+    const auto bytes = entries.take();
+    writer.text({reinterpret_cast<const char *>(bytes.data()), bytes.size()});
+}
+
+inline account_counts readCounts(msgpack_array_reader &reader)
+{
+    account_counts counts;
+    const auto text = reader.text();
+    const auto bytes = std::as_bytes(std::span(text));
+    std::size_t offset = 0;
+    while (offset < bytes.size()) {
+        const auto handle = unpackValue(bytes, offset);
+        if (!handle) {
+            reader.fail();
+            return counts;
+        }
+        msgpack_array_reader entry(handle->get());
+        auto account = entry.text();
+        const auto count = entry.number();
+        if (!entry.complete() || !counts.emplace(std::move(account), count).second) {
+            reader.fail();
+            return counts;
+        }
+    }
+    return counts;
+}
+
 } // namespace quetzalcleat::state::detail
--- a/Libraries/LibState/replicated_state.h
+++ b/Libraries/LibState/replicated_state.h
@@ -4,6 +4,7 @@
 #include "LibCore/time.h"
 #include "LibState/command.h"
 #include "LibState/command_result.h"
+#include "LibState/duty_tables.h"
 #include "LibState/state_error.h"
 
 #include <chrono>
@@ -133,6 +134,7 @@
     const control_lease_record &lease() const { return m_lease; }
     const std::map<std::string, order_record> &orders() const { return m_orders; }
     const std::map<std::uint64_t, member_contact> &members() const { return m_members; }
+    const duty_tables &duties() const { return m_duties; }
     std::size_t claimCount() const { return m_claims.size(); }
 
 private:
@@ -171,6 +173,10 @@
     command_result handle(const order_begin &body);
     command_result handle(const order_finish &body);
     command_result handle(const member_contact &body);
+    command_result handle(const duty_acquire &body) { return m_duties.apply(body, m_appliedIndex); }
+    command_result handle(const usage_close &body) { return m_duties.apply(body); }
+    command_result handle(const usage_delivered &body) { return m_duties.apply(body); }
+    command_result handle(const capacity_order &body) { return m_duties.apply(body); }
 
     void expire();
     void expireOne(const expiry &due);
@@ -202,6 +208,7 @@
     control_lease_record m_lease;
     std::map<std::string, order_record> m_orders;
     std::map<std::uint64_t, member_contact> m_members;
+    duty_tables m_duties;
 
     // Derived from the tables above; not part of a snapshot.
     std::set<expiry> m_expiries;
--- a/Libraries/LibState/replicated_state_snapshot.cpp
+++ b/Libraries/LibState/replicated_state_snapshot.cpp
@@ -1,4 +1,5 @@
 #include "LibState/msgpack_fields.h"
+#include "LibState/record_reader.h"
 #include "LibState/replicated_state.h"
 
 #include <functional>
@@ -10,61 +11,11 @@
 
 using detail::msgpack_array_reader;
 using detail::msgpack_array_writer;
+using detail::record_reader;
+using detail::writeTable;
 
 constexpr std::uint32_t snapshotVersion = 1;
 
-/// Reads the records of a snapshot one after the other, so that no length in it decides how much
-/// memory is allocated.
-class record_reader
-{
-public:
-    explicit record_reader(std::span<const std::byte> bytes) : m_bytes(bytes) { }
-
-    /// Calls `read` with the next record. False once anything was malformed.
-    template <typename Read>
-    bool record(Read &&read)
-    {
-        if (m_failed)
-            return false;
-        const auto handle = detail::unpackValue(m_bytes, m_offset);
-        if (!handle) {
-            m_failed = true;
-            return false;
-        }
-        msgpack_array_reader reader(handle->get());
-        read(reader);
-        m_failed = !reader.complete();
-        return !m_failed;
-    }
-
-    /// A count, then that many records.
-    template <typename Read>
-    void table(std::size_t maximum, Read &&read)
-    {
-        std::uint64_t count = 0;
-        record([&](msgpack_array_reader &reader) { count = reader.number(); });
-        m_failed = m_failed || count > maximum;
-        for (std::uint64_t i = 0; i < count && !m_failed; ++i)
-            record(read);
-    }
-
-    bool complete() const { return !m_failed && m_offset == m_bytes.size(); }
-
-private:
-    std::span<const std::byte> m_bytes;
-    std::size_t m_offset = 0;
-    bool m_failed = false;
-};
-
-template <typename Table, typename Write>
-void writeTable(msgpack_array_writer &writer, const Table &table, Write &&write)
-{
-    writer.array(1);
-    writer.number(table.size());
-    for (const auto &each : table)
-        write(each);
-}
-
 void write(msgpack_array_writer &writer, const order_record &record)
 {
     writer.array(7);
@@ -173,6 +124,9 @@
         writer.text(each.second.address);
         writer.text(each.second.dataCentre);
     });
+    // Without duties, versions that do not know them can read the snapshot.
+    if (!m_duties.isEmpty())
+        m_duties.write(writer);
     return writer.take();
 }
 
@@ -246,6 +200,8 @@
         contact.dataCentre = reader.text();
         state.m_members[contact.member] = std::move(contact);
     });
+    if (!records.atEnd())
+        state.m_duties.read(records);
     if (!records.complete())
         return state_error::MalformedSnapshot;
     state.rebuildIndexes();
--- a/Libraries/LibState/state_error.cpp
+++ b/Libraries/LibState/state_error.cpp
@@ -41,6 +41,8 @@
         return "malformed snapshot";
     case state_error::OutOfOrder:
         return "the log index was applied before";
+    case state_error::WindowClosed:
+        return "the usage window is closed";
     }
     return "unknown error";
 }
--- a/Libraries/LibState/state_error.h
+++ b/Libraries/LibState/state_error.h
@@ -22,6 +22,7 @@
     OrderMismatch, ///< The id was used for another order, or the order has another outcome.
     MalformedSnapshot,
     OutOfOrder, ///< The log index is not above the one applied last.
+    WindowClosed, ///< The counts of the usage window, or of a later one, are fixed already.
 };
 
 const std::error_category &stateCategory();
--- a/Tests/State/test_state_snapshot.cpp
+++ b/Tests/State/test_state_snapshot.cpp
@@ -9,12 +9,17 @@
 
 namespace {
 
-command_body randomCommand(std::mt19937_64 &random, std::uint64_t revision)
+command_body randomCommand(std::mt19937_64 &random, const replicated_state &state)
 {
+    const auto revision = state.currentConfiguration().revision + 1;
+    const auto generation = [&](duty kind) {
+        const auto *holder = state.duties().holder(kind);
+        return holder == nullptr ? 0 : holder->generation;
+    };
     const auto number = [&](std::uint64_t limit) { return random() % limit; };
     const auto randomAttempt
         = attempt("a" + std::to_string(number(60)), "k" + std::to_string(number(12)), number(4));
-    switch (number(9)) {
+    switch (number(13)) {
     case 0:
         return apply_edit{{"e" + std::to_string(number(40)), revision - number(2), "text", "who"},
                           std::nullopt};
@@ -32,6 +37,19 @@
         return order_begin{number(300), "o" + std::to_string(number(20)), "load_model", "e", ""};
     case 7:
         return member_contact{number(5) + 1, "m" + std::to_string(number(5)), "address", "dc"};
+    case 8:
+        return duty_acquire{number(2) == 0 ? duty::Usage : duty::Autoscale,
+                            "h" + std::to_string(number(2)), 1};
+    case 9:
+        return usage_close{generation(duty::Usage),
+                           state.duties().newestClosedWindow().value_or(0) + number(3),
+                           12,
+                           {{"account", number(9)}}};
+    case 10:
+        return usage_delivered{state.duties().newestClosedWindow().value_or(0) - number(3)};
+    case 11:
+        return capacity_order{
+            generation(duty::Autoscale), {"s" + std::to_string(number(3)), "dc", false}, 2};
     default:
         return begin(randomAttempt);
     }
@@ -52,7 +70,7 @@
             const auto step = milliseconds(random() % (i % 50 == 0 ? 200'000'000 : 400'000));
             kept.time += step;
             restored.time += step;
-            const auto body = randomCommand(random, kept.state.currentConfiguration().revision + 1);
+            const auto body = randomCommand(random, kept.state);
             const auto first = kept.apply(body);
             const auto second = restored.apply(body);
             ASSERT_EQ(first.error, second.error) << "seed " << seed << " step " << i;
