LibPeer, LibForward: Prepare the log and the counters for duties

duty_report and its answer carry the incarnation of the sender's process. Without it, the counts of a restarted entry host would replace those of the process before, and a leader that restarts under the same name would never get again what it has lost.

--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -67,23 +67,6 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/// Orders requests by the priority of the account, if it has one, then by that of the route. Most
-/// accounts have one of two priorities, so without the second criterion a long prompt and a short
-/// question would have the same priority at the engine.
-int enginePriority(int priority, int routePriority, int lowest)
-{
-    constexpr int routePriorities = 3;
-    return std::clamp(
-        priority * routePriorities + std::clamp(routePriority, 0, routePriorities - 1), 0, lowest);
-}
-
-void removeHopByHop(http_head &head)
-{
-    const std::string connection(head.value("Connection"));
-    std::erase_if(head.headers,
-                  [&](const header_field &field) { return isHopByHop(field.name, connection); });
-}
-
 std::string number(std::int64_t value)
 {
     return std::to_string(value);
@@ -293,6 +276,8 @@
     m_awaitsFirstByte = true;
     ++m_endpoint->running;
     m_endpoint->waitingTokens += m_uncachedTokens;
+    if (m_service->engine)
+        m_owner->work().recordSent(m_service->name, m_uncachedTokens, m_size.expectedOutputTokens);
     m_endpoint->isProbing = m_endpoint->ejections > 0 && m_endpoint->ejectedUntil <= now;
     if (m_service->engine) {
         for (const auto &part : m_size.parts)
@@ -532,6 +517,7 @@
         m_responseBody.clear();
     }
     recordFirstByte(*m_endpoint);
+    recordRun();
     recordPart();
     passOn(bytes, *session);
 }
@@ -552,6 +538,7 @@
     if (m_events.eventCount() > eventsBefore) {
         m_endpoint->lastReceived = m_owner->now();
         recordFirstByte(*m_endpoint);
+        recordRun();
         recordPart();
         startAttemptTimer();
         if (isBeingAnswered())
@@ -635,6 +622,7 @@
         attemptFailed("answer_unsigned", true);
         return;
     }
+    recordRun();
     releaseEndpoint(m_response.status >= 500 ? endpoint_outcome::Failed : endpoint_outcome::Served);
     if (isSuccess(m_response.status))
         m_owner->crashWitness().recordAnswered(m_sharedParts, m_owner->now());
@@ -833,6 +821,14 @@
         target.waitingTokens -= m_uncachedTokens;
 }
 
+/// An answer shows that an endpoint has run the request, which is counted once.
+void exchange::recordRun()
+{
+    if (!m_response.has(m_owner->options().names.notRun) && !promisesNotRun(m_response.status)
+        && m_account != nullptr && !std::exchange(m_isCounted, true))
+        m_owner->work().recordRun(m_account->name);
+}
+
 void exchange::recordPart()
 {
     const auto now = std::chrono::steady_clock::now();
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -94,6 +94,7 @@
     void handleDeadline();
 
     void recordFirstByte(endpoint &target);
+    void recordRun();
     void recordPart();
     void releaseEndpoint(endpoint_outcome outcome);
     void respondWithError(int status, std::string_view reason, std::string_view cause,
@@ -142,6 +143,7 @@
     std::uint64_t m_uncachedTokens = 0; ///< Prompt tokens counted as waiting at the endpoint.
     std::chrono::microseconds m_expectedWait{0};
     bool m_awaitsFirstByte = false;
+    bool m_isCounted = false; ///< As a request that an endpoint began to run.
     int m_sentAttempts = 0; ///< Attempts whose connection opened.
     int m_possibleRuns = 0; ///< Sent attempts that may have run the request.
     bool m_holdsRetryToken = false; ///< Acquired from the retry budget, not used yet.
--- a/Libraries/LibForward/forwarder.h
+++ b/Libraries/LibForward/forwarder.h
@@ -11,6 +11,7 @@
 #include "LibForward/route_table.h"
 #include "LibForward/upstream.h"
 #include "LibForward/wire_names.h"
+#include "LibForward/work_counters.h"
 #include "LibPolicy/crash_witness.h"
 
 #include <chrono>
@@ -108,6 +109,7 @@
     notice_recorder &notices() { return m_notices; }
     held_requests &heldRequests() { return m_heldRequests; }
     retry_budget &retryBudget() { return m_retryBudget; }
+    work_counters &work() { return m_work; }
     policy::crash_witness &crashWitness() { return m_crashWitness; }
     const std::shared_ptr<connection_pool> &pool() const { return m_pool; }
     const forwarder_options &options() const { return m_options; }
@@ -155,6 +157,7 @@
     held_requests m_heldRequests;
     retry_budget m_retryBudget;
     policy::crash_witness m_crashWitness;
+    work_counters m_work;
     std::set<std::shared_ptr<caller_session>> m_sessions;
     std::map<std::string, core::latency_histogram> m_latencies;
     std::size_t m_requests = 0;
--- a/Libraries/LibForward/http_head.cpp
+++ b/Libraries/LibForward/http_head.cpp
@@ -112,4 +112,11 @@
         || containsToken(connection, name);
 }
 
+void removeHopByHop(http_head &head)
+{
+    const std::string connection(head.value("Connection"));
+    std::erase_if(head.headers,
+                  [&](const header_field &field) { return isHopByHop(field.name, connection); });
+}
+
 } // namespace quetzalcleat::forward
--- a/Libraries/LibForward/http_head.h
+++ b/Libraries/LibForward/http_head.h
@@ -46,5 +46,6 @@
 /// Whether a header applies to a single connection and is not forwarded (RFC 9110, 7.6.1).
 /// `connection` is the value of the Connection header, which may list further ones.
 bool isHopByHop(std::string_view name, std::string_view connection);
+void removeHopByHop(http_head &head);
 
 } // namespace quetzalcleat::forward
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -9,6 +9,7 @@
 #include "LibPeer/configuration_feed.h"
 #include "LibPeer/configuration_lease.h"
 #include "LibPeer/configuration_publisher.h"
+#include "LibPeer/control_store.h"
 #include "LibPeer/crash_reporter.h"
 #include "LibPeer/endpoint_catalogue.h"
 #include "LibPeer/endpoint_list_transfers.h"
@@ -58,53 +59,6 @@
     return logger;
 }
 
-/// The id of an initial member of a new cluster. It is derived from the names, as the other initial
-/// members must know it before the first contact. Members that join later have random ids.
-consensus::member_id initialMemberId(const std::string &cluster, const std::string &host)
-{
-    const auto id = core::hash64(cluster + '\n' + host);
-    return id == 0 ? 1 : id;
-}
-
-consensus::membership initialMembership(const peer_network &network)
-{
-    const auto &options = network.options();
-    const auto &cluster = options.identity.cluster;
-    consensus::membership members;
-    members.members.push_back(
-        {initialMemberId(cluster, network.host()), consensus::member_role::Voter, network.host()});
-    for (const auto &peer : options.peers) {
-        if (peer.control)
-            members.members.push_back(
-                {initialMemberId(cluster, peer.name), consensus::member_role::Voter, peer.name});
-    }
-    // The same on all initial members, whatever the order of their settings.
-    std::sort(members.members.begin(), members.members.end(),
-              [](const auto &left, const auto &right) { return left.id < right.id; });
-    return members;
-}
-
-core::result<consensus::log_store> openStore(const peer_network &network,
-                                             const control_service_options &options)
-{
-    consensus::store_problem problem;
-    auto store = consensus::log_store::open(options.dataFolder, {}, {}, &problem);
-    if (store)
-        return store;
-    if (store.error() != consensus::consensus_error::EmptyFolder) {
-        log().error("cannot open the data folder: " + store.error().message() + " in "
-                    + problem.file.string() + " at byte " + std::to_string(problem.offset)
-                    + "; repair: " + problem.advice);
-        return store;
-    }
-    if (!options.initialiseCluster)
-        return consensus::log_store::create(options.dataFolder, {0, consensus::newMemberId()},
-                                            std::nullopt, {});
-    const auto self = initialMemberId(network.options().identity.cluster, network.host());
-    return consensus::log_store::create(options.dataFolder, {0, self}, initialMembership(network),
-                                        {});
-}
-
 consensus::membership_planner_options plannerOptions(const control_service_options &options)
 {
     consensus::membership_planner_options planner;
@@ -157,6 +111,7 @@
     bool isVoter() const { return m_core && status().members.isVoter(m_identity.self); }
     void leave(std::chrono::milliseconds remaining);
     bool hasLeft() const { return m_hasLeft; }
+    const state::replicated_state &replicatedState() const { return m_state; }
 
 private:
     struct unconfirmed_request
@@ -950,7 +905,7 @@
     std::shared_ptr<peer_network> network, std::shared_ptr<configuration_feed> feed,
     std::shared_ptr<configuration_publisher> publisher, control_service_options options)
 {
-    auto store = openStore(*network, options);
+    auto store = openControlStore(*network, options);
     if (!store)
         return store.error();
     auto content = std::make_shared<implementation>(std::move(network), std::move(feed),
@@ -1016,6 +971,11 @@
     return m_implementation->hasLeft();
 }
 
+const state::replicated_state &control_service::replicatedState() const
+{
+    return m_implementation->replicatedState();
+}
+
 bool control_service::isLeader() const
 {
     return m_implementation->isLeader();
--- a/Libraries/LibPeer/control_service.h
+++ b/Libraries/LibPeer/control_service.h
@@ -13,6 +13,10 @@
 #include <string>
 #include <vector>
 
+namespace quetzalcleat::state {
+class replicated_state;
+} // namespace quetzalcleat::state
+
 namespace quetzalcleat::peer {
 
 class configuration_feed;
@@ -92,6 +96,9 @@
     /// Whether the leader has answered that this host may stop.
     bool hasLeft() const;
 
+    /// What this host has applied; certainly up to date only while isConfirmed().
+    const state::replicated_state &replicatedState() const;
+
     bool isLeader() const;
     bool isVoter() const;
 
--- a/Libraries/LibPeer/message_fields.h
+++ b/Libraries/LibPeer/message_fields.h
@@ -86,11 +86,11 @@
 constexpr auto fieldsOf(std::type_identity<service_demand>)
 { return std::tuple(&service_demand::service, &service_demand::requests, &service_demand::prefillTokens, &service_demand::outputTokens); }
 constexpr auto fieldsOf(std::type_identity<duty_report>)
-{ return std::tuple(&duty_report::sequence, &duty_report::wallMilliseconds, &duty_report::usage, &duty_report::demand); }
+{ return std::tuple(&duty_report::incarnation, &duty_report::sequence, &duty_report::wallMilliseconds, &duty_report::usage, &duty_report::demand); }
 constexpr auto fieldsOf(std::type_identity<endpoint_leave>)
 { return std::tuple(&endpoint_leave::incarnation, &endpoint_leave::remainingMilliseconds); }
 constexpr auto fieldsOf(std::type_identity<duty_report_answer>)
-{ return std::tuple(&duty_report_answer::sequence, &duty_report_answer::fleetMilliseconds, &duty_report_answer::leaving); }
+{ return std::tuple(&duty_report_answer::incarnation, &duty_report_answer::sequence, &duty_report_answer::fleetMilliseconds, &duty_report_answer::leaving); }
 // clang-format on
 
 template <typename Message>
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -407,6 +407,7 @@
 /// Sent by an entry host to the leader, only in deployments with duties.
 struct duty_report
 {
+    std::uint64_t incarnation = 0; ///< Of the sender's process; its counts begin at 0.
     std::uint64_t sequence = 0; ///< Grows within the sender's incarnation.
     std::uint64_t wallMilliseconds = 0; ///< Time of day of the sender, since 1970.
     std::vector<usage_count> usage; ///< Changed since the last report that was answered.
@@ -427,6 +428,7 @@
 /// Answer of a confirmed leader to duty_report.
 struct duty_report_answer
 {
+    std::uint64_t incarnation = 0; ///< Of the leader's process, which loses the counts if it ends.
     std::uint64_t sequence = 0; ///< Of the report.
     std::uint64_t fleetMilliseconds = 0; ///< True time since 1970; 0 if it is not known.
     std::vector<endpoint_leave> leaving;
