LibFleet, platform: Report usage as a duty of the leader

The platform bills accounts by reports of how many requests ran in each window, sent by one host at a time. Entry hosts count by the time of the fleet and report to the leader, which agrees on the counts of a window in the log before it first sends them. Any later holder sends the same counts.

Nothing of this runs without duties in the settings.

--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibFleet/control_duties.h"
 #include "LibFleet/deployment_dialect.h"
 #include "LibFleet/held_calls.h"
 #include "LibForward/event_log.h"
@@ -56,6 +57,7 @@
                     self->handle(head, std::move(body), std::move(respond));
             });
         startList(weak);
+        startDuties();
         startTimer();
         return m_server->start(*m_settings.controlAddress);
     }
@@ -83,6 +85,8 @@
         // Before the server, which passes the outcomes on.
         m_heldCalls->stop();
         m_writer->stop();
+        if (m_duties)
+            m_duties->stop();
         m_server->stop();
         if (m_listReader)
             m_listReader->stop();
@@ -90,7 +94,7 @@
         m_service->stop();
     }
 
-    /// One line.
+    /// One line, and one for each duty.
     std::string dump() const
     {
         std::string text = "control leader=" + m_service->leaderHost()
@@ -98,7 +102,7 @@
             + " confirmed=" + (m_service->isConfirmed() ? "yes" : "no") + " voters=";
         for (const auto &host : m_service->voterHosts())
             text += host + ',';
-        return text + '\n';
+        return text + '\n' + (m_duties ? m_duties->dump() : std::string());
     }
 
 private:
@@ -187,6 +191,16 @@
         });
     }
 
+    void startDuties()
+    {
+        if (!m_settings.duties.any() || m_settings.endpointListAddress.port == 0)
+            return;
+        m_duties
+            = control_duties::create(m_network, m_service, m_pool, m_counters, m_log, m_settings,
+                                     {&Dialect::dutyHeaders, &Dialect::usageReport});
+        m_duties->start();
+    }
+
     void startTimer()
     {
         constexpr std::chrono::milliseconds interval{200};
@@ -374,6 +388,7 @@
     std::shared_ptr<forward::connection_pool> m_pool;
     std::shared_ptr<forward::endpoint_list_reader<Dialect>> m_listReader;
     std::shared_ptr<peer::endpoint_catalogue> m_catalogue;
+    std::shared_ptr<control_duties> m_duties; ///< Null without duties in the settings.
     std::string m_lastLeader;
     core::instant m_leaderSeen = std::chrono::steady_clock::now(); ///< At first the start.
     std::optional<core::instant> m_stopAt; ///< Set while a planned stop is in progress.
--- a/Libraries/LibFleet/deployment_dialect.h
+++ b/Libraries/LibFleet/deployment_dialect.h
@@ -1,13 +1,17 @@
 #pragma once
 
 #include "LibCore/result.h"
+#include "LibFleet/duty_request.h"
 #include "LibFleet/node_settings.h"
 #include "LibForward/endpoint_list_reader.h"
 #include "LibForward/route_table.h"
 #include "LibForward/wire_names.h"
+#include "LibState/duties.h"
 
 #include <concepts>
+#include <cstdint>
 #include <string>
+#include <vector>
 
 namespace quetzalcleat::fleet {
 
@@ -19,7 +23,10 @@
 template <typename Dialect>
 concept deployment_dialect
     = forward::endpoint_list_dialect<Dialect> && requires(const std::string &text,
-                                                          const forward::http_head &head)
+                                                          const forward::http_head &head,
+                                                          const duty_caller &caller,
+                                                          std::uint64_t window,
+                                                          const state::account_counts &counts)
 {
     {
         Dialect::readSettings(text)
@@ -33,6 +40,12 @@
     {
         Dialect::httpOperation(head)
         } -> std::same_as<http_operation>;
+    {
+        Dialect::dutyHeaders(caller)
+        } -> std::same_as<std::vector<forward::header_field>>;
+    {
+        Dialect::usageReport(window, counts)
+        } -> std::same_as<duty_request>;
 };
 
 } // namespace quetzalcleat::fleet
--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "LibFleet/control_duties.h"
 #include "LibFleet/deployment_dialect.h"
+#include "LibFleet/duty_reporter.h"
 #include "LibForward/forwarder.h"
 #include "LibForward/http_server.h"
 #include "LibPeer/configuration_lease.h"
@@ -45,6 +47,7 @@
             });
         m_crashReporter.emplace(m_forwarder->crashWitness());
         startLease(weak);
+        startDutyReports(weak);
         forward::endpoint_list_reader_options list;
         list.address = m_settings.endpointListAddress;
         m_listReader = std::make_shared<forward::endpoint_list_reader<Dialect>>(
@@ -92,6 +95,8 @@
     {
         m_readinessServer->stop();
         m_listReader->stop();
+        if (m_dutyReporter)
+            m_dutyReporter->stop();
         m_lease->stop();
         m_forwarder->stop();
     }
@@ -124,7 +129,7 @@
                 + " running_elsewhere=" + std::to_string(target->runningByOtherHosts)
                 + " failure_percent=" + std::to_string(static_cast<int>(target->failureShare * 100))
                 + " ejected=" + (target->ejectedUntil > now ? "yes" : "no") + '\n';
-        return text;
+        return text + (m_dutyReporter ? m_dutyReporter->dump() : std::string());
     }
 
 private:
@@ -218,6 +223,26 @@
                                                     std::move(handlers));
     }
 
+    void startDutyReports(const std::weak_ptr<entry_node> &weak)
+    {
+        if (!m_settings.duties.any())
+            return;
+        duty_reporter::handlers handlers;
+        handlers.leader = [weak] {
+            const auto self = weak.lock();
+            return self ? self->m_lease->leader() : std::string();
+        };
+        // Every second request of a lease, 0.5 s in fleets of up to 100 hosts.
+        handlers.interval = [weak] {
+            const auto self = weak.lock();
+            return 2 * peer::configuration_lease_options().intervalFor(self ? self->m_hosts : 0);
+        };
+        m_dutyReporter
+            = duty_reporter::create(m_network, m_forwarder->work(), m_counters,
+                                    usageOptions(m_settings.duties), std::move(handlers));
+        m_dutyReporter->start();
+    }
+
     void applyList(const std::vector<forward::listed_endpoint> &endpoints, bool isOfControlHost)
     {
         m_hasList = true;
@@ -394,6 +419,7 @@
     std::shared_ptr<peer::configuration_lease> m_lease;
     std::shared_ptr<forward::endpoint_list_reader<Dialect>> m_listReader;
     std::shared_ptr<forward::http_server> m_readinessServer;
+    std::shared_ptr<duty_reporter> m_dutyReporter; ///< Null without duties in the settings.
     std::optional<peer::crash_reporter> m_crashReporter; ///< Of what m_forwarder has seen.
     std::uint32_t m_hosts = 0;
     bool m_hasList = false;
--- a/Tests/Fleet/control_node_fixture.h
+++ b/Tests/Fleet/control_node_fixture.h
@@ -56,6 +56,8 @@
         settings.controlAddress = core::socket_address{ip, port(m_controlPort)};
         settings.peerPort = port(m_peerPort);
         settings.bootstrapsCluster = true;
+        settings.duties = m_duties;
+        settings.endpointListAddress = m_platform;
         settings.dataFolder = m_folder / ip;
         std::filesystem::create_directories(settings.dataFolder);
         started.network = startNetwork(ip, started.counters, true);
@@ -179,6 +181,8 @@
     asio::io_context m_context;
     std::map<std::string, host> m_hosts;
     forward::event_log m_log{"test", 2};
+    node_settings::duty_settings m_duties; ///< Of the hosts that start next.
+    core::socket_address m_platform; ///< That they call; none by default.
 
 private:
     std::uint16_t port(std::uint16_t &chosen)
--- a/Tests/Fleet/number_dialect.h
+++ b/Tests/Fleet/number_dialect.h
@@ -45,6 +45,20 @@
         return head.method == "GET" ? http_operation::ReadConfiguration
                                     : http_operation::WriteConfiguration;
     }
+
+    static std::vector<forward::header_field> dutyHeaders(const duty_caller &caller)
+    {
+        return {{"Holder", caller.host}, {"Generation", std::to_string(caller.generation)}};
+    }
+
+    /// The body is the window and the counts, separated by spaces.
+    static duty_request usageReport(std::uint64_t window, const state::account_counts &counts)
+    {
+        std::string body = std::to_string(window);
+        for (const auto &[account, count] : counts)
+            body += ' ' + account + '=' + std::to_string(count);
+        return {"POST", "/counts", body};
+    }
 };
 
 } // namespace quetzalcleat::fleet::test
--- a/Tests/Platform/test_platform_dialect.cpp
+++ b/Tests/Platform/test_platform_dialect.cpp
@@ -252,3 +252,18 @@
     EXPECT_EQ(callOf("POST", "/config"), fleet::http_operation::Unknown);
     EXPECT_EQ(platform_dialect::endpointListTarget("p-50"), "/instances?page-token=p-50");
 }
+
+/// Guards against calls that the platform cannot read, and against a name of an account that breaks
+/// the body of a report.
+TEST(platform_dialect, WritesUsageReports)
+{
+    const auto report = platform_dialect::usageReport(353445120, {{"a", 412}, {"b\"\xff", 1}});
+    EXPECT_EQ(report.method, "POST");
+    EXPECT_EQ(report.target, "/usage");
+    EXPECT_EQ(report.body, "{\"counts\":{\"a\":412,\"b\\\"\xef\xbf\xbd\":1},\"window\":353445120}");
+    EXPECT_EQ(platform_dialect::usageReport(1, {}).body, R"({"counts":{},"window":1})");
+    const auto headers = platform_dialect::dutyHeaders({"host", 17});
+    ASSERT_EQ(headers.size(), 2U);
+    EXPECT_EQ(headers[0].name + ": " + headers[0].value, "X-Duty-Holder: host");
+    EXPECT_EQ(headers[1].name + ": " + headers[1].value, "X-Fence-Token: 17");
+}
