LibPolicy: Plan regions from averaged shares of the total demand

Cause: with the arrivals of the calm load of deployment U drawn at random, the planned numbers of three regions changed 149 times in about 18 minutes (trial, not kept as a test). The variation of arrivals is larger in a region than in the whole, and rates over 2 s vary more than the tolerance of 10%. Each change costs a start-up or a cache. A new holder without load also took the endpoints of a change of kind for twice as many as there were.

A rise of the last second by 40% or more counts at once. Agreed orders and what is present without any order are compared, not added.

--- a/Libraries/LibPolicy/capacity_need.cpp
+++ b/Libraries/LibPolicy/capacity_need.cpp
@@ -16,46 +16,64 @@
         + rate.outputTokens / engine->outputTokensPerSecond;
 }
 
-/// Need of each region, not rounded.
-std::map<std::string, double> currentNeeds(const need_input &input)
+struct current_need
+{
+    double total = 0; ///< Endpoints, not rounded.
+    std::map<std::string, double> shares; ///< By region; empty without load.
+};
+
+current_need currentNeed(const need_input &input)
 {
     double busy = 0;
+    double recentlyBusy = 0;
     double requests = 0;
     double running = 0;
     for (const auto &[name, region] : input.regions) {
         busy += busyEngines(region.rate, input.engine);
+        recentlyBusy += busyEngines(region.recentRate, input.engine);
         requests += region.rate.requests;
         running += region.running;
     }
     const double occupied = input.slots == 0 ? 0 : running / input.slots;
-    const double total = std::max(busy, occupied) / capacity_need::targetUtilisation;
-    std::map<std::string, double> needs;
+    current_need need;
+    const double expected = recentlyBusy >= capacity_need::suddenRise * busy ? recentlyBusy : busy;
+    need.total = std::max(expected, occupied) / capacity_need::targetUtilisation;
     for (const auto &[name, region] : input.regions) {
         // The callers' demand decides where endpoints are needed; where they run is the result of
         // earlier decisions, and is used only while no demand is reported.
-        double share = 0;
         if (busy > 0)
-            share = busyEngines(region.rate, input.engine) / busy;
+            need.shares[name] = busyEngines(region.rate, input.engine) / busy;
         else if (requests > 0)
-            share = region.rate.requests / requests;
+            need.shares[name] = region.rate.requests / requests;
         else if (running > 0)
-            share = region.running / running;
-        needs[name] = total * share;
+            need.shares[name] = region.running / running;
     }
-    return needs;
+    return need;
 }
 
 } // namespace
 
-double capacity_need::highest(region_state &state, double need, core::instant now)
+double capacity_need::highestOf(double need, core::instant now)
+{
+    while (!m_maxima.empty() && now - m_maxima.front().first > holdTime)
+        m_maxima.pop_front();
+    while (!m_maxima.empty() && m_maxima.back().second <= need)
+        m_maxima.pop_back();
+    m_maxima.emplace_back(now, need);
+    return m_maxima.front().second;
+}
+
+void capacity_need::updateShares(const std::map<std::string, double> &shares, core::instant now)
 {
-    auto &maxima = state.maxima;
-    while (!maxima.empty() && now - maxima.front().first > holdTime)
-        maxima.pop_front();
-    while (!maxima.empty() && maxima.back().second <= need)
-        maxima.pop_back();
-    maxima.emplace_back(now, need);
-    return maxima.front().second;
+    const auto elapsed = now - m_sharesUpdated.value_or(now);
+    m_sharesUpdated = now;
+    const double weight = 1
+        - std::exp(-std::chrono::duration<double>(elapsed)
+                   / std::chrono::duration<double>(shareTime));
+    for (const auto &[name, share] : shares) {
+        auto &known = m_regions[name].share;
+        known = known ? *known + weight * (share - *known) : share;
+    }
 }
 
 std::map<std::string, std::uint32_t> capacity_need::update(const need_input &input,
@@ -66,11 +84,16 @@
     });
     if (hasLoad && !m_firstLoad)
         m_firstLoad = now;
-    const auto needs = currentNeeds(input);
+    const auto current = currentNeed(input);
+    updateShares(current.shares, now);
+    const double total = highestOf(current.total, now);
+    double shares = 0; // Not 1 if a region was silent for some time.
+    for (const auto &[name, region] : input.regions)
+        shares += m_regions[name].share.value_or(0);
     std::map<std::string, std::uint32_t> planned;
     for (const auto &[name, region] : input.regions) {
         auto &state = m_regions[name];
-        const double need = highest(state, needs.at(name), now);
+        const double need = shares > 0 ? total * state.share.value_or(0) / shares : 0;
         // Before any load, endpoints that are lost are still wanted, so the number never falls.
         if (!m_firstLoad || !state.planned)
             state.planned = std::max(state.planned.value_or(0), region.present);
--- a/Libraries/LibPolicy/capacity_need.h
+++ b/Libraries/LibPolicy/capacity_need.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace quetzalcleat::policy {
 
@@ -23,8 +24,9 @@
 struct region_demand
 {
     work_rate rate; ///< Of the callers of the region.
+    work_rate recentRate; ///< Over a shorter time.
     std::uint32_t running = 0; ///< Requests at the endpoints of the region.
-    std::uint32_t present = 0; ///< Endpoints ordered or serving, without those that leave.
+    std::uint32_t present = 0; ///< Endpoints that were there before any order of this planner.
     std::uint32_t minimum = 0;
     std::uint32_t maximum = 0;
 };
@@ -46,9 +48,15 @@
     /// Share of an engine's time, and of an endpoint's slots, that the demand may take. With one
     /// half, a demand that doubles while new endpoints start still finds room.
     static constexpr double targetUtilisation = 0.5;
+    /// The recent demand counts if it is so many times the one of the longer time. At the calm load
+    /// of a large deployment this is four times its standard deviation.
+    static constexpr double suddenRise = 1.4;
     /// The highest need of this time counts, so that waves with a period of up to about this time
     /// change no numbers.
     static constexpr std::chrono::milliseconds holdTime{10'000};
+    /// Time constant of the shares of the regions. They are averaged longer than the total, as the
+    /// variation of arrivals is larger in a part; meanwhile a region is served by the others.
+    static constexpr std::chrono::milliseconds shareTime{20'000};
     /// A number changes if the need differs from it by more than this share and by at least 1.
     static constexpr double tolerance = 0.1;
 
@@ -62,14 +70,17 @@
     struct region_state
     {
         std::optional<std::uint32_t> planned;
-        /// Needs of the last holdTime, of which none is followed by a higher one.
-        std::deque<std::pair<core::instant, double>> maxima;
+        std::optional<double> share; ///< Of the demand of all regions.
     };
 
-    static double highest(region_state &state, double need, core::instant now);
+    double highestOf(double need, core::instant now);
+    void updateShares(const std::map<std::string, double> &shares, core::instant now);
 
     std::optional<core::instant> m_firstLoad;
     std::map<std::string, region_state> m_regions;
+    /// Total needs of the last holdTime, of which none is followed by a higher one.
+    std::deque<std::pair<core::instant, double>> m_maxima;
+    std::optional<core::instant> m_sharesUpdated;
 };
 
 } // namespace quetzalcleat::policy
--- a/Libraries/LibPolicy/capacity_planner.cpp
+++ b/Libraries/LibPolicy/capacity_planner.cpp
@@ -81,25 +81,30 @@
 need_input capacity_planner::needInput(const capacity_input &input)
 {
     need_input result;
+    std::map<std::string, std::uint32_t> restored;
     result.engine = input.engine;
     result.slots = input.slots;
     for (const auto &state : input.dataCentres) {
         if (!state.isHeard)
             continue;
         auto &region = result.regions[state.region];
-        region.rate.requests += state.demand.requests;
-        region.rate.prefillTokens += state.demand.prefillTokens;
-        region.rate.outputTokens += state.demand.outputTokens;
+        region.rate += state.demand;
+        region.recentRate += state.recentDemand;
         region.running += state.running;
         region.minimum += input.minimum;
         region.maximum += input.maximum;
         for (const auto kind : capacityKinds) {
             // What this planner has ordered itself follows from the need, not the other way round.
             const auto &target = subjectOf(state, kind);
-            if (!target.desired || target.isRestored)
-                region.present += target.current(state.serving[kind]);
+            if (!target.desired)
+                region.present += state.serving[kind];
+            if (target.isRestored)
+                restored[state.region] += *target.desired;
         }
     }
+    // Not the sum: while the kind changes, the endpoints ordered take the place of some that serve.
+    for (auto &[name, region] : result.regions)
+        region.present = std::max(region.present, restored[name]);
     return result;
 }
 
--- a/Libraries/LibPolicy/capacity_planner.h
+++ b/Libraries/LibPolicy/capacity_planner.h
@@ -25,6 +25,7 @@
     by_kind<std::uint32_t> serving; ///< Without those that leave.
     by_kind<std::uint32_t> leaving;
     work_rate demand; ///< Of its callers.
+    work_rate recentDemand; ///< Over a shorter time, for sudden changes.
     std::uint32_t running = 0; ///< Requests at its endpoints.
 };
 
--- a/Libraries/LibPolicy/demand_meter.cpp
+++ b/Libraries/LibPolicy/demand_meter.cpp
@@ -1,6 +1,7 @@
 #include "LibPolicy/demand_meter.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace quetzalcleat::policy {
 
@@ -35,8 +36,8 @@
         hosts[host.name] = now;
 }
 
-std::map<std::string, work_rate> demand_meter::rates(const std::string &service,
-                                                     core::instant now) const
+std::map<std::string, work_rate> demand_meter::rates(const std::string &service, core::instant now,
+                                                     std::chrono::milliseconds span) const
 {
     std::map<std::string, work_rate> sums;
     for (auto entry = m_series.lower_bound({service, {}});
@@ -45,8 +46,12 @@
         auto &sum = sums[known.dataCentre];
         if (known.samples.size() < 2 || now - known.samples.back().at > silenceLimit)
             continue;
-        const auto &first = known.samples.front();
         const auto &last = known.samples.back();
+        // The newest one that is old enough.
+        const auto start
+            = std::find_if(std::next(known.samples.rbegin()), std::prev(known.samples.rend()),
+                           [&](const sample &entry) { return last.at - entry.at >= span; });
+        const auto &first = *start;
         const double seconds = std::chrono::duration<double>(last.at - first.at).count();
         const auto perSecond = [seconds](std::uint64_t from, std::uint64_t to) {
             return static_cast<double>(to - from) / seconds;
--- a/Libraries/LibPolicy/demand_meter.h
+++ b/Libraries/LibPolicy/demand_meter.h
@@ -25,6 +25,14 @@
     double requests = 0;
     double prefillTokens = 0;
     double outputTokens = 0;
+
+    work_rate &operator+=(const work_rate &other)
+    {
+        requests += other.requests;
+        prefillTokens += other.prefillTokens;
+        outputTokens += other.outputTokens;
+        return *this;
+    }
 };
 
 /// One process of a host.
@@ -40,8 +48,11 @@
 class demand_meter
 {
 public:
-    /// Counts are differentiated over this time. Shorter ones multiply the variation of arrivals.
-    static constexpr std::chrono::milliseconds window{2000};
+    /// Time over which counts are differentiated. With 2 s, the variation of arrivals at the calm
+    /// load of a large deployment changed the planned numbers four times as often as with 4 s.
+    static constexpr std::chrono::milliseconds window{4000};
+    /// For sudden changes.
+    static constexpr std::chrono::milliseconds recentWindow{1000};
     /// A host without a report for this long counts as not heard from.
     static constexpr std::chrono::milliseconds silenceLimit{3000};
     static constexpr std::chrono::milliseconds retention{60'000};
@@ -53,8 +64,9 @@
     /// A host has reported, with or without counts.
     void recordHost(const reporting_host &host, core::instant now);
 
-    /// Of the hosts of each data centre that are heard from.
-    std::map<std::string, work_rate> rates(const std::string &service, core::instant now) const;
+    /// Of the hosts of each data centre that are heard from, over the given time.
+    std::map<std::string, work_rate> rates(const std::string &service, core::instant now,
+                                           std::chrono::milliseconds span = window) const;
 
     /// False if all known hosts of the data centre are silent. True if none is known, as a data
     /// centre may have endpoints and no hosts.
--- a/Tests/Policy/test_capacity_planner.cpp
+++ b/Tests/Policy/test_capacity_planner.cpp
@@ -39,7 +39,7 @@
     void setDemand(double busy)
     {
         for (auto &state : input.dataCentres)
-            state.demand
+            state.recentDemand = state.demand
                 = {10, busy * promptSpeed / static_cast<double>(input.dataCentres.size()), 0};
     }
 
@@ -152,6 +152,25 @@
     EXPECT_GE(total(), 60U);
 }
 
+/// Guards against a doubling that is only seen once it has lasted as long as rates are averaged
+/// over, and against orders for the usual variation of arrivals.
+TEST_F(capacity_planner_test, SuddenRiseCountsBeforeTheAverageShowsIt)
+{
+    setDemand(15);
+    run(60s);
+    const int before = calls;
+    const auto multiply = [this](double factor) {
+        for (auto &state : input.dataCentres)
+            state.recentDemand.prefillTokens = factor * state.demand.prefillTokens;
+    };
+    multiply(1.3);
+    run(20s);
+    EXPECT_EQ(calls, before);
+    multiply(2);
+    run(6s);
+    EXPECT_GE(total(), 60U);
+}
+
 /// Guards against a base of ordinary endpoints that is too small for the loss of the spot
 /// endpoints of a data centre, and against a planner that waits until there are some again.
 TEST_F(capacity_planner_test, LossOfAllSpotEndpointsOfADataCentre)
@@ -255,6 +274,18 @@
     EXPECT_EQ(calls, before);
 }
 
+/// Guards against a new holder that takes the endpoints of a change of kind for twice as many.
+TEST_F(capacity_planner_test, NewHolderFinishesTheChangeOfKind)
+{
+    run(3s);
+    capacity_planner next;
+    for (const auto &state : input.dataCentres)
+        next.restore(state.name, capacity_kind::Spot, 9);
+    planner = next;
+    run(60s);
+    EXPECT_EQ(total(), 60U);
+}
+
 /// Guards against numbers that follow waves: each change costs start-up times and caches.
 TEST_F(capacity_planner_test, WavesChangeNothing)
 {
@@ -299,6 +330,8 @@
     for (std::uint64_t count = 0; count < 8; ++count, now += 500ms)
         meter.record({"host", "dc", 1}, "service", {count * 5, count * 1000, 0}, now);
     EXPECT_NEAR(meter.rates("service", now).at("dc").prefillTokens, 2000, 1);
+    meter.record({"host", "dc", 1}, "service", {100, 9000, 0}, now);
+    EXPECT_NEAR(meter.rates("service", now, 500ms).at("dc").prefillTokens, 4000, 1);
     meter.record({"host", "dc", 2}, "service", {1, 10, 0}, now);
     EXPECT_EQ(meter.rates("service", now).at("dc").prefillTokens, 0);
     meter.record({"host", "dc", 2}, "service", {6, 1010, 0}, now + 500ms);
