LibFleet, LibPeer, platform: Order endpoints from the holder of the duty

Cause: nothing turned the plan of capacity_planner into orders to the platform.

Ruled out: a controller with a timer and a connection of its own, since the holder of the duty makes all calls under one rate limit, and the control host has a timer already; reading the loads through a new method of control_service, which may not grow.

The dialect writes the order. The load aggregator of control_service is an option, so that the control host can read it.

--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibFleet/capacity_sources.h"
 #include "LibFleet/deployment_dialect.h"
 #include "LibFleet/held_calls.h"
 #include "LibForward/event_log.h"
@@ -132,6 +133,7 @@
         // deployments, since all hosts may restart at the same time while callers wait.
         options.electionTimeout = std::chrono::milliseconds(600);
         options.heartbeatInterval = std::chrono::milliseconds(120);
+        options.loads = m_loads;
         const auto voters = options.minimumVoters;
         auto service
             = peer::control_service::create(m_network, m_feed, m_publisher, std::move(options));
@@ -172,7 +174,9 @@
                     entries.push_back({entry.incarnation, entry.service, entry.address.ip,
                                        entry.address.port, entry.dataCentre, entry.slots,
                                        entry.isLeaving});
-                self->m_catalogue->update(entries, std::chrono::steady_clock::now());
+                const auto now = std::chrono::steady_clock::now();
+                self->m_catalogue->update(entries, now);
+                self->m_capacitySources.setList(endpoints, now);
             });
         m_listReader->setReadCondition([weak] {
             const auto self = weak.lock();
@@ -374,6 +378,8 @@
     std::shared_ptr<forward::connection_pool> m_pool;
     std::shared_ptr<forward::endpoint_list_reader<Dialect>> m_listReader;
     std::shared_ptr<peer::endpoint_catalogue> m_catalogue;
+    std::shared_ptr<peer::load_aggregator> m_loads = std::make_shared<peer::load_aggregator>();
+    capacity_sources m_capacitySources{m_settings.regions};
     std::string m_lastLeader;
     core::instant m_leaderSeen = std::chrono::steady_clock::now(); ///< At first the start.
     std::optional<core::instant> m_stopAt; ///< Set while a planned stop is in progress.
--- a/Libraries/LibFleet/deployment_dialect.h
+++ b/Libraries/LibFleet/deployment_dialect.h
@@ -7,6 +7,7 @@
 #include "LibForward/wire_names.h"
 
 #include <concepts>
+#include <cstdint>
 #include <string>
 
 namespace quetzalcleat::fleet {
@@ -14,12 +15,31 @@
 /// HTTP operations that this system serves itself, apart from forwarded requests.
 enum class http_operation { ReadConfiguration, WriteConfiguration, Readiness, Unknown };
 
+/// The number of endpoints of one kind that a service is to have in a data centre.
+struct endpoint_order
+{
+    std::string service;
+    std::string dataCentre;
+    bool isSpot = false;
+    std::uint32_t count = 0;
+
+    bool operator==(const endpoint_order &) const = default;
+};
+
+/// A call to the platform.
+struct platform_call
+{
+    std::string target; ///< Path and query.
+    std::string body;
+};
+
 /// Translates between the platform's wire formats and the types of LibForward and LibFleet;
 /// contains no routing logic.
 template <typename Dialect>
 concept deployment_dialect
     = forward::endpoint_list_dialect<Dialect> && requires(const std::string &text,
-                                                          const forward::http_head &head)
+                                                          const forward::http_head &head,
+                                                          const endpoint_order &order)
 {
     {
         Dialect::readSettings(text)
@@ -33,6 +53,9 @@
     {
         Dialect::httpOperation(head)
         } -> std::same_as<http_operation>;
+    {
+        Dialect::orderCall(order)
+        } -> std::same_as<platform_call>;
 };
 
 } // namespace quetzalcleat::fleet
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -12,7 +12,6 @@
 #include "LibPeer/crash_reporter.h"
 #include "LibPeer/endpoint_catalogue.h"
 #include "LibPeer/endpoint_list_transfers.h"
-#include "LibPeer/load_aggregator.h"
 #include "LibPeer/message_codec.h"
 #include "LibPeer/peer_error.h"
 #include "LibPeer/peer_network.h"
@@ -240,7 +239,7 @@
     consensus::term_number m_clockTerm = 0;
     std::shared_ptr<const endpoint_catalogue> m_catalogue;
     endpoint_list_transfers m_listTransfers; ///< While leading.
-    load_aggregator m_loads; ///< Of the hosts that requested a lease recently.
+    load_aggregator &m_loads = *m_options.loads; ///< Of the hosts that requested a lease recently.
     policy::part_quarantine m_quarantine; ///< By the reports of the hosts in m_loads.
     configuration_distributor m_distributor;
     consensus::membership_planner m_planner;
--- a/Libraries/LibPeer/control_service.h
+++ b/Libraries/LibPeer/control_service.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/result.h"
 #include "LibCore/time.h"
+#include "LibPeer/load_aggregator.h"
 #include "LibState/edits.h"
 
 #include <chrono>
@@ -40,6 +41,8 @@
     /// Whether a voter that knows no leader asks to join again, in case it was removed.
     bool rejoinWithoutLeader = false;
     core::time_source now = core::suspendAwareNow; ///< Has to count suspended time.
+    /// The loads that hosts report while this host leads, at the times of `now`.
+    std::shared_ptr<load_aggregator> loads = std::make_shared<load_aggregator>();
 };
 
 /// The replicated log and state on a control host: runs raft over the peer network, syncs on a
--- a/Tests/Fleet/number_dialect.h
+++ b/Tests/Fleet/number_dialect.h
@@ -38,6 +38,13 @@
 
     static forward::wire_names wireNames() { return {}; }
 
+    static platform_call orderCall(const endpoint_order &order)
+    {
+        return {"/order",
+                order.service + ' ' + order.dataCentre + (order.isSpot ? " spot " : " ordinary ")
+                    + std::to_string(order.count)};
+    }
+
     static http_operation httpOperation(const forward::http_head &head)
     {
         if (head.path() != "/configuration")
--- a/Tests/Platform/test_platform_dialect.cpp
+++ b/Tests/Platform/test_platform_dialect.cpp
@@ -252,3 +252,13 @@
     EXPECT_EQ(callOf("POST", "/config"), fleet::http_operation::Unknown);
     EXPECT_EQ(platform_dialect::endpointListTarget("p-50"), "/instances?page-token=p-50");
 }
+
+/// Guards against orders that the platform does not understand, or takes for another kind.
+TEST(platform_dialect, WritesOrders)
+{
+    const auto ordinary = platform_dialect::orderCall({"x", "dc", false, 6});
+    EXPECT_EQ(ordinary.target, "/scale");
+    EXPECT_EQ(ordinary.body, R"({"service":"x","zone":"dc","desired":6})");
+    const auto spot = platform_dialect::orderCall({"x", "dc", true, 0});
+    EXPECT_EQ(spot.body, R"({"service":"x","zone":"dc","desired":0,"spot":true})");
+}
