LibForward, LibFleet: Move streams from leaving endpoints and count the demand

Cause: streams at an endpoint that leaves at a known time ran on until it was gone, although they can continue elsewhere; and the leader had no counts of the work that entry hosts send to a service.

Ruled out: moving streams while no other endpoint is free, since placement would end them; a new way to resend, since a recalled request already takes a token of the retry budget and continues after its last event.

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -102,6 +102,25 @@
             && m_forwarder->hasConfirmedConfiguration();
     }
 
+    /// The work that this host has sent to each service since its start.
+    std::vector<peer::service_demand> demand() const
+    {
+        std::vector<peer::service_demand> demand;
+        for (const auto &[name, work] : m_forwarder->demand().services())
+            demand.push_back({name, work.requests, work.prefillTokens, work.outputTokens});
+        return demand;
+    }
+
+    /// Endpoints that leave at a known time, as the leader says.
+    void applyLeaves(const std::vector<peer::endpoint_leave> &leaves)
+    {
+        constexpr std::uint64_t longestLeave = 3'600'000; // An hour, in ms.
+        for (const auto &entry : leaves)
+            m_forwarder->recordLeave(
+                entry.incarnation,
+                std::chrono::milliseconds(std::min(entry.remainingMilliseconds, longestLeave)));
+    }
+
     /// One line for the host and one for each endpoint.
     std::string dump() const
     {
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -292,7 +292,7 @@
     m_uncachedTokens = choice.uncachedTokens;
     m_awaitsFirstByte = true;
     ++m_endpoint->running;
-    m_endpoint->waitingTokens += m_uncachedTokens;
+    m_owner->recordPlacement(*m_endpoint, m_uncachedTokens);
     m_endpoint->isProbing = m_endpoint->ejections > 0 && m_endpoint->ejectedUntil <= now;
     if (m_service->engine) {
         for (const auto &part : m_size.parts)
@@ -550,7 +550,7 @@
     }
     // Comments and incomplete events are no progress, so they do not restart the stall timer.
     if (m_events.eventCount() > eventsBefore) {
-        m_endpoint->lastReceived = m_owner->now();
+        m_owner->recordEvents(*m_endpoint, *m_service, m_events.eventCount() - eventsBefore);
         recordFirstByte(*m_endpoint);
         recordPart();
         startAttemptTimer();
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -4,7 +4,9 @@
 #include "LibForward/forwarder.h"
 #include "LibForward/http_head.h"
 #include "LibForward/request_admission.h"
+#include "LibPolicy/leaving_streams.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -54,6 +56,20 @@
     /// Sends the request elsewhere instead, if that is allowed.
     void recall();
 
+    /// The stream that this endpoint sends, if there is one.
+    std::optional<policy::leaving_stream> streamAt(const std::string &incarnation) const
+    {
+        if (m_done || !m_attempt || !m_endpoint || !isStream()
+            || m_endpoint->listed.incarnation != incarnation)
+            return std::nullopt;
+        const auto tokensPerEvent
+            = m_service->engine ? std::max(m_service->engine->tokensPerEvent, 1U) : 1U;
+        const auto running = elapsed();
+        return policy::leaving_stream{isRetrySafe(), m_events.eventCount(),
+                                      m_size.expectedOutputTokens / tokensPerEvent,
+                                      running - m_timeToFirstPart, running};
+    }
+
     /// Ends the request if a part of its prompt is quarantined, unless an engine is answering it.
     void endIfQuarantined();
 
--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -27,7 +27,8 @@
       m_confirmationAge(std::move(confirmationAge)), m_acceptor(context), m_timer(context),
       m_pool(std::make_shared<connection_pool>(context, m_options.upstream)),
       m_endpoints(m_options.notices), m_notices(m_endpoints, counters, log, m_options.names),
-      m_heldRequests(context), m_retryBudget(m_options.retries)
+      m_streamMover(m_endpoints, counters, log), m_heldRequests(context),
+      m_retryBudget(m_options.retries)
 {
 }
 
@@ -49,6 +50,10 @@
     const auto now = m_options.now();
     m_endpoints.update(list, now);
     m_notices.update(now);
+    for (const auto &entry : list) {
+        if (entry.leavesIn)
+            m_streamMover.recordLeave(entry.incarnation, *entry.leavesIn, now);
+    }
     m_heldRequests.resume();
 }
 
@@ -116,6 +121,8 @@
             return;
         self->m_pool->closeIdle(std::chrono::steady_clock::now());
         self->m_notices.update(self->now());
+        if (!self->m_streamMover.isIdle())
+            self->m_streamMover.update(self->requests(), tickInterval, self->now());
         self->m_log.flush();
         self->startTimer();
     });
@@ -191,14 +198,34 @@
     m_log.flush();
 }
 
-void forwarder::recallRequests(const endpoint &target)
+std::vector<std::shared_ptr<exchange>> forwarder::requests() const
 {
-    std::vector<std::shared_ptr<exchange>> late;
+    std::vector<std::shared_ptr<exchange>> requests;
     for (const auto &session : m_sessions) {
-        const auto &request = session->currentExchange();
-        if (request && request->mayArriveLaterAt(target))
-            late.push_back(request);
+        if (const auto &request = session->currentExchange())
+            requests.push_back(request);
     }
+    return requests;
+}
+
+void forwarder::recordPlacement(endpoint &target, std::uint64_t prefillTokens)
+{
+    target.waitingTokens += prefillTokens;
+    m_demand.recordPlacement(target.listed.service, prefillTokens);
+}
+
+void forwarder::recordEvents(endpoint &target, const service &served, std::uint64_t events)
+{
+    target.lastReceived = now();
+    m_demand.recordOutput(served.name,
+                          events * (served.engine ? served.engine->tokensPerEvent : 1));
+}
+
+void forwarder::recallRequests(const endpoint &target)
+{
+    auto late = requests();
+    std::erase_if(late,
+                  [&target](const auto &request) { return !request->mayArriveLaterAt(target); });
     // Those that cannot be recalled come first, so that the one that is left is among them.
     std::stable_partition(late.begin(), late.end(),
                           [](const auto &request) { return !request->isRetrySafe(); });
--- a/Libraries/LibForward/forwarder.h
+++ b/Libraries/LibForward/forwarder.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/counter_registry.h"
 #include "LibCore/latency_histogram.h"
+#include "LibForward/demand_counter.h"
 #include "LibForward/endpoint_table.h"
 #include "LibForward/event_log.h"
 #include "LibForward/held_requests.h"
@@ -9,6 +10,7 @@
 #include "LibForward/placement.h"
 #include "LibForward/retry_budget.h"
 #include "LibForward/route_table.h"
+#include "LibForward/stream_mover.h"
 #include "LibForward/upstream.h"
 #include "LibForward/wire_names.h"
 #include "LibPolicy/crash_witness.h"
@@ -27,6 +29,7 @@
 namespace quetzalcleat::forward {
 
 class caller_session;
+class exchange;
 
 struct forwarder_options
 {
@@ -120,6 +123,20 @@
     /// one is left and the others are sent elsewhere if they are safe to send again.
     void recallRequests(const endpoint &target);
 
+    /// The endpoint is gone after this time, as a control host says. Streams that would outlast it
+    /// continue elsewhere.
+    void recordLeave(const std::string &incarnation, std::chrono::milliseconds remaining)
+    {
+        m_streamMover.recordLeave(incarnation, remaining, now());
+    }
+
+    /// A request is sent to the endpoint, with prompt tokens that it has to read.
+    void recordPlacement(endpoint &target, std::uint64_t prefillTokens);
+    /// The endpoint has sent events of a stream.
+    void recordEvents(endpoint &target, const service &served, std::uint64_t events);
+    /// The work that this host has sent to endpoints.
+    const demand_counter &demand() const { return m_demand; }
+
     /// Records how an attempt at the endpoint ended, and logs what follows from it.
     void recordOutcome(endpoint &target, endpoint_outcome outcome);
     /// Finds out whether the endpoint still runs after a connection to it broke.
@@ -135,6 +152,7 @@
     void waitEnded() { --m_waitingRequests; }
 
 private:
+    std::vector<std::shared_ptr<exchange>> requests() const;
     void acceptNext();
     void acceptWaiting();
     void closeListener();
@@ -152,6 +170,8 @@
     std::shared_ptr<const route_table> m_routes;
     endpoint_table m_endpoints;
     notice_recorder m_notices;
+    stream_mover m_streamMover;
+    demand_counter m_demand;
     held_requests m_heldRequests;
     retry_budget m_retryBudget;
     policy::crash_witness m_crashWitness;
