--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "LibFleet/capacity_controller.h"
+#include "LibFleet/capacity_sources.h"
 #include "LibFleet/control_duties.h"
 #include "LibFleet/deployment_dialect.h"
 #include "LibFleet/held_calls.h"
@@ -12,6 +14,7 @@
 #include "LibPeer/endpoint_catalogue.h"
 #include "LibPeer/peer_network.h"
 #include "LibState/command.h"
+#include "LibState/replicated_state.h"
 
 #include <algorithm>
 #include <chrono>
@@ -102,7 +105,8 @@
             + " confirmed=" + (m_service->isConfirmed() ? "yes" : "no") + " voters=";
         for (const auto &host : m_service->voterHosts())
             text += host + ',';
-        return text + '\n' + (m_duties ? m_duties->dump() : std::string());
+        return text + '\n' + (m_duties ? m_duties->dump() : std::string())
+            + (m_capacity ? m_capacity->dump() : std::string());
     }
 
 private:
@@ -136,6 +140,7 @@
         // deployments, since all hosts may restart at the same time while callers wait.
         options.electionTimeout = std::chrono::milliseconds(600);
         options.heartbeatInterval = std::chrono::milliseconds(120);
+        options.loads = m_loads;
         const auto voters = options.minimumVoters;
         auto service
             = peer::control_service::create(m_network, m_feed, m_publisher, std::move(options));
@@ -176,7 +181,9 @@
                     entries.push_back({entry.incarnation, entry.service, entry.address.ip,
                                        entry.address.port, entry.dataCentre, entry.slots,
                                        entry.isLeaving});
-                self->m_catalogue->update(entries, std::chrono::steady_clock::now());
+                const auto now = std::chrono::steady_clock::now();
+                self->m_catalogue->update(entries, now);
+                self->m_capacitySources.setList(endpoints, core::suspendAwareNow());
             });
         m_listReader->setReadCondition([weak] {
             const auto self = weak.lock();
@@ -198,7 +205,71 @@
         m_duties
             = control_duties::create(m_network, m_service, m_pool, m_counters, m_log, m_settings,
                                      {&Dialect::dutyHeaders, &Dialect::usageReport});
+        m_duties->reports()->setLeaving([weak = this->weak_from_this()] {
+            const auto self = weak.lock();
+            return self ? self->m_capacitySources.leaves(core::suspendAwareNow())
+                        : std::vector<peer::endpoint_leave>();
+        });
         m_duties->start();
+        if (m_settings.duties.ordersEndpoints)
+            startCapacity();
+    }
+
+    /// Orders endpoints while this host holds the duty.
+    void startCapacity()
+    {
+        const std::weak_ptr<control_node> weak = this->weak_from_this();
+        typename capacity_orders::handlers handlers;
+        handlers.loads = [weak] {
+            const auto self = weak.lock();
+            // No host is excluded by an empty name.
+            return self ? self->m_loads->sumsExcluding({}, core::suspendAwareNow())
+                        : std::vector<peer::endpoint_load>();
+        };
+        handlers.agreedOrders = [weak] {
+            std::vector<endpoint_order> orders;
+            const auto self = weak.lock();
+            if (!self)
+                return orders;
+            for (const auto &[subject, agreed] :
+                 self->m_service->replicatedState().duties().capacityOrders())
+                orders.push_back({subject.service, subject.dataCentre, subject.isSpot,
+                                  static_cast<std::uint32_t>(agreed.desired)});
+            return orders;
+        };
+        handlers.accepted = [weak](const endpoint_order &order, std::uint64_t generation) {
+            const auto self = weak.lock();
+            if (!self || self->m_stopped)
+                return;
+            // If it is not agreed, a later holder begins from the list instead.
+            self->m_duties->proposer()->propose(
+                state::capacity_order{
+                    generation, {order.service, order.dataCentre, order.isSpot}, order.count},
+                [](const core::result<void> &) {});
+        };
+        m_capacity = std::make_shared<capacity_orders>(*m_duties->runner(), m_capacitySources,
+                                                       m_counters, m_log, std::move(handlers));
+        m_feed->onPublished([weak](const state::configuration &newest) {
+            if (const auto self = weak.lock())
+                self->setOrderedServices(newest);
+        });
+        setOrderedServices(m_feed->current());
+    }
+
+    void setOrderedServices(const state::configuration &newest)
+    {
+        if (const auto content = Dialect::readConfiguration(newest.document))
+            m_capacity->setServices(content.value().services);
+    }
+
+    void updateCapacity()
+    {
+        if (!m_capacity)
+            return;
+        for (const auto &[host, demand] : m_duties->reports()->demand())
+            m_capacitySources.recordReport({host, demand.dataCentre, demand.incarnation},
+                                           demand.services, demand.receivedAt);
+        m_capacity->update(core::suspendAwareNow());
     }
 
     void startTimer()
@@ -210,6 +281,7 @@
             if (error || !self || self->m_stopped)
                 return;
             self->logLeaderChange();
+            self->updateCapacity();
             self->leave();
             self->m_log.flush();
             self->startTimer();
@@ -389,6 +461,10 @@
     std::shared_ptr<forward::endpoint_list_reader<Dialect>> m_listReader;
     std::shared_ptr<peer::endpoint_catalogue> m_catalogue;
     std::shared_ptr<control_duties> m_duties; ///< Null without duties in the settings.
+    std::shared_ptr<peer::load_aggregator> m_loads = std::make_shared<peer::load_aggregator>();
+    using capacity_orders = capacity_controller<Dialect, duty_runner, state::duty::Autoscale>;
+    capacity_sources m_capacitySources{m_settings.regions};
+    std::shared_ptr<capacity_orders> m_capacity; ///< Null without that duty in the settings.
     std::string m_lastLeader;
     core::instant m_leaderSeen = std::chrono::steady_clock::now(); ///< At first the start.
     std::optional<core::instant> m_stopAt; ///< Set while a planned stop is in progress.
--- a/Libraries/LibFleet/deployment_dialect.h
+++ b/Libraries/LibFleet/deployment_dialect.h
@@ -18,15 +18,23 @@
 /// HTTP operations that this system serves itself, apart from forwarded requests.
 enum class http_operation { ReadConfiguration, WriteConfiguration, Readiness, Unknown };
 
+/// The number of endpoints of one kind that a service is to have in a data centre.
+struct endpoint_order
+{
+    std::string service;
+    std::string dataCentre;
+    bool isSpot = false;
+    std::uint32_t count = 0;
+
+    bool operator==(const endpoint_order &) const = default;
+};
+
 /// Translates between the platform's wire formats and the types of LibForward and LibFleet;
 /// contains no routing logic.
 template <typename Dialect>
-concept deployment_dialect
-    = forward::endpoint_list_dialect<Dialect> && requires(const std::string &text,
-                                                          const forward::http_head &head,
-                                                          const duty_caller &caller,
-                                                          std::uint64_t window,
-                                                          const state::account_counts &counts)
+concept deployment_dialect = forward::endpoint_list_dialect<Dialect> && requires(
+    const std::string &text, const forward::http_head &head, const duty_caller &caller,
+    std::uint64_t window, const state::account_counts &counts, const endpoint_order &order)
 {
     {
         Dialect::readSettings(text)
@@ -46,6 +54,9 @@
     {
         Dialect::usageReport(window, counts)
         } -> std::same_as<duty_request>;
+    {
+        Dialect::orderCall(order)
+        } -> std::same_as<duty_request>;
 };
 
 } // namespace quetzalcleat::fleet
--- a/Libraries/LibFleet/duty_reporter.cpp
+++ b/Libraries/LibFleet/duty_reporter.cpp
@@ -94,6 +94,7 @@
     peer::duty_report content;
     content.incarnation = m_network->incarnation();
     content.sequence = ++m_sequence;
+    content.dataCentre = m_network->options().dataCentre;
     content.wallMilliseconds = milliseconds(std::chrono::system_clock::now());
     auto entries = m_usage.changes(maximumEntries);
     for (const auto &each : entries)
--- a/Libraries/LibFleet/duty_reports.cpp
+++ b/Libraries/LibFleet/duty_reports.cpp
@@ -81,7 +81,7 @@
     for (const auto &each : report.usage)
         entries.push_back({each.window, each.account, each.count});
     m_ledger.record(host, report.incarnation, entries, now);
-    m_demand[host] = {report.incarnation, report.demand, now};
+    m_demand[host] = {report.incarnation, report.dataCentre, report.demand, now};
     peer::duty_report_answer answer;
     answer.incarnation = m_network->incarnation();
     answer.sequence = report.sequence;
--- a/Libraries/LibFleet/duty_reports.h
+++ b/Libraries/LibFleet/duty_reports.h
@@ -24,6 +24,7 @@
     struct host_demand
     {
         std::uint64_t incarnation = 0; ///< Of the process; the counts begin at 0 with each.
+        std::string dataCentre;
         std::vector<peer::service_demand> services;
         core::instant receivedAt; ///< By the clock that counts suspended time.
     };
--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -107,6 +107,16 @@
             && m_forwarder->hasConfirmedConfiguration();
     }
 
+    /// Endpoints that leave at a known time, as the leader says.
+    void applyLeaves(const std::vector<peer::endpoint_leave> &leaves)
+    {
+        constexpr std::uint64_t longestLeave = 3'600'000; // An hour, in ms.
+        for (const auto &entry : leaves)
+            m_forwarder->recordLeave(
+                entry.incarnation,
+                std::chrono::milliseconds(std::min(entry.remainingMilliseconds, longestLeave)));
+    }
+
     /// One line for the host and one for each endpoint.
     std::string dump() const
     {
@@ -237,6 +247,10 @@
             const auto self = weak.lock();
             return 2 * peer::configuration_lease_options().intervalFor(self ? self->m_hosts : 0);
         };
+        handlers.leaving = [weak](const std::vector<peer::endpoint_leave> &leaves) {
+            if (const auto self = weak.lock())
+                self->applyLeaves(leaves);
+        };
         m_dutyReporter
             = duty_reporter::create(m_network, m_forwarder->work(), m_counters,
                                     usageOptions(m_settings.duties), std::move(handlers));
--- a/Libraries/LibForward/forwarder.h
+++ b/Libraries/LibForward/forwarder.h
@@ -9,6 +9,7 @@
 #include "LibForward/placement.h"
 #include "LibForward/retry_budget.h"
 #include "LibForward/route_table.h"
+#include "LibForward/stream_mover.h"
 #include "LibForward/upstream.h"
 #include "LibForward/wire_names.h"
 #include "LibForward/work_counters.h"
@@ -28,6 +29,7 @@
 namespace quetzalcleat::forward {
 
 class caller_session;
+class exchange;
 
 struct forwarder_options
 {
@@ -122,6 +124,13 @@
     /// one is left and the others are sent elsewhere if they are safe to send again.
     void recallRequests(const endpoint &target);
 
+    /// The endpoint is gone after this time, as a control host says. Streams that would outlast it
+    /// continue elsewhere.
+    void recordLeave(const std::string &incarnation, std::chrono::milliseconds remaining)
+    {
+        m_streamMover.recordLeave(incarnation, remaining, now());
+    }
+
     /// Records how an attempt at the endpoint ended, and logs what follows from it.
     void recordOutcome(endpoint &target, endpoint_outcome outcome);
     /// Finds out whether the endpoint still runs after a connection to it broke.
@@ -137,6 +146,7 @@
     void waitEnded() { --m_waitingRequests; }
 
 private:
+    std::vector<std::shared_ptr<exchange>> requests() const;
     void acceptNext();
     void acceptWaiting();
     void closeListener();
@@ -154,6 +164,7 @@
     std::shared_ptr<const route_table> m_routes;
     endpoint_table m_endpoints;
     notice_recorder m_notices;
+    stream_mover m_streamMover;
     held_requests m_heldRequests;
     retry_budget m_retryBudget;
     policy::crash_witness m_crashWitness;
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -409,6 +409,7 @@
 {
     std::uint64_t incarnation = 0; ///< Of the sender's process; its counts begin at 0.
     std::uint64_t sequence = 0; ///< Grows within the sender's incarnation.
+    std::string dataCentre; ///< Of the sender.
     std::uint64_t wallMilliseconds = 0; ///< Time of day of the sender, since 1970.
     std::vector<usage_count> usage; ///< Changed since the last report that was answered.
     std::vector<service_demand> demand;
--- a/Tests/Platform/test_platform_dialect.cpp
+++ b/Tests/Platform/test_platform_dialect.cpp
@@ -267,3 +267,13 @@
     EXPECT_EQ(headers[0].name + ": " + headers[0].value, "X-Duty-Holder: host");
     EXPECT_EQ(headers[1].name + ": " + headers[1].value, "X-Fence-Token: 17");
 }
+
+/// Guards against orders that the platform does not understand, or takes for another kind.
+TEST(platform_dialect, WritesOrders)
+{
+    const auto ordinary = platform_dialect::orderCall({"x", "dc", false, 6});
+    EXPECT_EQ(ordinary.target, "/scale");
+    EXPECT_EQ(ordinary.body, R"({"service":"x","zone":"dc","desired":6})");
+    const auto spot = platform_dialect::orderCall({"x", "dc", true, 0});
+    EXPECT_EQ(spot.body, R"({"service":"x","zone":"dc","desired":0,"spot":true})");
+}
