--- a/Tests/Policy/test_capacity_planner.cpp
+++ b/Tests/Policy/test_capacity_planner.cpp
@@ -49,7 +49,7 @@
             serving(order->dataCentre, order->kind) = order->count;
             order = pending.erase(order);
         }
-        const auto decisions = planner.plan(input, now);
+        auto decisions = planner.plan(input, now);
         for (const auto &decision : decisions) {
             if (!decision.isDue)
                 continue;
