LibPolicy, LibForward, LibFleet: Place requests by the age of the load sums

Cause: the sums of other hosts are 100 to 800 ms old when they are used, and the placement took them as they are. All hosts chose the engine that looked empty, a popular prefix stayed on one engine until that engine missed the latency objective, and slow engines got as much work as fast ones.

Ruled out: a growth estimate from the own sends times the number of hosts. A host sends about five requests a second to 60 engines, so its own sends of the last half second say next to nothing about one engine.

Change: policy::load_estimate moves a sum towards the endpoint's mean as the sum ages; policy::learnt_speed learns the speed of an engine from the times to the first byte, relative to all engines. An engine with more than 1.5 times the mean number of requests passes the share above the bound to the next engine of the prefix. Requests without a prefix, or with one that is read in less than 10 ms, go at random to one of up to three engines of nearly equal cost, if sums are known. An endpoint that came into use within 1.5 s is taken to have at least the mean load. The reroute factors, pool sizes and costs are unchanged. placement_options::rule selects the former rule. placement_record takes the accounting of an attempt out of exchange.cpp.

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -207,9 +207,8 @@
             const auto self = weak.lock();
             if (!self)
                 return;
-            // Outdated loads of other hosts mislead the placement more than none.
             if (!isConfirmed)
-                self->applyLoads({}, 0);
+                self->m_forwarder->endpoints().forgetLoads();
             self->m_log.write(isConfirmed ? "configuration_confirmed" : "configuration_unconfirmed",
                               {{"leader", self->m_lease->leader()},
                                {"revision", std::to_string(self->m_lease->revision())}});
@@ -297,19 +296,13 @@
     void applyLoads(const std::vector<peer::endpoint_load> &loads, std::uint32_t hosts)
     {
         std::map<std::string, std::uint32_t> lost;
-        for (const auto &[incarnation, target] : m_forwarder->endpoints().all()) {
-            target->runningByOtherHosts = 0;
-            target->waitingTokensOfOtherHosts = 0;
-        }
+        std::map<std::string, forward::reported_load> sums;
         for (const auto &load : loads) {
-            const auto found = m_forwarder->endpoints().all().find(load.incarnation);
-            if (found == m_forwarder->endpoints().all().end())
-                continue;
-            found->second->runningByOtherHosts = load.running;
-            found->second->waitingTokensOfOtherHosts = load.waitingTokens;
+            sums[load.incarnation] = {load.running, load.waitingTokens};
             if (load.lossReports > 0)
                 lost[load.incarnation] = load.lossReports;
         }
+        m_forwarder->endpoints().applyLoads(sums, m_forwarder->now());
         m_forwarder->endpoints().applyLossReports(lost, m_forwarder->now());
         // The largest number seen, so that hosts the leader cannot reach keep their share.
         m_hosts = std::max(m_hosts, hosts);
--- a/Libraries/LibForward/endpoint_table.cpp
+++ b/Libraries/LibForward/endpoint_table.cpp
@@ -29,6 +29,10 @@
 constexpr double maximumReportedShare = 0.4;
 /// An endpoint that this host received bytes from within this time is not ejected by loss reports.
 constexpr std::chrono::milliseconds recentContact{500};
+/// Bounds of the interval of the sums of other hosts' loads, as hosts ask for them. An interval
+/// above the upper bound is a gap in the sums.
+constexpr std::chrono::milliseconds shortestLoadInterval{100};
+constexpr std::chrono::milliseconds longestLoadInterval{1000};
 
 } // namespace
 
@@ -41,6 +45,7 @@
         auto &known = m_endpoints[entry.incarnation];
         if (!known) {
             known = std::make_shared<endpoint>();
+            known->addedAt = now;
             m_services[entry.service].push_back(known);
         } else if (known->listed.address != entry.address) {
             moved.insert(entry.incarnation);
@@ -96,6 +101,7 @@
     auto fresh = std::make_shared<endpoint>();
     fresh->listed = known->listed;
     fresh->listedAsStaying = now;
+    fresh->addedAt = now;
     fresh->restart = ++m_restarts;
     auto &endpoints = m_services[known->listed.service];
     std::replace(endpoints.begin(), endpoints.end(), known, fresh);
@@ -148,6 +154,44 @@
     target.ejectedUntil = now + length;
 }
 
+/// Other hosts report as often as this one, so their reports are half an interval old on average.
+void endpoint_table::applyLoads(const std::map<std::string, reported_load> &loads,
+                                core::instant now)
+{
+    const auto interval = m_loadsArrivedAt ? std::clamp<core::instant::duration>(
+                              now - *m_loadsArrivedAt, shortestLoadInterval, longestLoadInterval)
+                                           : shortestLoadInterval;
+    m_loadsArrivedAt = now;
+    m_loadsMadeAt = now - interval / 2;
+    for (const auto &[incarnation, target] : m_endpoints) {
+        const auto found = loads.find(incarnation);
+        const auto load = found == loads.end() ? reported_load{} : found->second;
+        target->runningByOtherHosts = load.running;
+        target->waitingTokensOfOtherHosts = load.waitingTokens;
+        target->loadOfOtherHosts.report(
+            {static_cast<double>(load.running), static_cast<double>(load.waitingTokens)},
+            *m_loadsMadeAt);
+    }
+}
+
+void endpoint_table::forgetLoads()
+{
+    m_loadsArrivedAt.reset();
+    m_loadsMadeAt.reset();
+    for (const auto &[incarnation, target] : m_endpoints) {
+        target->runningByOtherHosts = 0;
+        target->waitingTokensOfOtherHosts = 0;
+        target->loadOfOtherHosts.forget();
+    }
+}
+
+std::optional<std::chrono::milliseconds> endpoint_table::loadAge(core::instant now) const
+{
+    if (!m_loadsMadeAt)
+        return std::nullopt;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_loadsMadeAt);
+}
+
 void endpoint_table::applyLossReports(const std::map<std::string, std::uint32_t> &reporters,
                                       core::instant now)
 {
--- a/Libraries/LibForward/endpoint_table.h
+++ b/Libraries/LibForward/endpoint_table.h
@@ -3,6 +3,7 @@
 #include "LibCore/settings.h"
 #include "LibCore/time.h"
 #include "LibPolicy/endpoint_notices.h"
+#include "LibPolicy/load_estimate.h"
 
 #include <chrono>
 #include <cstdint>
@@ -42,7 +43,7 @@
     std::uint32_t slots = 0; ///< Requests that can run concurrently.
     bool isLeaving = false; ///< As the list says; endpoint_notices decides.
     bool isSpot = false; ///< Cheaper, and may be reclaimed at short notice.
-    std::optional<std::chrono::milliseconds> leavesIn; ///< Announced time until it is gone.
+    std::optional<std::chrono::milliseconds> leavesIn{}; ///< Announced time until it is gone.
 };
 
 /// One incarnation of an endpoint with the state that this host keeps for it.
@@ -56,6 +57,9 @@
     std::uint64_t waitingTokens = 0; ///< Sent by this host, prefill not finished.
     std::uint32_t runningByOtherHosts = 0; ///< Attempts by other hosts, as last reported.
     std::uint64_t waitingTokensOfOtherHosts = 0;
+    policy::load_estimate loadOfOtherHosts; ///< Allows for the age of these sums.
+    policy::learnt_speed learntSpeed;
+    core::instant addedAt; ///< When it came into the list.
 
     double failureShare = 0; ///< Moving average, 0 to 1.
     std::uint32_t outcomes = 0; ///< Outcomes in the average, up to a small bound.
@@ -80,6 +84,13 @@
     }
 };
 
+/// Work of all other hosts at an endpoint.
+struct reported_load
+{
+    std::uint32_t running = 0;
+    std::uint64_t waitingTokens = 0;
+};
+
 /// How an attempt at an endpoint ended.
 enum class endpoint_outcome {
     Served,
@@ -114,6 +125,13 @@
 
     void recordOutcome(endpoint &target, endpoint_outcome outcome, core::instant now);
 
+    /// Replaces the sums of other hosts; an incarnation that is not named has no work of them.
+    void applyLoads(const std::map<std::string, reported_load> &loads, core::instant now);
+    /// No sums arrive any more; outdated ones mislead the placement more than none.
+    void forgetLoads();
+    /// Age of the sums; empty if there are none.
+    std::optional<std::chrono::milliseconds> loadAge(core::instant now) const;
+
     /// Ejects endpoints that other hosts have recently lost; `reporters` counts these hosts by
     /// incarnation. Ignored for endpoints that recently responded here, and for services of which a
     /// large share is reported lost, as the reporting hosts may be cut off themselves.
@@ -137,6 +155,8 @@
     std::map<std::string, endpoint_pointer> m_endpoints; ///< By incarnation.
     std::map<std::string, std::vector<endpoint_pointer>, std::less<>> m_services;
     std::uint64_t m_restarts = 0;
+    std::optional<core::instant> m_loadsArrivedAt;
+    std::optional<core::instant> m_loadsMadeAt;
 };
 
 } // namespace quetzalcleat::forward
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -271,6 +271,8 @@
                                                            : engine_pool::LongPrompt;
     request.affinity = m_service->engine ? m_affinity : 0;
     request.objective = m_route->latencyObjective;
+    request.random
+        = core::hash64(m_id) ^ static_cast<std::uint64_t>(now.time_since_epoch().count());
     request.excluded = m_excluded;
     request.isConnected = [this](const endpoint &target) {
         return m_owner->pool()->hasIdle(target.connectionKey(), std::chrono::steady_clock::now());
@@ -288,11 +290,7 @@
     m_endpoint = choice.chosen;
     m_tried.push_back(m_endpoint);
     m_excluded.push_back(m_endpoint);
-    m_expectedWait = choice.expectedWait;
-    m_uncachedTokens = choice.uncachedTokens;
-    m_awaitsFirstByte = true;
-    ++m_endpoint->running;
-    m_endpoint->waitingTokens += m_uncachedTokens;
+    m_placement.begin(*m_endpoint, choice, now);
     m_endpoint->isProbing = m_endpoint->ejections > 0 && m_endpoint->ejectedUntil <= now;
     if (m_service->engine) {
         for (const auto &part : m_size.parts)
@@ -531,7 +529,7 @@
         bytes = std::move(m_responseBody);
         m_responseBody.clear();
     }
-    recordFirstByte(*m_endpoint);
+    m_placement.recordFirstByte(*m_endpoint, m_owner->now());
     recordPart();
     passOn(bytes, *session);
 }
@@ -551,7 +549,7 @@
     // Comments and incomplete events are no progress, so they do not restart the stall timer.
     if (m_events.eventCount() > eventsBefore) {
         m_endpoint->lastReceived = m_owner->now();
-        recordFirstByte(*m_endpoint);
+        m_placement.recordFirstByte(*m_endpoint, m_owner->now());
         recordPart();
         startAttemptTimer();
         if (isBeingAnswered())
@@ -826,13 +824,6 @@
     releaseEndpoint(endpoint_outcome::Abandoned);
 }
 
-/// The prompt no longer counts as waiting at the endpoint.
-void exchange::recordFirstByte(endpoint &target)
-{
-    if (std::exchange(m_awaitsFirstByte, false))
-        target.waitingTokens -= m_uncachedTokens;
-}
-
 void exchange::recordPart()
 {
     const auto now = std::chrono::steady_clock::now();
@@ -850,11 +841,10 @@
     const auto target = std::exchange(m_endpoint, nullptr);
     if (!target)
         return;
-    --target->running;
+    m_placement.end(*target);
     const auto written = std::exchange(m_written, std::nullopt);
     const bool mayOtherReturn = written
         && m_owner->endpoints().notices().recordLoss(target->listed.incarnation, *written);
-    recordFirstByte(*target);
     m_owner->recordOutcome(*target, outcome);
     if (mayOtherReturn)
         m_owner->heldRequests().resume();
@@ -917,9 +907,9 @@
          {"events", number(static_cast<std::int64_t>(m_events.eventCount()))},
          {"first_part_ms", number(m_timeToFirstPart.count())},
          {"longest_pause_ms", number(m_longestPause.count())},
-         {"expected_wait_ms", number(m_expectedWait.count() / 1000)},
+         {"expected_wait_ms", number(m_placement.expectedWait().count() / 1000)},
          {"prompt_parts", std::string(promptParts())},
-         {"uncached_tokens", number(static_cast<std::int64_t>(m_uncachedTokens))},
+         {"uncached_tokens", number(static_cast<std::int64_t>(m_placement.uncachedTokens()))},
          {"version", number(m_routes ? static_cast<std::int64_t>(m_routes->content().version) : 0)},
          {"lease_age_ms",
           number(std::min<std::int64_t>(m_owner->confirmationAge().count(), 999'999))}});
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -3,6 +3,7 @@
 #include "LibForward/event_splitter.h"
 #include "LibForward/forwarder.h"
 #include "LibForward/http_head.h"
+#include "LibForward/placement_record.h"
 #include "LibForward/request_admission.h"
 
 #include <cstdint>
@@ -93,7 +94,6 @@
     void startAttemptTimer();
     void handleDeadline();
 
-    void recordFirstByte(endpoint &target);
     void recordPart();
     void releaseEndpoint(endpoint_outcome outcome);
     void respondWithError(int status, std::string_view reason, std::string_view cause,
@@ -139,9 +139,7 @@
     /// Of those tried, the ones that did not ask for a wait; they are not tried again.
     std::vector<endpoint_table::endpoint_pointer> m_excluded;
     std::optional<policy::written_request> m_written; ///< Of the attempt, until it is answered.
-    std::uint64_t m_uncachedTokens = 0; ///< Prompt tokens counted as waiting at the endpoint.
-    std::chrono::microseconds m_expectedWait{0};
-    bool m_awaitsFirstByte = false;
+    placement_record m_placement; ///< Of the attempt.
     int m_sentAttempts = 0; ///< Attempts whose connection opened.
     int m_possibleRuns = 0; ///< Sent attempts that may have run the request.
     bool m_holdsRetryToken = false; ///< Acquired from the retry budget, not used yet.
--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -1,6 +1,7 @@
 #include "LibForward/placement.h"
 
 #include "LibCore/hash.h"
+#include "LibPolicy/random_source.h"
 
 #include <algorithm>
 #include <cmath>
@@ -39,6 +40,32 @@
 /// Opening a connection takes a round trip and briefly occupies the endpoint.
 constexpr std::chrono::microseconds connectionSetupCost{5'000};
 
+/// Requests above the bound of the load that an engine may have before it passes a prefix on, so
+/// that the small numbers of a quiet fleet move no prefix.
+constexpr double loadBoundMargin = 4;
+/// A prefix spreads to this many engines; each keeps a copy of it in its memory.
+constexpr std::size_t maximumPrefixEngines = 8;
+/// An endpoint that came into use more recently is taken to have at least the mean load: the sums
+/// do not show yet what other hosts send there.
+constexpr std::chrono::milliseconds slowStartTime{1500};
+/// Costs are nearly equal up to this difference, plus a share of the least cost. About the prefill
+/// of one short prompt, of which another host may have sent one since the sums were made.
+constexpr std::chrono::microseconds nearEqualDifference{10'000};
+constexpr int nearEqualPart = 10;
+/// For plain services, about the work of one request at one of several slots.
+constexpr std::chrono::microseconds nearEqualPlainDifference{4'000};
+/// Choosing at random among more than a few gives little more evenness, and more connections.
+/// Source: the power of two choices (Mitzenmacher, 2001).
+constexpr std::size_t nearEqualCount = 3;
+/// A shared part that is read in a shorter time than this is cheap enough to read again.
+constexpr std::chrono::microseconds cheapSharedPart{10'000};
+/// How long a reported load stays: about the time of a request in a batch, of a prompt in the queue
+/// of an engine, and of a request at a plain service.
+constexpr policy::load_relaxation engineRelaxation{std::chrono::milliseconds(2000),
+                                                   std::chrono::milliseconds(400)};
+constexpr policy::load_relaxation plainRelaxation{std::chrono::milliseconds(100),
+                                                  std::chrono::milliseconds(100)};
+
 std::chrono::microseconds roundTripTo(const endpoint &target, const placement_options &options)
 {
     if (target.listed.dataCentre == options.dataCentre)
@@ -100,34 +127,45 @@
         static_cast<std::int64_t>(tokens * 1000.0 / speed.promptTokensPerMillisecond));
 }
 
-std::chrono::microseconds engineWait(const endpoint &target, std::uint64_t uncached,
+struct candidate
+{
+    endpoint_table::endpoint_pointer target;
+    std::uint64_t weight = 0;
+    bool isLowLatency = false;
+    double occupied = 0; ///< Requests in progress, of all hosts.
+    double waitingTokens = 0; ///< Of all hosts.
+    double speed = 1; ///< Relative to the nominal one.
+    bool isAsked = false; ///< Whether a connection to it is open; part of the cost.
+    bool isPassedOver = false; ///< It has too much of the load for the prefix.
+    std::chrono::microseconds wait{0};
+    std::chrono::microseconds cost{0};
+    std::uint64_t uncached = 0;
+};
+
+std::chrono::microseconds engineWait(const candidate &entry, std::uint64_t uncached,
                                      const placement_options &options)
 {
-    const auto waiting
-        = static_cast<double>(target.waitingTokens + target.waitingTokensOfOtherHosts);
-    const auto batch = target.running + target.runningByOtherHosts;
-    const auto decodeStep = options.speed.decodeStep + options.speed.decodeStepPerRequest * batch;
-    return prefillTime(waiting, options.speed)
-        + prefillTime(static_cast<double>(uncached), options.speed) + decodeStep * 2;
+    const auto decodeStep = options.speed.decodeStep
+        + std::chrono::microseconds(static_cast<std::int64_t>(
+            static_cast<double>(options.speed.decodeStepPerRequest.count()) * entry.occupied));
+    const auto nominal
+        = prefillTime(entry.waitingTokens + static_cast<double>(uncached), options.speed)
+        + decodeStep * 2;
+    return std::chrono::microseconds(
+        static_cast<std::int64_t>(static_cast<double>(nominal.count()) / entry.speed));
 }
 
 /// Expected time until the endpoint has a free slot; 0 if it has one.
-std::chrono::microseconds slotWait(const endpoint &target, bool isEngine)
+std::chrono::microseconds slotWait(const candidate &entry, bool isEngine)
 {
-    const auto occupied = target.running + target.runningByOtherHosts;
-    const auto slots = target.listed.slots;
-    if (slots == 0 || occupied < slots)
+    const auto slots = entry.target->listed.slots;
+    if (slots == 0 || entry.occupied < slots)
         return std::chrono::microseconds(0);
-    return (isEngine ? batchOccupancyTime / slots : plainSlotWait) * (occupied + 1 - slots);
+    const auto wait = isEngine ? batchOccupancyTime / slots : plainSlotWait;
+    return std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(wait.count())
+                                                               * (entry.occupied + 1 - slots)));
 }
 
-struct candidate
-{
-    endpoint_table::endpoint_pointer target;
-    std::uint64_t weight = 0;
-    bool isLowLatency = false;
-};
-
 /// Whether the preferred engine of the prefix would start after the latency objective.
 bool preferredEngineMissesObjective(const placement_request &request,
                                     const std::vector<candidate> &candidates,
@@ -140,12 +178,178 @@
                        [&](const auto &entry) { return entry.weight == preferredWeight; });
     if (preferred == candidates.end())
         return false;
-    return engineWait(*preferred->target, 0, options) + slotWait(*preferred->target, true)
-        > request.objective;
+    return engineWait(*preferred, 0, options) + slotWait(*preferred, true) > request.objective;
+}
+
+bool isInSlowStart(const endpoint &target, core::instant now)
+{
+    return now - target.addedAt < slowStartTime
+        || (target.ejections > 0 && now - target.ejectedUntil < slowStartTime);
+}
+
+/// Sets the load and the speed of the candidates.
+void estimateLoads(std::vector<candidate> &candidates, const placement_options &options,
+                   bool isEngine, core::instant now)
+{
+    const bool allowsForAge = options.rule == placement_rule::EvenLoad;
+    policy::load_elsewhere settled; ///< Sum over the candidates that are not in their slow start.
+    std::size_t settledCount = 0;
+    double meanDelay = 0;
+    for (auto &entry : candidates) {
+        const auto &target = *entry.target;
+        policy::load_elsewhere others{static_cast<double>(target.runningByOtherHosts),
+                                      static_cast<double>(target.waitingTokensOfOtherHosts)};
+        if (allowsForAge)
+            others = target.loadOfOtherHosts.present(
+                others, isEngine ? engineRelaxation : plainRelaxation, now);
+        entry.occupied = target.running + others.running;
+        entry.waitingTokens = static_cast<double>(target.waitingTokens) + others.waitingTokens;
+        meanDelay += target.learntSpeed.delay(now) / static_cast<double>(candidates.size());
+        if (isInSlowStart(target, now))
+            continue;
+        ++settledCount;
+        settled.running += entry.occupied;
+        settled.waitingTokens += entry.waitingTokens;
+    }
+    if (!allowsForAge)
+        return;
+    const auto count = static_cast<double>(std::max<std::size_t>(settledCount, 1));
+    for (auto &entry : candidates) {
+        if (isEngine)
+            entry.speed = entry.target->learntSpeed.speed(meanDelay, now);
+        if (!isInSlowStart(*entry.target, now))
+            continue;
+        entry.occupied = std::max(entry.occupied, settled.running / count);
+        entry.waitingTokens = std::max(entry.waitingTokens, settled.waitingTokens / count);
+    }
+}
+
+/// Number in [0, 1) from the upper bits.
+double fraction(std::uint64_t random)
+{
+    constexpr int bits = 53;
+    return static_cast<double>(random >> (64U - bits)) / static_cast<double>(1ULL << bits);
+}
+
+/// Engines that the prefix prefers, the first of them first, without those that pass it on.
+struct prefix_preference
+{
+    std::uint64_t first = 0;
+    std::uint64_t second = 0;
+    bool isPassedOn = false;
+};
+
+/// An engine above the bound passes on just the share of the requests that is above it. All hosts
+/// have the same outdated sums, so if each passed on all requests, the next engine would be overrun
+/// until the sums show it.
+prefix_preference preferredEngines(std::vector<candidate> &candidates,
+                                   const placement_request &request,
+                                   const placement_options &options, core::instant now)
+{
+    std::vector<candidate *> order;
+    double mean = 0;
+    for (auto &entry : candidates) {
+        if (entry.target->ejectedUntil > now
+            || poolMismatchCost(request.pool, entry.isLowLatency).count() != 0)
+            continue;
+        order.push_back(&entry);
+        mean += entry.occupied;
+    }
+    prefix_preference preference;
+    if (order.empty() || request.affinity == 0)
+        return preference;
+    mean /= static_cast<double>(order.size());
+    const auto count = std::min(order.size(), maximumPrefixEngines);
+    std::partial_sort(
+        order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end(),
+        [](const auto *left, const auto *right) { return left->weight > right->weight; });
+    order.resize(count);
+    if (options.rule == placement_rule::EvenLoad) {
+        const auto bound = options.loadBound * mean + loadBoundMargin;
+        auto random = request.random;
+        for (auto *entry : order) {
+            random = policy::mixBits(random + 1);
+            entry->isPassedOver
+                = entry->occupied > bound && fraction(random) < 1 - bound / entry->occupied;
+            if (!entry->isPassedOver)
+                break;
+        }
+        preference.isPassedOn = order.front()->isPassedOver && !order.back()->isPassedOver;
+    }
+    const auto isOpen
+        = [&](const auto *entry) { return !preference.isPassedOn || !entry->isPassedOver; };
+    const auto first = std::find_if(order.begin(), order.end(), isOpen);
+    preference.first = (*first)->weight;
+    if (const auto second = std::find_if(std::next(first), order.end(), isOpen);
+        second != order.end())
+        preference.second = (*second)->weight;
+    return preference;
+}
+
+/// The endpoint with the least cost, or at random one of the few whose costs are nearly equal.
+placement_choice chooseByCost(std::vector<candidate> &candidates, const placement_request &request,
+                              const placement_options &options, bool allowsRandom, bool isPassedOn)
+{
+    // Whether a connection is open is a look-up by name that can only raise the cost, so it is
+    // asked only where it matters.
+    const auto addConnection = [&](candidate &entry) {
+        if (request.isConnected && !std::exchange(entry.isAsked, true)
+            && !request.isConnected(*entry.target))
+            entry.cost += roundTripTo(*entry.target, options) + connectionSetupCost;
+    };
+    auto *chosen = &candidates.front();
+    addConnection(*chosen);
+    for (auto &entry : candidates) {
+        if (entry.cost < chosen->cost)
+            addConnection(entry);
+        if (entry.cost < chosen->cost)
+            chosen = &entry;
+    }
+    std::vector<candidate *> nearEqual;
+    if (allowsRandom && options.rule == placement_rule::EvenLoad) {
+        const auto limit = chosen->cost
+            + (request.size == nullptr ? nearEqualPlainDifference
+                                       : nearEqualDifference + chosen->cost / nearEqualPart);
+        for (auto &entry : candidates) {
+            if (entry.cost <= limit)
+                addConnection(entry);
+            if (entry.cost <= limit)
+                nearEqual.push_back(&entry);
+        }
+        const auto count = std::min(nearEqual.size(), nearEqualCount);
+        std::partial_sort(nearEqual.begin(), nearEqual.begin() + static_cast<std::ptrdiff_t>(count),
+                          nearEqual.end(), [](const auto *left, const auto *right) {
+                              return left->cost < right->cost;
+                          });
+        chosen = nearEqual[static_cast<std::size_t>(fraction(policy::mixBits(request.random))
+                                                    * static_cast<double>(count))];
+    }
+    placement_choice choice;
+    choice.chosen = chosen->target;
+    choice.expectedWait = chosen->wait;
+    choice.uncachedTokens = chosen->uncached;
+    if (isPassedOn)
+        choice.reason = placement_reason::PassedOn;
+    else if (nearEqual.size() > 1)
+        choice.reason = placement_reason::NearEqual;
+    return choice;
 }
 
 } // namespace
 
+std::string_view toString(placement_reason reason)
+{
+    switch (reason) {
+    case placement_reason::LeastCost:
+        return "least_cost";
+    case placement_reason::NearEqual:
+        return "near_equal";
+    case placement_reason::PassedOn:
+        return "passed_on";
+    }
+    return "unknown";
+}
+
 std::uint64_t uncachedTokens(const endpoint &target, const generation_size &size,
                              const placement_options &options, core::instant now)
 {
@@ -184,25 +388,21 @@
             choice.heldOffUntil = std::min(choice.heldOffUntil.value_or(end), end);
             continue;
         }
-        const bool isLowLatency
+        candidate known;
+        known.target = entry;
+        known.isLowLatency
             = std::find(lowLatency.begin(), lowLatency.end(), entry.get()) != lowLatency.end();
-        const auto weight = request.affinity == 0
-            ? 0
-            : rendezvousWeight(request.affinity, entry->listed.incarnation);
-        (use == policy::endpoint_use::Free ? candidates : leaving)
-            .push_back({entry, weight, isLowLatency});
+        if (request.affinity != 0)
+            known.weight = rendezvousWeight(request.affinity, entry->listed.incarnation);
+        (use == policy::endpoint_use::Free ? candidates : leaving).push_back(std::move(known));
     }
     if (candidates.empty())
         candidates = std::move(leaving);
-    std::uint64_t bestWeight = 0;
-    std::uint64_t secondWeight = 0;
-    for (const auto &entry : candidates) {
-        const bool matches = poolMismatchCost(request.pool, entry.isLowLatency).count() == 0;
-        if (entry.target->ejectedUntil > now || !matches)
-            continue;
-        secondWeight = std::max(secondWeight, std::min(bestWeight, entry.weight));
-        bestWeight = std::max(bestWeight, entry.weight);
-    }
+    if (candidates.empty())
+        return choice;
+    const bool isEngine = request.target->engine.has_value();
+    estimateLoads(candidates, options, isEngine, now);
+    const auto preferred = preferredEngines(candidates, request, options, now);
     const auto sharedTokens = request.size == nullptr || request.size->parts.empty()
         ? 0.0
         : static_cast<double>(
@@ -211,43 +411,44 @@
     const auto sharedPrefillTime = prefillTime(sharedTokens, options.speed);
     const bool isLowLatency = request.pool == engine_pool::LowLatency;
     const auto defaultFactor = isLowLatency ? rerouteFactor : longPromptRerouteFactor;
-    const auto secondFactor
-        = !isLowLatency && preferredEngineMissesObjective(request, candidates, bestWeight, options)
+    const auto secondFactor = !isLowLatency
+            && preferredEngineMissesObjective(request, candidates, preferred.first, options)
         ? missedObjectiveRerouteFactor
         : defaultFactor;
     const auto otherFactor = furtherEngineRerouteFactor * defaultFactor;
-    auto bestCost = std::chrono::microseconds::max();
-    for (const auto &entry : candidates) {
+    for (auto &entry : candidates) {
         const auto &target = *entry.target;
-        const auto occupied = target.running + target.runningByOtherHosts;
-        std::uint64_t uncached = 0;
-        auto wait = roundTripTo(target, options);
+        entry.wait = roundTripTo(target, options);
         if (request.size != nullptr) {
-            uncached = uncachedTokens(target, *request.size, options, now);
+            entry.uncached = uncachedTokens(target, *request.size, options, now);
             // All hosts send the prefix to this engine, so its prefill has most likely been done.
-            if (request.affinity != 0 && entry.weight == bestWeight
-                && request.size->parts.size() > 1)
-                uncached = std::min<std::uint64_t>(uncached, request.size->parts.back().tokens);
-            wait += engineWait(target, uncached, options);
-            wait += poolMismatchCost(request.pool, entry.isLowLatency);
+            const bool isPreferred
+                = entry.weight == preferred.first || (preferred.isPassedOn && entry.isPassedOver);
+            if (request.affinity != 0 && isPreferred && request.size->parts.size() > 1)
+                entry.uncached
+                    = std::min<std::uint64_t>(entry.uncached, request.size->parts.back().tokens);
+            entry.wait += engineWait(entry, entry.uncached, options);
         } else {
-            wait += plainServiceTime * occupied / std::max(target.listed.slots, std::uint32_t{1});
+            entry.wait += std::chrono::microseconds(static_cast<std::int64_t>(
+                static_cast<double>(plainServiceTime.count()) * entry.occupied
+                / std::max(target.listed.slots, std::uint32_t{1})));
         }
-        auto cost = wait;
-        if (request.affinity != 0 && entry.weight != bestWeight)
-            cost += sharedPrefillTime * (entry.weight == secondWeight ? secondFactor : otherFactor);
-        cost += slotWait(target, request.size != nullptr);
+        entry.wait += slotWait(entry, isEngine);
+        entry.cost = entry.wait;
+        if (request.size != nullptr)
+            entry.cost += poolMismatchCost(request.pool, entry.isLowLatency);
+        if (request.affinity != 0 && entry.weight != preferred.first)
+            entry.cost += sharedPrefillTime
+                * (entry.weight == preferred.second ? secondFactor : otherFactor);
         if (target.ejectedUntil > now || target.isProbing)
-            cost += ejectedCost;
-        // Checked last, as it is a look-up by name that can only raise the cost.
-        if (cost < bestCost && request.isConnected && !request.isConnected(target))
-            cost += roundTripTo(target, options) + connectionSetupCost;
-        if (cost < bestCost) {
-            bestCost = cost;
-            choice = {entry.target, wait, uncached, {}, {}};
-        }
+            entry.cost += ejectedCost;
     }
-    return choice;
+    // Without sums of other hosts, this host's own counts are all that is known, and they are
+    // exact.
+    const bool hasSums = candidates.front().target->loadOfOtherHosts.age(now).has_value();
+    return chooseByCost(candidates, request, options,
+                        hasSums && (request.affinity == 0 || sharedPrefillTime < cheapSharedPart),
+                        preferred.isPassedOn);
 }
 
 } // namespace quetzalcleat::forward
--- a/Libraries/LibForward/placement.h
+++ b/Libraries/LibForward/placement.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace quetzalcleat::forward {
@@ -24,8 +25,14 @@
     std::chrono::microseconds decodeStepPerRequest{165};
 };
 
+enum class placement_rule {
+    LeastPredictedStart, ///< Takes the sums of other hosts as they are; for comparison.
+    EvenLoad, ///< Allows for the age of the sums, learnt speeds and hot prefixes.
+};
+
 struct placement_options
 {
+    placement_rule rule = placement_rule::EvenLoad;
     std::string dataCentre;
     std::string region;
     std::map<std::string, std::string> regions; ///< Region of each data centre.
@@ -42,6 +49,10 @@
     double lowLatencyRootFactor = 0.4;
     /// Prompt parts sent to an engine longer ago than this are assumed evicted from its cache.
     std::chrono::milliseconds cacheRetention{60'000};
+    /// An engine with more than this multiple of the mean number of requests passes a part of those
+    /// for its prefixes to the next engine. Source: consistent hashing with bounded loads
+    /// (Mirrokni, Thorup, Zadimoghaddam, 2018).
+    double loadBound = 1.5;
 };
 
 /// The engines that a request prefers. A long prefill slows down every request in the same batch,
@@ -58,13 +69,24 @@
     std::uint64_t affinity = 0; ///< Hash of the shared prefix; 0 for none.
     std::vector<endpoint_table::endpoint_pointer> excluded; ///< Already tried.
     std::function<bool(const endpoint &)> isConnected; ///< Whether a connection is open and idle.
+    std::uint64_t random = 0; ///< Different for each request.
 };
 
+/// What decided the choice of an endpoint.
+enum class placement_reason {
+    LeastCost,
+    NearEqual, ///< At random among the few whose costs are nearly equal.
+    PassedOn, ///< An engine that the prefix prefers has too much of the load.
+};
+
+std::string_view toString(placement_reason reason);
+
 struct placement_choice
 {
     endpoint_table::endpoint_pointer chosen; ///< Null if no endpoint can be used.
     std::chrono::microseconds expectedWait{0}; ///< Predicted time to the first token.
     std::uint64_t uncachedTokens = 0; ///< Prompt tokens not expected in its cache.
+    placement_reason reason = placement_reason::LeastCost;
     /// If none can be used: the earliest end of a wait, and the latest time at which an endpoint
     /// takes the next request. They differ while requests return one after another.
     std::optional<core::instant> heldOffUntil;
