LibPolicy, LibForward: Keep long prompts from engines whose streams would pause too long

Cause: the placement predicted the time to the first token only. A long prompt that overflowed into the low-latency pool cost 1.5 s there, whether the streams of that engine kept their pause objective or not.

Ruled out: a configured size of prefill chunks; neither the configuration nor the messages have it, and it differs between the deployments by a factor of four. Objectives of the streams of other hosts: no message has them, so the objective is that of the service's least tolerant streams, which the pool is for.

Change: policy::pause_prediction predicts the next pause from the batch, the waiting prompts and the speed of the engine, and learns the size of a chunk from the longest pauses of ended streams. A long prompt goes to a low-latency engine that would miss the objective only if all others are ejected or held off, or would miss it too; then to the one whose streams pause least.

--- a/Libraries/LibForward/endpoint_table.cpp
+++ b/Libraries/LibForward/endpoint_table.cpp
@@ -192,6 +192,13 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_loadsMadeAt);
 }
 
+const policy::pause_prediction &endpoint_table::pauses(std::string_view service) const
+{
+    static const policy::pause_prediction unknown;
+    const auto found = m_pauses.find(service);
+    return found == m_pauses.end() ? unknown : found->second;
+}
+
 void endpoint_table::applyLossReports(const std::map<std::string, std::uint32_t> &reporters,
                                       core::instant now)
 {
--- a/Libraries/LibForward/endpoint_table.h
+++ b/Libraries/LibForward/endpoint_table.h
@@ -4,6 +4,7 @@
 #include "LibCore/time.h"
 #include "LibPolicy/endpoint_notices.h"
 #include "LibPolicy/load_estimate.h"
+#include "LibPolicy/pause_prediction.h"
 
 #include <chrono>
 #include <cstdint>
@@ -132,6 +133,10 @@
     /// Age of the sums; empty if there are none.
     std::optional<std::chrono::milliseconds> loadAge(core::instant now) const;
 
+    /// Of the streams of an engine service.
+    const policy::pause_prediction &pauses(std::string_view service) const;
+    policy::pause_prediction &pauses(const std::string &service) { return m_pauses[service]; }
+
     /// Ejects endpoints that other hosts have recently lost; `reporters` counts these hosts by
     /// incarnation. Ignored for endpoints that recently responded here, and for services of which a
     /// large share is reported lost, as the reporting hosts may be cut off themselves.
@@ -155,6 +160,7 @@
     std::map<std::string, endpoint_pointer> m_endpoints; ///< By incarnation.
     std::map<std::string, std::vector<endpoint_pointer>, std::less<>> m_services;
     std::uint64_t m_restarts = 0;
+    std::map<std::string, policy::pause_prediction, std::less<>> m_pauses;
     std::optional<core::instant> m_loadsArrivedAt;
     std::optional<core::instant> m_loadsMadeAt;
 };
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -273,6 +273,7 @@
     request.objective = m_route->latencyObjective;
     request.random
         = core::hash64(m_id) ^ static_cast<std::uint64_t>(now.time_since_epoch().count());
+    request.protectedPause = m_routes->protectedPause(m_service->name);
     request.excluded = m_excluded;
     request.isConnected = [this](const endpoint &target) {
         return m_owner->pool()->hasIdle(target.connectionKey(), std::chrono::steady_clock::now());
@@ -681,6 +682,12 @@
         attemptFailed(error ? "broken: " + error.message() : cause, true);
         return;
     }
+    if (m_service->engine)
+        m_owner->endpoints()
+            .pauses(m_service->name)
+            .record(m_longestPause,
+                    paceOf(*m_service, m_owner->options().placement.speed,
+                           m_endpoint->running + m_endpoint->runningByOtherHosts));
     releaseEndpoint(endpoint_outcome::Served);
     m_owner->crashWitness().recordAnswered(m_sharedParts, m_owner->now());
     const auto session = m_session.lock();
--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -29,6 +29,9 @@
 constexpr std::chrono::microseconds lowLatencyInLongPromptCost{250'000};
 /// Cost of an ejected endpoint: high enough that one is used only when all are ejected.
 constexpr std::chrono::microseconds ejectedCost{std::chrono::seconds(60)};
+/// Cost of an engine whose low-latency streams would miss their pause objective: another one is
+/// chosen unless all others are ejected or would miss it as well.
+constexpr std::chrono::microseconds missedPauseCost{std::chrono::seconds(30)};
 /// Expected time until a slot is free at a full endpoint of a plain service.
 constexpr std::chrono::microseconds plainSlotWait{std::chrono::seconds(2)};
 /// Time that a request stays in a batch with continuous prefills: 30 events of 4 tokens at 40 ms
@@ -144,6 +147,7 @@
     bool isAsked = false; ///< Whether a connection to it is open; part of the cost.
     bool isPassedOver = false; ///< It has too much of the load for the prefix.
     std::chrono::microseconds wait{0};
+    std::chrono::microseconds pause{0}; ///< Of the streams there, after this prompt came.
     std::chrono::microseconds cost{0};
     std::uint64_t uncached = 0;
 };
@@ -292,6 +296,17 @@
     return preference;
 }
 
+/// If all engines would miss it, the one whose streams pause least is chosen.
+std::chrono::microseconds missedPause(const placement_request &request,
+                                      const placement_options &options, const candidate &entry)
+{
+    if (options.rule != placement_rule::EvenLoad || request.pool != engine_pool::LongPrompt
+        || !entry.isLowLatency || request.protectedPause.count() == 0
+        || entry.pause <= request.protectedPause)
+        return std::chrono::microseconds(0);
+    return missedPauseCost + (entry.pause - request.protectedPause);
+}
+
 /// The endpoint with the least cost, or at random one of the few whose costs are nearly equal.
 placement_choice chooseByCost(std::vector<candidate> &candidates, const placement_request &request,
                               const placement_options &options, bool allowsRandom, bool isPassedOn)
@@ -334,6 +349,7 @@
     choice.chosen = chosen->target;
     choice.expectedWait = chosen->wait;
     choice.uncachedTokens = chosen->uncached;
+    choice.expectedPause = chosen->pause;
     if (isPassedOn)
         choice.reason = placement_reason::PassedOn;
     else if (nearEqual.size() > 1)
@@ -356,6 +372,17 @@
     return "unknown";
 }
 
+policy::engine_pace paceOf(const service &target, const engine_speed &speed, double batch,
+                           double relativeSpeed)
+{
+    return {speed.promptTokensPerMillisecond,
+            speed.decodeStep,
+            speed.decodeStepPerRequest,
+            target.engine ? target.engine->tokensPerEvent : 1,
+            batch,
+            relativeSpeed};
+}
+
 std::uint64_t uncachedTokens(const endpoint &target, const generation_size &size,
                              const placement_options &options, core::instant now)
 {
@@ -437,6 +464,10 @@
                 entry.uncached
                     = std::min<std::uint64_t>(entry.uncached, request.size->parts.back().tokens);
             entry.wait += engineWait(entry, entry.uncached, options);
+            entry.pause
+                = endpoints.pauses(std::string_view(request.target->name))
+                      .pause(paceOf(*request.target, options.speed, entry.occupied, entry.speed),
+                             entry.waitingTokens + static_cast<double>(entry.uncached));
         } else {
             entry.wait += std::chrono::microseconds(static_cast<std::int64_t>(
                 static_cast<double>(plainServiceTime.count()) * entry.occupied
@@ -445,7 +476,8 @@
         entry.wait += slotWait(entry, isEngine);
         entry.cost = entry.wait;
         if (request.size != nullptr)
-            entry.cost += poolMismatchCost(request.pool, entry.isLowLatency);
+            entry.cost += poolMismatchCost(request.pool, entry.isLowLatency)
+                + missedPause(request, options, entry);
         if (request.affinity != 0 && entry.weight != preferred.first)
             entry.cost += sharedPrefillTime
                 * (entry.weight == preferred.second ? secondFactor : otherFactor);
--- a/Libraries/LibForward/placement.h
+++ b/Libraries/LibForward/placement.h
@@ -66,6 +66,9 @@
     engine_pool pool = engine_pool::Any;
     /// Time to the first event. A prefix is rerouted more readily if its engine would miss it.
     std::chrono::milliseconds objective{0}; ///< 0 for none.
+    /// Pause objective of the streams on the low-latency engines, which a long prompt has to leave
+    /// them; 0 for none.
+    std::chrono::milliseconds protectedPause{0};
     std::uint64_t affinity = 0; ///< Hash of the shared prefix; 0 for none.
     std::vector<endpoint_table::endpoint_pointer> excluded; ///< Already tried.
     std::function<bool(const endpoint &)> isConnected; ///< Whether a connection is open and idle.
@@ -86,6 +89,7 @@
     endpoint_table::endpoint_pointer chosen; ///< Null if no endpoint can be used.
     std::chrono::microseconds expectedWait{0}; ///< Predicted time to the first token.
     std::uint64_t uncachedTokens = 0; ///< Prompt tokens not expected in its cache.
+    std::chrono::microseconds expectedPause{0}; ///< Of the streams there, after this prompt came.
     placement_reason reason = placement_reason::LeastCost;
     /// If none can be used: the earliest end of a wait, and the latest time at which an endpoint
     /// takes the next request. They differ while requests return one after another.
@@ -103,6 +107,10 @@
 placement_choice chooseEndpoint(const endpoint_table &endpoints, const placement_request &request,
                                 const placement_options &options, core::instant now);
 
+/// Pace of an engine with so many requests in progress.
+policy::engine_pace paceOf(const service &target, const engine_speed &speed, double batch,
+                           double relativeSpeed = 1);
+
 /// Prompt tokens of the request that are not expected in the cache of the endpoint.
 std::uint64_t uncachedTokens(const endpoint &target, const generation_size &size,
                              const placement_options &options, core::instant now);
--- a/Libraries/LibForward/placement_record.h
+++ b/Libraries/LibForward/placement_record.h
@@ -20,6 +20,7 @@
 
     std::chrono::microseconds expectedWait() const { return m_choice.expectedWait; }
     std::uint64_t uncachedTokens() const { return m_choice.uncachedTokens; }
+    std::chrono::microseconds expectedPause() const { return m_choice.expectedPause; }
     placement_reason reason() const { return m_choice.reason; }
     /// Of the sums of other hosts when the endpoint was chosen; empty if there were none.
     std::optional<std::chrono::milliseconds> loadAge() const { return m_loadAge; }
--- a/Libraries/LibForward/route_table.cpp
+++ b/Libraries/LibForward/route_table.cpp
@@ -58,8 +58,10 @@
                 continue;
             auto &range = m_tolerances[target.service];
             range.largest = std::max(range.largest, tolerance);
-            if (range.smallest.count() == 0 || tolerance < range.smallest)
+            if (range.smallest.count() == 0 || tolerance < range.smallest) {
                 range.smallest = tolerance;
+                range.pauseOfSmallest = entry.eventGapObjective;
+            }
         }
         if (!m_routes.emplace(routeKey(entry.host, entry.pathPrefix), &entry).second)
             return forward_error::DuplicateRoute;
@@ -98,6 +100,14 @@
     });
 }
 
+std::chrono::milliseconds route_table::protectedPause(const std::string &service) const
+{
+    const auto range = m_tolerances.find(service);
+    if (range == m_tolerances.end() || range->second.smallest == range->second.largest)
+        return std::chrono::milliseconds(0);
+    return range->second.pauseOfSmallest;
+}
+
 const client_account *route_table::findAccount(std::string_view key) const
 {
     const auto found = m_accounts.find(std::string(key));
--- a/Libraries/LibForward/route_table.h
+++ b/Libraries/LibForward/route_table.h
@@ -37,6 +37,10 @@
     /// those of one of its services; see stallTolerance(). False where all streams are alike.
     bool isLeastTolerant(const route &entry) const;
 
+    /// Pause objective of the least tolerant streams of the service; 0 if they have none or all
+    /// streams are alike.
+    std::chrono::milliseconds protectedPause(const std::string &service) const;
+
     const configuration &content() const { return m_content; }
 
 private:
@@ -53,6 +57,7 @@
     {
         std::chrono::milliseconds smallest{0};
         std::chrono::milliseconds largest{0};
+        std::chrono::milliseconds pauseOfSmallest{0};
     };
     std::unordered_map<std::string, tolerance_range> m_tolerances;
 };
--- a/Tests/Forward/engine_fleet_model.h
+++ b/Tests/Forward/engine_fleet_model.h
@@ -57,6 +57,10 @@
         : m_classes(std::move(classes)), m_random(seed)
     {
         m_service.name = "engines";
+        for (const auto &kind : m_classes) {
+            if (kind.pool == engine_pool::LowLatency)
+                m_protectedPause = kind.pauseObjective;
+        }
         m_service.engine = engine_profile{64, cacheTokens, tokensPerEvent};
         m_options.rule = rule;
         m_options.speed = {promptTokensPerMillisecond, stepTime, stepTimePerRequest};
@@ -127,6 +131,7 @@
         core::instant lastEvent;
         double tokensToRead = -1; ///< Negative until its turn.
         std::uint32_t tokensLeft;
+        std::chrono::microseconds longestPause{0};
         bool missedStart = false;
         bool missedPause = false;
     };
@@ -180,6 +185,7 @@
         request.size = &size;
         request.pool = kind.pool;
         request.objective = kind.latencyObjective;
+        request.protectedPause = m_protectedPause;
         request.affinity = prefix;
         request.random = m_random.next();
         m_options.dataCentre = "dc" + std::to_string(hostIndex % dataCentres);
@@ -257,6 +263,9 @@
         for (auto entry = target.running.begin(); entry != target.running.end();) {
             --entry->tokensLeft;
             if (entry->tokensLeft % tokensPerEvent == 0) {
+                entry->longestPause = std::max(
+                    entry->longestPause,
+                    std::chrono::duration_cast<std::chrono::microseconds>(now - entry->lastEvent));
                 if (now - entry->lastEvent > m_classes[entry->classIndex].pauseObjective)
                     entry->missedPause = true;
                 entry->lastEvent = now;
@@ -266,6 +275,11 @@
                 continue;
             }
             entry->placement.end(endpointOf(target, *entry));
+            m_hosts[entry->host]
+                .table.pauses(m_service.name)
+                .record(
+                    entry->longestPause,
+                    paceOf(m_service, m_options.speed, static_cast<double>(target.running.size())));
             recordEnd(*entry);
             entry = target.running.erase(entry);
         }
@@ -371,6 +385,7 @@
     policy::random_source m_random;
     service m_service;
     placement_options m_options;
+    std::chrono::milliseconds m_protectedPause{0};
     std::array<host, hostCount> m_hosts;
     std::array<engine, engineCount> m_engines;
     std::map<std::string, std::size_t> m_indexes;
--- a/Tests/Forward/test_placement.cpp
+++ b/Tests/Forward/test_placement.cpp
@@ -45,9 +45,11 @@
         // Latency objectives in the deployment's specification.
         request.objective = std::chrono::milliseconds(pool == engine_pool::LowLatency ? 500 : 2500);
         request.affinity = size.parts.size() > 1 ? size.parts[size.parts.size() - 2].id : 0;
+        request.protectedPause = protectedPause;
         return chooseEndpoint(table, request, options, now);
     }
 
+    std::chrono::milliseconds protectedPause{0};
     service target;
     placement_options options;
     std::vector<listed_endpoint> list;
@@ -109,6 +111,43 @@
     EXPECT_GT(poolSizeOf(60, 24), poolSizeOf(60, 64));
 }
 
+/// Load pattern: a burst of long prompts that overflows into the low-latency pool. Guards against
+/// streams there that miss their pause objective while another engine could read the prompt, and
+/// against a prompt that no engine takes.
+TEST(placement, LongPromptsLeaveTheLowLatencyStreamsTheirPauses)
+{
+    engine_fleet fleet(12);
+    fleet.options.crossRegionRoundTrip = std::chrono::microseconds(0);
+    std::set<const endpoint *> lowLatencyEngines;
+    for (std::uint64_t own = 0; own < 50; ++own) {
+        const auto chosen = fleet.choose(shortQuestion(own + 100), engine_pool::LowLatency).chosen;
+        chosen->waitingTokens += 100;
+        lowLatencyEngines.insert(chosen.get());
+    }
+    ASSERT_EQ(lowLatencyEngines.size(), 3U);
+    for (const auto &[name, entry] : fleet.table.all())
+        entry->waitingTokens = lowLatencyEngines.contains(entry.get()) ? 0 : 400'000;
+    const generation_size prompt{{{5'000, 17'000}}, 17'000, 300, 150};
+    const auto isInLowLatencyPool = [&] {
+        return lowLatencyEngines.contains(
+            fleet.choose(prompt, engine_pool::LongPrompt).chosen.get());
+    };
+    EXPECT_TRUE(isInLowLatencyPool());
+    // A step that reads 4,096 tokens takes 72 ms, an event is two of them.
+    for (int count = 0; count < 200; ++count)
+        fleet.table.pauses("engines").record(std::chrono::milliseconds(145),
+                                             paceOf(fleet.target, fleet.options.speed, 0));
+    fleet.protectedPause = std::chrono::milliseconds(300);
+    EXPECT_TRUE(isInLowLatencyPool());
+    fleet.protectedPause = std::chrono::milliseconds(100);
+    EXPECT_FALSE(isInLowLatencyPool());
+    for (const auto &[name, entry] : fleet.table.all()) {
+        if (!lowLatencyEngines.contains(entry.get()))
+            entry->ejectedUntil = start + std::chrono::seconds(1);
+    }
+    EXPECT_TRUE(isInLowLatencyPool());
+}
+
 /// Load pattern: a burst of long prompts that share prefixes. Guards against prefixes that are
 /// rerouted: each time the prefix is computed again, which increases the load of all engines.
 TEST(placement, PrefixStaysWithItsEngineInABurst)
