--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -292,6 +292,7 @@
     m_tried.push_back(m_endpoint);
     m_excluded.push_back(m_endpoint);
     m_placement.begin(*m_endpoint, choice, now);
+    m_owner->placements().recordChoice(m_service->name, choice.reason);
     m_endpoint->isProbing = m_endpoint->ejections > 0 && m_endpoint->ejectedUntil <= now;
     if (m_service->engine) {
         for (const auto &part : m_size.parts)
@@ -683,11 +684,7 @@
         return;
     }
     if (m_service->engine)
-        m_owner->endpoints()
-            .pauses(m_service->name)
-            .record(m_longestPause,
-                    paceOf(*m_service, m_owner->options().placement.speed,
-                           m_endpoint->running + m_endpoint->runningByOtherHosts));
+        m_owner->recordStream(*m_service, *m_endpoint, m_placement, m_longestPause);
     releaseEndpoint(endpoint_outcome::Served);
     m_owner->crashWitness().recordAnswered(m_sharedParts, m_owner->now());
     const auto session = m_session.lock();
@@ -915,6 +912,9 @@
          {"first_part_ms", number(m_timeToFirstPart.count())},
          {"longest_pause_ms", number(m_longestPause.count())},
          {"expected_wait_ms", number(m_placement.expectedWait().count() / 1000)},
+         {"expected_pause_ms", number(m_placement.expectedPause().count() / 1000)},
+         {"load_age_ms", number(m_placement.loadAgeMilliseconds())},
+         {"placement", std::string(toString(m_placement.reason()))},
          {"prompt_parts", std::string(promptParts())},
          {"uncached_tokens", number(static_cast<std::int64_t>(m_placement.uncachedTokens()))},
          {"version", number(m_routes ? static_cast<std::int64_t>(m_routes->content().version) : 0)},
--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -27,7 +27,7 @@
       m_confirmationAge(std::move(confirmationAge)), m_acceptor(context), m_timer(context),
       m_pool(std::make_shared<connection_pool>(context, m_options.upstream)),
       m_endpoints(m_options.notices), m_notices(m_endpoints, counters, log, m_options.names),
-      m_heldRequests(context), m_retryBudget(m_options.retries)
+      m_placements(counters), m_heldRequests(context), m_retryBudget(m_options.retries)
 {
 }
 
@@ -116,6 +116,7 @@
             return;
         self->m_pool->closeIdle(std::chrono::steady_clock::now());
         self->m_notices.update(self->now());
+        self->m_placements.update(self->m_endpoints, self->now());
         self->m_log.flush();
         self->startTimer();
     });
@@ -206,6 +207,16 @@
         late[index]->recall();
 }
 
+void forwarder::recordStream(const service &target, const endpoint &engine,
+                             const placement_record &placement,
+                             std::chrono::milliseconds longestPause)
+{
+    const double batch = engine.running + engine.runningByOtherHosts;
+    m_endpoints.pauses(target.name)
+        .record(longestPause, paceOf(target, m_options.placement.speed, batch));
+    m_placements.recordStream(target.name, placement, longestPause);
+}
+
 void forwarder::recordOutcome(endpoint &target, endpoint_outcome outcome)
 {
     const auto time = now();
--- a/Libraries/LibForward/forwarder.h
+++ b/Libraries/LibForward/forwarder.h
@@ -7,6 +7,7 @@
 #include "LibForward/held_requests.h"
 #include "LibForward/notice_recorder.h"
 #include "LibForward/placement.h"
+#include "LibForward/placement_metrics.h"
 #include "LibForward/retry_budget.h"
 #include "LibForward/route_table.h"
 #include "LibForward/upstream.h"
@@ -120,6 +121,10 @@
     /// one is left and the others are sent elsewhere if they are safe to send again.
     void recallRequests(const endpoint &target);
 
+    /// An engine has ended a stream. To be called before the endpoint is released.
+    void recordStream(const service &target, const endpoint &engine,
+                      const placement_record &placement, std::chrono::milliseconds longestPause);
+    placement_metrics &placements() { return m_placements; }
     /// Records how an attempt at the endpoint ended, and logs what follows from it.
     void recordOutcome(endpoint &target, endpoint_outcome outcome);
     /// Finds out whether the endpoint still runs after a connection to it broke.
@@ -152,6 +157,7 @@
     std::shared_ptr<const route_table> m_routes;
     endpoint_table m_endpoints;
     notice_recorder m_notices;
+    placement_metrics m_placements;
     held_requests m_heldRequests;
     retry_budget m_retryBudget;
     policy::crash_witness m_crashWitness;
--- a/Libraries/LibForward/placement_record.h
+++ b/Libraries/LibForward/placement_record.h
@@ -3,6 +3,7 @@
 #include "LibForward/placement.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 
 namespace quetzalcleat::forward {
@@ -24,6 +25,8 @@
     placement_reason reason() const { return m_choice.reason; }
     /// Of the sums of other hosts when the endpoint was chosen; empty if there were none.
     std::optional<std::chrono::milliseconds> loadAge() const { return m_loadAge; }
+    /// The same for the log; -1 if there were none.
+    std::int64_t loadAgeMilliseconds() const { return m_loadAge ? m_loadAge->count() : -1; }
 
 private:
     void removeWaiting(endpoint &target);
