--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -254,6 +254,9 @@
                                                            : engine_pool::LongPrompt;
     request.affinity = m_service->engine ? m_affinity : 0;
     request.objective = m_route->latencyObjective;
+    request.random
+        = core::hash64(m_id) ^ static_cast<std::uint64_t>(now.time_since_epoch().count());
+    request.protectedPause = m_routes->protectedPause(m_service->name);
     request.excluded = m_excluded;
     request.isConnected = [this](const endpoint &target) {
         return m_owner->pool()->hasIdle(target.connectionKey(), std::chrono::steady_clock::now());
@@ -271,13 +274,11 @@
     m_endpoint = choice.chosen;
     m_tried.push_back(m_endpoint);
     m_excluded.push_back(m_endpoint);
-    m_expectedWait = choice.expectedWait;
-    m_uncachedTokens = choice.uncachedTokens;
-    m_awaitsFirstByte = true;
-    ++m_endpoint->running;
-    m_endpoint->waitingTokens += m_uncachedTokens;
+    m_placement.begin(*m_endpoint, choice, now);
+    m_owner->placements().recordChoice(m_service->name, choice.reason);
     if (m_service->engine)
-        m_owner->work().recordSent(m_service->name, m_uncachedTokens, m_size.expectedOutputTokens);
+        m_owner->work().recordSent(m_service->name, choice.uncachedTokens,
+                                   m_size.expectedOutputTokens);
     m_endpoint->isProbing = m_endpoint->ejections > 0 && m_endpoint->ejectedUntil <= now;
     if (m_service->engine) {
         for (const auto &part : m_size.parts)
@@ -516,7 +517,7 @@
         bytes = std::move(m_responseBody);
         m_responseBody.clear();
     }
-    recordFirstByte(*m_endpoint);
+    m_placement.recordFirstByte(*m_endpoint, m_owner->now());
     recordRun();
     recordPart();
     passOn(bytes, *session);
@@ -537,7 +538,7 @@
     // Comments and incomplete events are no progress, so they do not restart the stall timer.
     if (m_events.eventCount() > eventsBefore) {
         m_endpoint->lastReceived = m_owner->now();
-        recordFirstByte(*m_endpoint);
+        m_placement.recordFirstByte(*m_endpoint, m_owner->now());
         recordRun();
         recordPart();
         startAttemptTimer();
@@ -671,6 +672,8 @@
         attemptFailed(error ? "broken: " + error.message() : cause, true);
         return;
     }
+    if (m_service->engine)
+        m_owner->recordStream(*m_service, *m_endpoint, m_placement, m_longestPause);
     releaseEndpoint(endpoint_outcome::Served);
     m_owner->crashWitness().recordAnswered(m_sharedParts, m_owner->now());
     const auto session = m_session.lock();
@@ -814,13 +817,6 @@
     releaseEndpoint(endpoint_outcome::Abandoned);
 }
 
-/// The prompt no longer counts as waiting at the endpoint.
-void exchange::recordFirstByte(endpoint &target)
-{
-    if (std::exchange(m_awaitsFirstByte, false))
-        target.waitingTokens -= m_uncachedTokens;
-}
-
 /// An answer shows that an endpoint has run the request, which is counted once.
 void exchange::recordRun()
 {
@@ -846,11 +842,10 @@
     const auto target = std::exchange(m_endpoint, nullptr);
     if (!target)
         return;
-    --target->running;
+    m_placement.end(*target);
     const auto written = std::exchange(m_written, std::nullopt);
     const bool mayOtherReturn = written
         && m_owner->endpoints().notices().recordLoss(target->listed.incarnation, *written);
-    recordFirstByte(*target);
     m_owner->recordOutcome(*target, outcome);
     if (mayOtherReturn)
         m_owner->heldRequests().resume();
@@ -913,9 +908,12 @@
          {"events", number(static_cast<std::int64_t>(m_events.eventCount()))},
          {"first_part_ms", number(m_timeToFirstPart.count())},
          {"longest_pause_ms", number(m_longestPause.count())},
-         {"expected_wait_ms", number(m_expectedWait.count() / 1000)},
+         {"expected_wait_ms", number(m_placement.expectedWait().count() / 1000)},
+         {"expected_pause_ms", number(m_placement.expectedPause().count() / 1000)},
+         {"load_age_ms", number(m_placement.loadAgeMilliseconds())},
+         {"placement", std::string(toString(m_placement.reason()))},
          {"prompt_parts", std::string(promptParts())},
-         {"uncached_tokens", number(static_cast<std::int64_t>(m_uncachedTokens))},
+         {"uncached_tokens", number(static_cast<std::int64_t>(m_placement.uncachedTokens()))},
          {"version", number(m_routes ? static_cast<std::int64_t>(m_routes->content().version) : 0)},
          {"lease_age_ms",
           number(std::min<std::int64_t>(m_owner->confirmationAge().count(), 999'999))}});
--- a/Libraries/LibForward/placement.h
+++ b/Libraries/LibForward/placement.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace quetzalcleat::forward {
@@ -24,8 +25,14 @@
     std::chrono::microseconds decodeStepPerRequest{165};
 };
 
+enum class placement_rule {
+    LeastPredictedStart, ///< Takes the sums of other hosts as they are; for comparison.
+    EvenLoad, ///< Allows for the age of the sums, learnt speeds and hot prefixes.
+};
+
 struct placement_options
 {
+    placement_rule rule = placement_rule::EvenLoad;
     std::string dataCentre;
     std::string region;
     std::map<std::string, std::string> regions; ///< Region of each data centre.
@@ -42,6 +49,10 @@
     double lowLatencyRootFactor = 0.4;
     /// Prompt parts sent to an engine longer ago than this are assumed evicted from its cache.
     std::chrono::milliseconds cacheRetention{60'000};
+    /// An engine with more than this multiple of the mean number of requests passes a part of those
+    /// for its prefixes to the next engine. Source: consistent hashing with bounded loads
+    /// (Mirrokni, Thorup, Zadimoghaddam, 2018).
+    double loadBound = 1.2;
 };
 
 /// The engines that a request prefers. A long prefill slows down every request in the same batch,
@@ -55,16 +66,31 @@
     engine_pool pool = engine_pool::Any;
     /// Time to the first event. A prefix is rerouted more readily if its engine would miss it.
     std::chrono::milliseconds objective{0}; ///< 0 for none.
+    /// Pause objective of the streams on the low-latency engines, which a long prompt has to leave
+    /// them; 0 for none.
+    std::chrono::milliseconds protectedPause{0};
     std::uint64_t affinity = 0; ///< Hash of the shared prefix; 0 for none.
     std::vector<endpoint_table::endpoint_pointer> excluded; ///< Already tried.
     std::function<bool(const endpoint &)> isConnected; ///< Whether a connection is open and idle.
+    std::uint64_t random = 0; ///< Different for each request.
+};
+
+/// What decided the choice of an endpoint.
+enum class placement_reason {
+    LeastCost,
+    NearEqual, ///< At random among the few whose costs are nearly equal.
+    PassedOn, ///< An engine that the prefix prefers has too much of the load.
 };
 
+std::string_view toString(placement_reason reason);
+
 struct placement_choice
 {
     endpoint_table::endpoint_pointer chosen; ///< Null if no endpoint can be used.
     std::chrono::microseconds expectedWait{0}; ///< Predicted time to the first token.
     std::uint64_t uncachedTokens = 0; ///< Prompt tokens not expected in its cache.
+    std::chrono::microseconds expectedPause{0}; ///< Of the streams there, after this prompt came.
+    placement_reason reason = placement_reason::LeastCost;
     /// If none can be used: the earliest end of a wait, and the latest time at which an endpoint
     /// takes the next request. They differ while requests return one after another.
     std::optional<core::instant> heldOffUntil;
@@ -81,6 +107,10 @@
 placement_choice chooseEndpoint(const endpoint_table &endpoints, const placement_request &request,
                                 const placement_options &options, core::instant now);
 
+/// Pace of an engine with so many requests in progress.
+policy::engine_pace paceOf(const service &target, const engine_speed &speed, double batch,
+                           double relativeSpeed = 1);
+
 /// Prompt tokens of the request that are not expected in the cache of the endpoint.
 std::uint64_t uncachedTokens(const endpoint &target, const generation_size &size,
                              const placement_options &options, core::instant now);
