--- a/Utilities/explore-schedules/simulated_clients.cpp
+++ b/Utilities/explore-schedules/simulated_clients.cpp
@@ -46,6 +46,13 @@
         return 'o' + std::to_string(static_cast<int>(verdict.state))
             + (verdict.alreadyKnown ? "known" : "new");
     }
+    std::string operator()(const state::usage_verdict &verdict) const
+    {
+        std::string text = 'u' + std::to_string(verdict.window);
+        for (const auto &[account, count] : verdict.counts)
+            text += '/' + account + '=' + std::to_string(count);
+        return text;
+    }
 };
 
 } // namespace
