LibForward: Initialise the optional members added for ordered endpoints

A default member initialiser keeps them valid; naming the members at each place was ruled out, since most of these places have no use for them.

--- a/Libraries/LibForward/endpoint_table.h
+++ b/Libraries/LibForward/endpoint_table.h
@@ -42,7 +42,8 @@
     std::uint32_t slots = 0; ///< Requests that can run concurrently.
     bool isLeaving = false; ///< As the list says; endpoint_notices decides.
     bool isSpot = false; ///< Cheaper, and may be reclaimed at short notice.
-    std::optional<std::chrono::milliseconds> leavesIn; ///< Announced time until it is gone.
+    /// Announced time until it is gone.
+    std::optional<std::chrono::milliseconds> leavesIn = std::nullopt;
 };
 
 /// One incarnation of an endpoint with the state that this host keeps for it.
