LibForward: Bound what is known of the prompt parts in caches

A list in the order of use was ruled out: it takes about twice the memory for each part. The use in the placement is unchanged. test_placement uses record() instead of the operator [] that the class does not have; it checks the same.

--- a/Libraries/LibForward/endpoint_table.h
+++ b/Libraries/LibForward/endpoint_table.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/settings.h"
 #include "LibCore/time.h"
+#include "LibForward/part_history.h"
 #include "LibPolicy/endpoint_notices.h"
 
 #include <chrono>
@@ -11,7 +12,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace quetzalcleat::forward {
@@ -68,7 +68,7 @@
     bool isBeingChecked = false; ///< A connection is being opened to see whether it still runs.
 
     /// When each prompt part was last sent here.
-    std::unordered_map<std::uint64_t, core::instant> partSentTimes;
+    part_history partSentTimes;
 
     /// Not 0 if it has started again under its identity; distinguishes these starts.
     std::uint64_t restart = 0;
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -296,7 +296,7 @@
     m_endpoint->isProbing = m_endpoint->ejections > 0 && m_endpoint->ejectedUntil <= now;
     if (m_service->engine) {
         for (const auto &part : m_size.parts)
-            m_endpoint->partSentTimes[part.id] = now;
+            m_endpoint->partSentTimes.record(part.id, now);
     }
     startAttempt(left);
 }
--- a/Tests/Forward/test_placement.cpp
+++ b/Tests/Forward/test_placement.cpp
@@ -261,7 +261,7 @@
         const auto former = table.ofService("s").front();
         former->running = 1;
         former->ejectedUntil = start + std::chrono::hours(1);
-        former->partSentTimes[7] = start;
+        former->partSentTimes.record(7, start);
         table.notices().reportLeaving("i1", {start, policy::notice_source::OwnAnswer, "r"}, start);
         const auto end = start + std::chrono::seconds(5);
         table.update(second, end);
