LibCore: Bound the number of values of a JSON document

A document of 3 MB of very many short values takes more than 100 MB as a tree. parseJson counts the values in the scan that finds the nesting, before it parses, and discards documents of more than 250,000: a configuration of the largest size stays below that if its values, with their names, have 12 bytes on average. Counting in a SAX handler was ruled out, as it parses each document twice.

--- a/Libraries/LibCore/json.cpp
+++ b/Libraries/LibCore/json.cpp
@@ -4,10 +4,19 @@
 
 namespace quetzalcleat::core {
 
-std::size_t jsonDepth(std::string_view text)
+namespace {
+
+/// Found by a scan, before memory is taken for the values.
+struct json_shape
 {
-    std::size_t depth = 0;
     std::size_t deepest = 0;
+    std::size_t values = 1;
+};
+
+json_shape shapeOf(std::string_view text)
+{
+    json_shape shape;
+    std::size_t depth = 0;
     bool inString = false;
     bool isEscaped = false;
     for (const char next : text) {
@@ -17,17 +26,33 @@
         } else if (next == '"') {
             inString = true;
         } else if (next == '{' || next == '[') {
-            deepest = std::max(deepest, ++depth);
+            shape.deepest = std::max(shape.deepest, ++depth);
+            ++shape.values;
+        } else if (next == ',') {
+            ++shape.values;
         } else if ((next == '}' || next == ']') && depth > 0) {
             --depth;
         }
     }
-    return deepest;
+    return shape;
+}
+
+} // namespace
+
+std::size_t jsonDepth(std::string_view text)
+{
+    return shapeOf(text).deepest;
+}
+
+std::size_t jsonValues(std::string_view text)
+{
+    return shapeOf(text).values;
 }
 
 nlohmann::json parseJson(std::string_view text)
 {
-    if (jsonDepth(text) > maximumJsonDepth)
+    const auto shape = shapeOf(text);
+    if (shape.deepest > maximumJsonDepth || shape.values > maximumJsonValues)
         return nlohmann::json::value_t::discarded;
     return nlohmann::json::parse(text, nullptr, false);
 }
--- a/Tests/Core/test_json.cpp
+++ b/Tests/Core/test_json.cpp
@@ -24,6 +24,22 @@
     EXPECT_TRUE(parseJson("{\"a\":" + nested(maximumJsonDepth) + "}").is_discarded());
 }
 
+/// Guards against a document of very many short values, which take many times the memory of its
+/// text.
+TEST(json, DocumentOfVeryManyValuesIsDiscarded)
+{
+    const auto listOf = [](std::size_t values) {
+        std::string text = "[1";
+        for (std::size_t index = 1; index < values; ++index)
+            text += ",1";
+        return text + "]";
+    };
+    EXPECT_FALSE(parseJson(listOf(maximumJsonValues - 2)).is_discarded());
+    EXPECT_TRUE(parseJson(listOf(maximumJsonValues)).is_discarded());
+    EXPECT_GE(jsonValues(R"({"a":{},"b":[1,"x,y"]})"), 5U);
+    EXPECT_LT(jsonValues("\"" + std::string(1000, ',') + "\""), 3U);
+}
+
 /// Guards against brackets in strings that count as nesting.
 TEST(json, StringsAreNotNested)
 {
