LibForward, LibFleet: Bound what operators' and readiness connections take

The readiness, metrics and control servers read bodies of up to 32 MB on each of 200 connections: an entry host of 88 MB was killed by 40 of them at the readiness address (117 MB).

http_server has options: readiness and metrics take no body, the control address documents up to their largest size, within a bound for all connections and in the budget of the process. Node processes derive the budget from memory-mb and return large blocks to the system when they are freed. A separate budget for each address was ruled out: the platform counts the process.

--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -31,10 +31,11 @@
 public:
     static core::result<std::shared_ptr<control_node>>
     create(asio::io_context &context, std::shared_ptr<peer::peer_network> network,
-           core::counter_registry &counters, forward::event_log &log, const node_settings &settings)
+           core::counter_registry &counters, forward::event_log &log, const node_settings &settings,
+           std::shared_ptr<policy::memory_budget> memory = nullptr)
     {
-        std::shared_ptr<control_node> self(
-            new control_node(context, std::move(network), counters, log, settings));
+        std::shared_ptr<control_node> self(new control_node(context, std::move(network), counters,
+                                                            log, settings, std::move(memory)));
         if (const auto opened = self->open(); !opened)
             return opened.error();
         return self;
@@ -54,7 +55,8 @@
                    forward::http_server::responder respond) {
                 if (const auto self = weak.lock())
                     self->handle(head, std::move(body), std::move(respond));
-            });
+            },
+            serverOptions());
         startList(weak);
         startTimer();
         return m_server->start(*m_settings.controlAddress);
@@ -106,13 +108,26 @@
 
     control_node(asio::io_context &context, std::shared_ptr<peer::peer_network> network,
                  core::counter_registry &counters, forward::event_log &log,
-                 const node_settings &settings)
+                 const node_settings &settings, std::shared_ptr<policy::memory_budget> memory)
         : m_context(context), m_network(std::move(network)), m_counters(counters), m_log(log),
-          m_settings(settings), m_timer(context),
+          m_settings(settings), m_memory(std::move(memory)), m_timer(context),
           m_pool(std::make_shared<forward::connection_pool>(context, forward::upstream_options()))
     {
     }
 
+    forward::http_server_options serverOptions() const
+    {
+        forward::http_server_options options;
+        options.bodyBytes = state::maximumDocumentBytes;
+        // Of five documents of the largest size.
+        options.heldBytes = 5 * state::maximumDocumentBytes;
+        // For the largest document at 1 Mbit/s.
+        options.requestTime = std::chrono::seconds(30);
+        options.memory = m_memory;
+        options.log = std::make_shared<forward::limit_log>("control", m_counters, m_log);
+        return options;
+    }
+
     core::result<void> open()
     {
         // Configurations are large, so frequent snapshots keep the log small on disk.
@@ -364,6 +379,7 @@
     core::counter_registry &m_counters;
     forward::event_log &m_log;
     node_settings m_settings;
+    std::shared_ptr<policy::memory_budget> m_memory; ///< Null for none.
     asio::steady_timer m_timer;
     std::shared_ptr<peer::configuration_feed> m_feed;
     std::shared_ptr<peer::configuration_publisher> m_publisher;
--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -29,9 +29,10 @@
 public:
     entry_node(asio::io_context &context, std::shared_ptr<peer::peer_network> network,
                core::counter_registry &counters, forward::event_log &log,
-               const node_settings &settings)
+               const node_settings &settings,
+               std::shared_ptr<policy::memory_budget> memory = nullptr)
         : m_context(context), m_network(std::move(network)), m_counters(counters), m_log(log),
-          m_settings(settings)
+          m_settings(settings), m_memory(std::move(memory))
     {
     }
 
@@ -65,7 +66,8 @@
                    const forward::http_server::responder &respond) {
                 if (const auto self = weak.lock())
                     self->respondToReadiness(head, respond);
-            });
+            },
+            readinessOptions());
         m_lease->start();
         m_listReader->start();
         if (const auto listening = m_readinessServer->start(*m_settings.readinessAddress);
@@ -146,6 +148,14 @@
         return text;
     }
 
+    forward::http_server_options readinessOptions() const
+    {
+        forward::http_server_options options;
+        options.memory = m_memory;
+        options.log = std::make_shared<forward::limit_log>("readiness", m_counters, m_log);
+        return options;
+    }
+
     forward::forwarder_options forwarderOptions() const
     {
         // Share of the revocation time for which a confirmation is valid; the rest covers requests
@@ -155,6 +165,7 @@
         constexpr std::uint64_t reservedDescriptors = 400;
         forward::forwarder_options options;
         options.callerAddress = *m_settings.callerAddress;
+        options.memory = m_memory;
         options.names = Dialect::wireNames();
         options.placement.dataCentre = m_settings.dataCentre;
         options.placement.region = m_settings.region;
@@ -390,6 +401,7 @@
     core::counter_registry &m_counters;
     forward::event_log &m_log;
     node_settings m_settings;
+    std::shared_ptr<policy::memory_budget> m_memory; ///< Null for one of this role alone.
     std::shared_ptr<forward::forwarder> m_forwarder;
     std::shared_ptr<peer::configuration_lease> m_lease;
     std::shared_ptr<forward::endpoint_list_reader<Dialect>> m_listReader;
--- a/Libraries/LibFleet/node_process.h
+++ b/Libraries/LibFleet/node_process.h
@@ -19,6 +19,8 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <malloc.h>
+
 namespace quetzalcleat::fleet {
 
 struct process_options
@@ -42,6 +44,10 @@
     int run()
     {
         std::signal(SIGPIPE, SIG_IGN);
+        // Large blocks are returned to the system when they are freed. By default, the allocator
+        // keeps blocks of up to 32 MB after the first one of their size was freed.
+        constexpr int largeBlockBytes = 128 * 1024;
+        ::mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
         const auto text = readFile();
         auto settings = Dialect::readSettings(text);
         if (!settings) {
@@ -54,6 +60,8 @@
         }
         m_settings = std::move(settings).value();
         m_settingsText = text;
+        m_memory = std::make_shared<policy::memory_budget>(
+            policy::memory_budget::boundFor(m_settings.memoryLimit));
         m_log.emplace(m_settings.hostName);
         if (const auto started = start(); !started) {
             m_log->write("start_failed", {{"error", started.error().message()}});
@@ -125,7 +133,7 @@
         m_network = std::move(network).value();
         if (m_settings.controlAddress) {
             auto control = control_node<Dialect>::create(m_context, m_network, m_counters, *m_log,
-                                                         m_settings);
+                                                         m_settings, m_memory);
             if (!control)
                 return control.error();
             m_control = std::move(control).value();
@@ -134,7 +142,7 @@
         }
         if (m_settings.callerAddress) {
             m_entry = std::make_shared<entry_node<Dialect>>(m_context, m_network, m_counters,
-                                                            *m_log, m_settings);
+                                                            *m_log, m_settings, m_memory);
             if (const auto started = m_entry->start(); !started)
                 return started;
         }
@@ -156,6 +164,9 @@
     {
         if (m_options.metricsPort == 0)
             return {};
+        forward::http_server_options options;
+        options.memory = m_memory;
+        options.log = std::make_shared<forward::limit_log>("metrics", m_counters, *m_log);
         m_metricsServer = std::make_shared<forward::http_server>(
             m_context,
             [this](const forward::http_head &head, const std::string &,
@@ -166,7 +177,8 @@
                     respond({200, "text/plain", {}, dump()});
                 else
                     respond({404, "text/plain", {}, "no such page\n"});
-            });
+            },
+            std::move(options));
         return m_metricsServer->start({m_settings.ip, m_options.metricsPort});
     }
 
@@ -291,6 +303,7 @@
     std::optional<forward::event_log> m_log;
     node_settings m_settings;
     std::string m_settingsText;
+    std::shared_ptr<policy::memory_budget> m_memory;
     core::instant m_settingsRead;
     std::shared_ptr<peer::peer_network> m_network;
     std::shared_ptr<control_node<Dialect>> m_control;
--- a/Tests/Forward/forwarder_fixture.h
+++ b/Tests/Forward/forwarder_fixture.h
@@ -77,6 +77,8 @@
         options.notices = m_notices;
         options.retries.ratio = m_retryRatio;
         options.retries.additionalRetries = m_additionalRetries;
+        options.memory = m_memory;
+        options.maximumSessions = m_maximumSessions;
         options.now = [this] { return core::suspendAwareNow() + m_suspended.load(); };
         m_forwarder = std::make_shared<forwarder>(m_context, m_counters, m_log, options, [this] {
             return std::chrono::milliseconds(m_confirmationAge.load());
@@ -183,6 +185,8 @@
     event_log m_log;
     upstream_options m_upstream;
     policy::notice_limits m_notices;
+    std::shared_ptr<policy::memory_budget> m_memory; ///< Null for the default one.
+    std::size_t m_maximumSessions = 2500;
     double m_retryRatio = 0.2;
     double m_additionalRetries = 100;
     /// Time that the host was suspended, which the clock of timers does not count.
