--- a/Libraries/LibForward/configuration.h
+++ b/Libraries/LibForward/configuration.h
@@ -72,7 +72,7 @@
     std::string healthPath;
     std::uint32_t connectionLimit = 0; ///< Per endpoint, over all hosts; 0 for none.
     std::optional<engine_profile> engine; ///< Absent for plain services.
-    std::optional<autoscale_profile> autoscale; ///< Absent if its endpoints are not ordered.
+    std::optional<autoscale_profile> autoscale{}; ///< Absent if its endpoints are not ordered.
 };
 
 /// A customer's account, identified by its keys.
--- a/Libraries/LibState/duties.h
+++ b/Libraries/LibState/duties.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 
 namespace quetzalcleat::state {
 
@@ -46,7 +46,12 @@
     std::string dataCentre;
     bool isSpot = false;
 
-    auto operator<=>(const capacity_subject &) const = default;
+    bool operator==(const capacity_subject &) const = default;
+    bool operator<(const capacity_subject &other) const
+    {
+        return std::tie(service, dataCentre, isSpot)
+            < std::tie(other.service, other.dataCentre, other.isSpot);
+    }
 };
 
 /// The platform has accepted a number of endpoints.
