Tests: Select the programs of the crowd tests and end them with the runner

--programs DIR runs the set with other programs than those of build/bin. SIGINT and SIGTERM now end the processes that the runner started; a runner in the background of a shell ignored SIGINT and left them.

--- a/Tests/Crowds/deployments.py
+++ b/Tests/Crowds/deployments.py
@@ -15,6 +15,7 @@
 from fakes import Endpoint, EndpointList, body_of, read_head  # noqa: E402
 from fleet import PORTS, ZONES, Fleet  # noqa: E402
 
+PROGRAMS = ROOT / "build/bin"  # Changed by the command line.
 MIB = 1024 * 1024
 METRICS_PORT = 8226
 # Bounds that the settings of the processes state. An entry host of the target deployments has 88 to
@@ -133,7 +134,7 @@
     """One entry host and one control host of quetzalcleat-node, with two endpoints."""
 
     def __init__(self, folder, prefix, descriptors, more_routes):
-        self.fleet = Fleet(ROOT / "build/bin/quetzalcleat-node", folder, prefix, 1)
+        self.fleet = Fleet(PROGRAMS / "quetzalcleat-node", folder, prefix, 1)
         self.fleet.controls = self.fleet.controls[:1]
         self.descriptors = descriptors
         self.endpoints = [CrowdEndpoint(service, service, f"{prefix}.{101 + index}", 9000, None)
@@ -203,11 +204,11 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = await asyncio.create_subprocess_exec(
-                str(ROOT / "build/bin" / name), *arguments, stdout=log, stderr=log,
+                str(PROGRAMS / name), *arguments, stdout=log, stderr=log,
                 stdin=asyncio.subprocess.DEVNULL, preexec_fn=limit_descriptors)
 
     async def start(self):
-        program, file = ROOT / "build/bin/quetzalcleatd", self.folder / "host.toml"
+        program, file = PROGRAMS / "quetzalcleatd", self.folder / "host.toml"
         settings = self.settings()
         file.write_text(f"{settings}memory_mb = {DAEMON_MEMORY_MB}\n")
         # Programs from before this setting refuse it; the bound is the same for them.
--- a/Tests/Crowds/run_crowds.py
+++ b/Tests/Crowds/run_crowds.py
@@ -3,7 +3,7 @@
 a time act on them, and checks that each process lives, stays within the memory and descriptors that
 its settings state, and answers an ordinary request afterwards. Times and shares are not checked.
 
-Usage: Tests/Crowds/run_crowds.py [--only NAME] [--quick] [--list]
+Usage: Tests/Crowds/run_crowds.py [--only NAME] [--quick] [--programs DIR] [--list]
 NAME may be a pattern, for example 'node.*.route'. Entries "test: crowds.NAME" of KNOWN-RED.txt are
 passed over. The tests run one after another.
 """
@@ -14,10 +14,12 @@
 import pathlib
 import re
 import shutil
+import signal
 import sys
 import tempfile
 import time
 
+import deployments
 from crowds import ACTING_SECONDS, HOLDING_SECONDS, tests
 from deployments import ROOT
 from fakes import read_head
@@ -143,8 +145,13 @@
                                      formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--only", default="*", help="name or pattern of the tests to run")
     parser.add_argument("--quick", action="store_true", help="only the tests that run in CI")
+    parser.add_argument("--programs", default=str(deployments.PROGRAMS), help="folder")
     parser.add_argument("--list", action="store_true", help="print the names and exit")
     options = parser.parse_args()
+    # Also where they are ignored, as in the background of a shell; the processes are then ended.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
+    deployments.PROGRAMS = pathlib.Path(options.programs).resolve()
     chosen = [test for test in tests() if fnmatch.fnmatchcase(test.name, options.only)
               and (test.quick or not options.quick)]
     if options.list:
