LibHttp, quetzalcleatd: Bound the memory that callers and operators can hold

Cause: quetzalcleatd read any number of bodies of 4 MiB at once, parsed JSON of any number of values, waited 60 s for a head, and with few descriptors lost the accept slots of RESTinio for good, so it served nobody afterwards.

RESTinio 0.6 reads the whole body before it calls the handler and has no hook earlier. So a wrong token is not refused from its head. Ruled out for now: a second HTTP parser in front of it that refuses from the head.

Change: RESTinio's socket type is replaced by metered_socket, through the extension points that its TLS socket uses. It charges what it reads to one input_account per process (pure; time is a parameter). A request counts twice, as RESTinio keeps the body next to the session's copy. When the account is full, unfinished requests are closed, the newest first; a fifth is kept for small requests. An answer that does not fit is not sent. Heads that take too long and bodies that are too slow are closed. When there are too many connections, unfinished heads are closed after a tenth of the time. The values of JSON and inventory texts are counted before they are parsed. Connections of callers and operators follow from the limit of descriptors. Freed bodies go back to the system (M_MMAP_THRESHOLD). Settings: memory_mb, head_timeout_ms, body_bytes_per_second, document_values.

No existing test was changed.

--- a/Libraries/LibCore/settings.cpp
+++ b/Libraries/LibCore/settings.cpp
@@ -35,6 +35,7 @@
         parseKeys();
         parseLogLevel();
         parseTimes();
+        parseCallerLimits();
         parsePeers();
         m_root.reportUnknownKeys();
         return std::move(m_settings);
@@ -138,6 +139,24 @@
             m_settings.stopGraceTime = std::chrono::milliseconds(*time);
     }
 
+    void parseCallerLimits()
+    {
+        constexpr std::int64_t smallestMemory = 64;
+        constexpr std::int64_t largestMemory = 1024 * 1024;
+        constexpr std::int64_t largestRate = 1024 * 1024;
+        constexpr std::int64_t fewestValues = 1000;
+        constexpr std::int64_t mostValues = 10'000'000;
+        auto &limits = m_settings.callerLimits;
+        if (const auto size = m_root.integer("memory_mb", smallestMemory, largestMemory))
+            limits.memoryMebibytes = static_cast<std::uint64_t>(*size);
+        if (const auto time = m_root.integer("head_timeout_ms", 1, maximumTimeMilliseconds))
+            limits.headTime = std::chrono::milliseconds(*time);
+        if (const auto rate = m_root.integer("body_bytes_per_second", 0, largestRate))
+            limits.bodyBytesPerSecond = static_cast<std::uint64_t>(*rate);
+        if (const auto count = m_root.integer("document_values", fewestValues, mostValues))
+            limits.documentValues = static_cast<std::uint64_t>(*count);
+    }
+
     void parsePeers()
     {
         std::set<std::string> names{m_settings.hostName};
--- a/Libraries/LibCore/settings.h
+++ b/Libraries/LibCore/settings.h
@@ -44,6 +44,15 @@
     bool control = false; ///< Whether the peer holds the replicated log.
 };
 
+/// Limits on what callers and operators may make a process hold. No legal caller reaches them.
+struct caller_limit_settings
+{
+    std::uint64_t memoryMebibytes = 256; ///< Memory of the machine for this process.
+    std::chrono::milliseconds headTime{10'000}; ///< From the first byte of a head to its end.
+    std::uint64_t bodyBytesPerSecond = 1024; ///< Lowest rate of a body.
+    std::uint64_t documentValues = 100'000; ///< Of a JSON or TOML document.
+};
+
 /// Settings of one process, from its settings file. Everything that hosts share is in the inventory
 /// instead.
 struct settings
@@ -69,6 +78,7 @@
     std::chrono::milliseconds balancerNoticeTime{2000};
     /// Longest time that a stopping process waits for requests in flight.
     std::chrono::milliseconds stopGraceTime{120000};
+    caller_limit_settings callerLimits;
 };
 
 /// Parses a settings file of at most 1 MiB. Every error is listed with its line; unknown keys are
--- a/Libraries/LibHttp/caller_server.cpp
+++ b/Libraries/LibHttp/caller_server.cpp
@@ -1,9 +1,12 @@
 #include "LibHttp/caller_server.h"
 
 #include "LibHttp/http_error.h"
+#include "LibHttp/metered_socket.h"
 
 #include <restinio/all.hpp>
 
+#include <asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <optional>
 #include <unordered_map>
@@ -11,6 +14,66 @@
 
 #include <poll.h>
 
+// The extension points that RESTinio itself uses for its TLS socket. Names are prescribed by it.
+// NOLINTBEGIN(readability-identifier-naming)
+namespace restinio {
+
+template <typename Settings>
+class socket_type_dependent_settings_t<Settings, quetzalcleat::http::metered_socket>
+{
+public:
+    using opener_pointer = std::shared_ptr<const quetzalcleat::http::metered_socket::opener>;
+
+    void setOpener(opener_pointer open) { m_open = std::move(open); }
+    const opener_pointer &opener() const { return m_open; }
+
+protected:
+    socket_type_dependent_settings_t() = default;
+    socket_type_dependent_settings_t(socket_type_dependent_settings_t &&) noexcept = default;
+    ~socket_type_dependent_settings_t() = default;
+
+private:
+    opener_pointer m_open;
+};
+
+namespace impl {
+
+template <>
+class socket_supplier_t<quetzalcleat::http::metered_socket>
+{
+protected:
+    using socket_type = quetzalcleat::http::metered_socket;
+
+    template <typename Settings>
+    socket_supplier_t(Settings &settings, asio::io_context &context)
+        : m_open(settings.opener()), m_context(context)
+    {
+        while (m_sockets.size() < settings.concurrent_accepts_count())
+            m_sockets.emplace_back(m_context, m_open);
+    }
+
+    socket_type &socket(std::size_t index) { return m_sockets.at(index); }
+
+    socket_type move_socket(std::size_t index)
+    {
+        socket_type accepted(m_context, m_open);
+        std::swap(accepted, m_sockets.at(index));
+        return accepted;
+    }
+
+    auto concurrent_accept_sockets_count() const noexcept { return m_sockets.size(); }
+
+private:
+    std::shared_ptr<const socket_type::opener> m_open;
+    asio::io_context &m_context;
+    std::vector<socket_type> m_sockets;
+};
+
+} // namespace impl
+
+} // namespace restinio
+// NOLINTEND(readability-identifier-naming)
+
 namespace quetzalcleat::http {
 
 namespace {
@@ -73,8 +136,12 @@
     std::function<bool()> m_allowed;
 };
 
+/// How often connections are checked for slow requests.
+constexpr std::chrono::milliseconds slowCheckInterval{500};
+
 struct server_traits : public restinio::default_single_thread_traits_t
 {
+    using stream_socket_t = metered_socket;
     using request_handler_t
         = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
     using connection_state_listener_t = connection_listener;
@@ -86,6 +153,9 @@
 struct shared_state
 {
     asio::io_context &context;
+    std::shared_ptr<input_account> inputs;
+    /// Of the open connections, by RESTinio's number.
+    std::unordered_map<std::uint64_t, std::weak_ptr<input_account::connection>> connections;
     std::size_t openExchanges = 0;
     std::size_t openConnections = 0;
     bool closeAfterResponses = false;
@@ -106,7 +176,8 @@
 {
 public:
     restinio_exchange(std::shared_ptr<shared_state> state, restinio::request_handle_t handle)
-        : m_state(std::move(state)), m_handle(std::move(handle))
+        : m_state(std::move(state)), m_handle(std::move(handle)),
+          m_connection(m_handle->connection_id())
     {
         const auto &source = m_handle->header();
         m_request.method = source.method().c_str();
@@ -116,6 +187,8 @@
             m_request.headers.push_back({field.name(), field.value()});
         });
         m_request.body = m_handle->body();
+        if (const auto input = connectionInput())
+            m_charge = input->completeRequest();
         ++m_state->openExchanges;
     }
 
@@ -135,6 +208,13 @@
         auto response = m_handle->create_response(statusLine(head.status));
         m_handle.reset();
         setHeaders(response, head);
+        releaseBody();
+        m_charge = {};
+        // An answer that the process cannot hold is not sent; its connection ends.
+        if (m_state->inputs->makeRoom(body.size()))
+            m_charge = input_account::charge(*m_state->inputs, body.size());
+        else if (const auto input = connectionInput())
+            input->close();
         response.set_body(std::move(body));
         response.done(completionCallback({}));
     }
@@ -259,11 +339,18 @@
         return [self = shared_from_this()](const asio::error_code &) { self->complete(); };
     }
 
+    std::shared_ptr<input_account::connection> connectionInput() const
+    {
+        const auto found = m_state->connections.find(m_connection);
+        return found == m_state->connections.end() ? nullptr : found->second.lock();
+    }
+
     /// Removes the exchange from the count of open ones.
     void complete()
     {
         if (std::exchange(m_complete, true))
             return;
+        m_charge = {};
         --m_state->openExchanges;
         m_onDisconnect = {};
         m_onInterrupt = {};
@@ -271,7 +358,9 @@
 
     std::shared_ptr<shared_state> m_state;
     restinio::request_handle_t m_handle;
+    std::uint64_t m_connection;
     caller_request m_request;
+    input_account::charge m_charge; ///< The request, then the answer.
     std::optional<restinio::response_builder_t<restinio::chunked_output_t>> m_stream;
     std::function<void()> m_onDisconnect;
     std::function<void()> m_onInterrupt;
@@ -285,8 +374,11 @@
     implementation(asio::io_context &context, caller_server_options options,
                    request_handler handler)
         : m_options(std::move(options)), m_handler(std::move(handler)),
-          m_state(std::make_shared<shared_state>(shared_state{context}))
+          m_state(std::make_shared<shared_state>(shared_state{context, m_options.inputs, {}})),
+          m_slowCheck(context)
     {
+        if (!m_state->inputs)
+            m_state->inputs = std::make_shared<input_account>(input_limits());
     }
 
     core::result<void> open();
@@ -307,10 +399,12 @@
     restinio::server_settings_t<server_traits> serverSettings();
     restinio::request_handling_status_t handle(restinio::request_handle_t request);
     void connectionChanged(std::uint64_t connection, bool opened);
+    void checkSlowConnections();
 
     caller_server_options m_options;
     request_handler m_handler;
     std::shared_ptr<shared_state> m_state;
+    asio::steady_timer m_slowCheck; ///< Runs while there are connections.
     std::unique_ptr<server> m_server;
     asio::ip::tcp::acceptor *m_acceptor = nullptr; ///< Owned by m_server.
     std::unordered_map<std::uint64_t, std::vector<std::weak_ptr<restinio_exchange>>> m_connections;
@@ -320,6 +414,12 @@
 restinio::server_settings_t<server_traits> caller_server::implementation::serverSettings()
 {
     restinio::server_settings_t<server_traits> settings;
+    settings.setOpener(std::make_shared<const metered_socket::opener>(
+        [state = m_state](std::uint64_t connection, std::function<void()> close) {
+            auto input = state->inputs->open(std::move(close), std::chrono::steady_clock::now());
+            state->connections[connection] = input;
+            return input;
+        }));
     settings.port(m_options.address.port)
         .address(asio::ip::make_address(m_options.address.ip))
         .protocol(m_options.address.ip.find(':') == std::string::npos ? asio::ip::tcp::v4()
@@ -345,7 +445,11 @@
         })
         .ip_blocker(std::make_shared<connection_limit>(
             [state = m_state, limit = m_options.maximumConnections] {
-                return state->openConnections < limit;
+                if (state->openConnections < limit)
+                    return true;
+                // Makes room for later ones.
+                state->inputs->closeUnfinishedHeads(std::chrono::steady_clock::now());
+                return false;
             }))
         .connection_state_listener(std::make_shared<connection_listener>(
             [weak = weak_from_this()](std::uint64_t connection, bool opened) {
@@ -408,14 +512,17 @@
 void caller_server::implementation::connectionChanged(std::uint64_t connection, bool opened)
 {
     if (opened) {
-        ++m_state->openConnections;
+        if (m_state->openConnections++ == 0)
+            checkSlowConnections();
         m_connections[connection];
         return;
     }
     const auto found = m_connections.find(connection);
     if (found == m_connections.end())
         return;
-    --m_state->openConnections;
+    if (--m_state->openConnections == 0)
+        m_slowCheck.cancel();
+    m_state->connections.erase(connection);
     const auto exchanges = std::move(found->second);
     m_connections.erase(found);
     for (const auto &weak : exchanges) {
@@ -424,6 +531,18 @@
     }
 }
 
+void caller_server::implementation::checkSlowConnections()
+{
+    m_slowCheck.expires_after(slowCheckInterval);
+    m_slowCheck.async_wait([weak = weak_from_this()](std::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self)
+            return;
+        self->m_state->inputs->closeSlow(std::chrono::steady_clock::now());
+        self->checkSlowConnections();
+    });
+}
+
 caller_server::caller_server(asio::io_context &context, caller_server_options options,
                              request_handler handler)
     : m_implementation(
--- a/Libraries/LibHttp/caller_server.h
+++ b/Libraries/LibHttp/caller_server.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/result.h"
 #include "LibCore/settings.h"
+#include "LibHttp/input_account.h"
 #include "LibHttp/message.h"
 
 #include <asio/io_context.hpp>
@@ -61,6 +62,8 @@
     /// A caller that takes no bytes of a chunk for this long is disconnected.
     std::chrono::milliseconds writeProgressTimeout{10000};
     std::chrono::milliseconds idleTimeout{60000}; ///< Between requests on a connection.
+    /// Shared by the servers of a process; a server without one has its own with default limits.
+    std::shared_ptr<input_account> inputs = nullptr;
 };
 
 /// HTTP/1.1 server for callers or operators on a shared io_context.
--- a/Services/quetzalcleatd/completion_session.cpp
+++ b/Services/quetzalcleatd/completion_session.cpp
@@ -74,6 +74,11 @@
         return false;
     }
     m_identity = std::get<request_identity>(std::move(admitted));
+    if (hasTooManyValues(request.body, document_format::Json,
+                         m_environment.options.documentValues)) {
+        refuse({error_type::TooLarge, "body has too many values", false, call_outcome::NotRun, {}});
+        return false;
+    }
     auto parsed = parseCompletion(request.body, kind);
     if (const auto *error = std::get_if<error_response>(&parsed)) {
         refuse(*error);
--- a/Services/quetzalcleatd/entry.h
+++ b/Services/quetzalcleatd/entry.h
@@ -15,6 +15,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -38,12 +39,20 @@
                         m_notices,         counters,           m_log,
                         nullptr,           m_options.hostName, m_options.hostIncarnation,
                         m_options.sessions},
+          m_inputs(std::make_shared<http::input_account>(
+              m_options.inputs,
+              [this](http::closing_reason reason) { recordClosedConnection(reason); })),
           m_callers(context,
-                    {m_options.callerAddress, m_options.maximumConnections,
-                     m_options.callerProgressTimeout},
+                    {.address = m_options.callerAddress,
+                     .maximumConnections = m_options.maximumConnections,
+                     .writeProgressTimeout = m_options.callerProgressTimeout,
+                     .inputs = m_inputs},
                     [this](const exchange_pointer &exchange) { handleCaller(exchange); }),
-          m_operators(context, {m_options.operatorAddress, maximumOperatorConnections},
-                      [this](const exchange_pointer &exchange) { m_operatorApi.handle(exchange); }),
+          m_operators(context,
+                      {.address = m_options.operatorAddress,
+                       .maximumConnections = m_options.maximumOperatorConnections,
+                       .inputs = m_inputs},
+                      [this](const exchange_pointer &exchange) { handleOperator(exchange); }),
           m_stop(std::make_shared<stop_sequence>(m_environment, m_callers, m_options)),
           m_observer(std::make_shared<endpoint_observer>(m_environment, m_options.observer)),
           m_operatorApi(m_environment, control, m_options, [this] { return leaving(); })
@@ -98,7 +107,27 @@
 private:
     using exchange_pointer = std::shared_ptr<http::caller_exchange>;
 
-    static constexpr std::size_t maximumOperatorConnections = 128;
+    /// Crowds close thousands of connections; the counters have the exact numbers.
+    void recordClosedConnection(http::closing_reason reason)
+    {
+        constexpr std::chrono::seconds logInterval{10};
+        const auto name = std::string(http::nameOf(reason));
+        ++m_environment.counters.counter("quetzalcleat_connections_closed_total",
+                                         "reason=\"" + name + '"');
+        const auto now = std::chrono::steady_clock::now();
+        if (now < m_nextClosedLog)
+            return;
+        m_nextClosedLog = now + logInterval;
+        m_log.warning("closing connections of callers; newest reason " + name
+                      + ", bytes held for callers " + std::to_string(m_inputs->heldBytes()));
+    }
+
+    void handleOperator(const exchange_pointer &exchange)
+    {
+        m_environment.counters.gauge("quetzalcleat_caller_bytes_held")
+            = static_cast<double>(m_inputs->heldBytes());
+        m_operatorApi.handle(exchange);
+    }
 
     void putInForce(const state::configuration &configuration)
     {
@@ -174,6 +203,8 @@
     dispatcher m_decisions;
     notice_recorder m_notices;
     session_environment m_environment;
+    std::shared_ptr<http::input_account> m_inputs;
+    core::instant m_nextClosedLog;
     http::caller_server m_callers;
     http::caller_server m_operators;
     std::shared_ptr<stop_sequence> m_stop;
--- a/Services/quetzalcleatd/entry_options.h
+++ b/Services/quetzalcleatd/entry_options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/settings.h"
+#include "LibHttp/input_account.h"
 #include "LibInventory/parser.h"
 #include "quetzalcleatd/endpoint_observer.h"
 #include "quetzalcleatd/session_environment.h"
@@ -28,6 +29,8 @@
     std::chrono::milliseconds idleCloseTime{1000};
     std::chrono::milliseconds callerProgressTimeout{10000};
     std::size_t maximumConnections = 8192;
+    std::size_t maximumOperatorConnections = 128;
+    http::input_limits inputs; ///< Of callers and operators together.
     std::chrono::milliseconds editTimeout{5000};
     std::chrono::milliseconds inForceTimeout{10000};
     session_options sessions;
--- a/Services/quetzalcleatd/main.cpp
+++ b/Services/quetzalcleatd/main.cpp
@@ -9,27 +9,47 @@
 #include <csignal>
 #include <iostream>
 
+#include <malloc.h>
 #include <sys/resource.h>
 
 using namespace quetzalcleat;
 
 namespace {
 
-/// Raises the limit of open files as far as the system allows. Returns how many connections of
-/// callers fit: each may need one to an endpoint, and the rest of the process needs some files.
-std::size_t raiseConnectionLimit()
+struct connection_limits
 {
-    constexpr rlim_t reserve = 256;
-    constexpr std::size_t largest = 16384;
-    constexpr std::size_t smallest = 64;
+    std::size_t callers;
+    std::size_t operators;
+};
+
+/// Raises the limit of open files as far as the system allows. Returns how many connections fit:
+/// each of a caller may need one to an endpoint, and the rest of the process needs some files. A
+/// server that has no descriptor for a new connection stops accepting, so the limits stay below.
+connection_limits raiseConnectionLimits()
+{
+    constexpr rlim_t reserve = 384;
+    constexpr std::size_t mostCallers = 16384;
+    constexpr std::size_t mostOperators = 128;
+    constexpr std::size_t fewest = 8;
     rlimit limit{};
     if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
-        return smallest;
+        return {fewest, fewest};
     limit.rlim_cur = limit.rlim_max;
     setrlimit(RLIMIT_NOFILE, &limit);
-    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur <= reserve)
-        return smallest;
-    return std::clamp<std::size_t>((limit.rlim_cur - reserve) / 3, smallest, largest);
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return {fewest, fewest};
+    const auto free = limit.rlim_cur - std::min(reserve, limit.rlim_cur * 3 / 4);
+    return {std::clamp<std::size_t>(free / 3, fewest, mostCallers),
+            std::clamp<std::size_t>(free / 3, fewest, mostOperators)};
+}
+
+/// Returns freed bodies to the system. Otherwise the C library raises the size from which it does
+/// so to that of the largest freed block, and the heap keeps what bodies left behind.
+void returnFreedBodies()
+{
+    constexpr int smallestBlock = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, smallestBlock);
+    mallopt(M_TRIM_THRESHOLD, smallestBlock);
 }
 
 int runDaemon(const daemon::start_configuration &configuration, bool initialiseCluster)
@@ -39,6 +59,7 @@
     const core::logger log("quetzalcleatd");
     // Writing to a connection that the caller has closed must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    returnFreedBodies();
     asio::io_context context(1);
     core::counter_registry counters;
     peer::control_runtime_options options;
@@ -51,7 +72,9 @@
     }
     auto &control = *runtime.value();
     auto entryOptions = daemon::entryOptionsFrom(settings, control.incarnation());
-    entryOptions.maximumConnections = raiseConnectionLimit();
+    const auto connections = raiseConnectionLimits();
+    entryOptions.maximumConnections = connections.callers;
+    entryOptions.maximumOperatorConnections = connections.operators;
     daemon::process<peer::control_client> process(context, control.client(), counters,
                                                   std::move(entryOptions));
     control.start();
--- a/Services/quetzalcleatd/operator_api.h
+++ b/Services/quetzalcleatd/operator_api.h
@@ -103,7 +103,10 @@
     void handlePost(const exchange_pointer &exchange)
     {
         const auto &path = exchange->request().path;
-        if (path == "/operator/configuration")
+        if (hasTooManyValues(exchange->request().body, document_format::Json,
+                             m_options.sessions.documentValues))
+            fail(*exchange, error_type::TooLarge, "request body has too many values");
+        else if (path == "/operator/configuration")
             apply(exchange);
         else if (path == "/operator/check")
             check(*exchange);
@@ -151,8 +154,12 @@
         exchange.respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}}, counters.text());
     }
 
-    static bool isInvalid(http::caller_exchange &exchange, const std::string &document)
+    bool isInvalid(http::caller_exchange &exchange, const std::string &document) const
     {
+        if (hasTooManyValues(document, document_format::Toml, m_options.sessions.documentValues)) {
+            fail(exchange, error_type::TooLarge, "document has too many values");
+            return true;
+        }
         const auto parsed = inventory::parse(document, "document");
         const auto *errors = std::get_if<std::vector<core::located_error>>(&parsed);
         if (!errors)
--- a/Services/quetzalcleatd/session_environment.h
+++ b/Services/quetzalcleatd/session_environment.h
@@ -5,12 +5,14 @@
 #include "LibCore/time.h"
 #include "LibHttp/endpoint_client.h"
 #include "quetzalcleatd/dispatcher.h"
+#include "quetzalcleatd/document_size.h"
 #include "quetzalcleatd/notice_recorder.h"
 #include "quetzalcleatd/routing_table.h"
 
 #include <asio/io_context.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -28,6 +30,7 @@
                                     .progress = std::chrono::milliseconds(10000),
                                     .body = std::chrono::milliseconds(60000)};
     std::chrono::milliseconds claimTimeout{3000};
+    std::size_t documentValues = defaultDocumentValues; ///< Most of a parsed document.
     core::time_source now = core::suspendAwareNow; ///< For claims; has to count suspended time.
 };
 
--- a/Tests/Core/test_settings.cpp
+++ b/Tests/Core/test_settings.cpp
@@ -133,6 +133,29 @@
     EXPECT_FALSE(settings->peers[1].control);
 }
 
+// Guards against limits on callers that are not read, and against values that leave no room for a
+// single request.
+TEST(Settings, ReadsTheLimitsOnCallers)
+{
+    const auto parsed = core::parseSettings(
+        replaced(validSettings, "30000",
+                 "30000\nmemory_mb = 96\nhead_timeout_ms = 2000\nbody_bytes_per_second = 0\n"
+                 "document_values = 5000"),
+        "host.toml");
+    const auto *settings = std::get_if<core::settings>(&parsed);
+    ASSERT_NE(settings, nullptr);
+    EXPECT_EQ(settings->callerLimits.memoryMebibytes, 96U);
+    EXPECT_EQ(settings->callerLimits.headTime, std::chrono::seconds(2));
+    EXPECT_EQ(settings->callerLimits.bodyBytesPerSecond, 0U);
+    EXPECT_EQ(settings->callerLimits.documentValues, 5000U);
+    for (const auto *faulty : {"memory_mb = 63", "head_timeout_ms = 0", "document_values = 999"}) {
+        const auto errors
+            = errorsOf(replaced(validSettings, "30000", std::string("30000\n") + faulty));
+        ASSERT_EQ(errors.size(), 1U) << faulty;
+        EXPECT_EQ(errors[0].code, core_error::OutOfRange);
+    }
+}
+
 // Guards against a host that starts with a faulty settings file, and against errors with a wrong
 // line number.
 TEST(Settings, RefusesMalformedFiles)
