--- a/Libraries/LibForward/request_admission.cpp
+++ b/Libraries/LibForward/request_admission.cpp
@@ -98,11 +98,4 @@
     return result;
 }
 
-int enginePriority(int priority, int routePriority, int lowest)
-{
-    constexpr int routePriorities = 3;
-    return std::clamp(
-        priority * routePriorities + std::clamp(routePriority, 0, routePriorities - 1), 0, lowest);
-}
-
 } // namespace quetzalcleat::forward
--- a/Libraries/LibForward/request_admission.h
+++ b/Libraries/LibForward/request_admission.h
@@ -49,9 +49,4 @@
     const wire_names &m_names;
 };
 
-/// Orders requests by the priority of the account, if it has one, then by that of the route. Most
-/// accounts have one of two priorities, so without the second criterion a long prompt and a short
-/// question would have the same priority at the engine.
-int enginePriority(int priority, int routePriority, int lowest);
-
 } // namespace quetzalcleat::forward
--- a/Tests/Forward/engine_fleet_model.h
+++ b/Tests/Forward/engine_fleet_model.h
@@ -192,7 +192,7 @@
         m_options.region = m_options.regions.at(m_options.dataCentre);
         const auto choice = chooseEndpoint(host.table, request, m_options, now);
         for (const auto &part : size.parts)
-            choice.chosen->partSentTimes[part.id] = now;
+            choice.chosen->partSentTimes.record(part.id, now);
         stream added{hostIndex, classIndex, prefix, {}, now, now, -1, kind.events * tokensPerEvent};
         added.placement.begin(*choice.chosen, choice, now);
         auto &target = m_engines[m_indexes.at(choice.chosen->listed.incarnation)];
--- a/Utilities/explore-schedules/simulated_clients.h
+++ b/Utilities/explore-schedules/simulated_clients.h
@@ -62,6 +62,11 @@
     void check(const state::order_finish &body, const state::command_result &result);
     void check(const state::host_register &, const state::command_result &) { }
     void check(const state::member_contact &, const state::command_result &) { }
+    // No client proposes the commands of duties here.
+    void check(const state::duty_acquire &, const state::command_result &) { }
+    void check(const state::usage_close &, const state::command_result &) { }
+    void check(const state::usage_delivered &, const state::command_result &) { }
+    void check(const state::capacity_order &, const state::command_result &) { }
     void checkFinished(const state::claim_key &key, const state::command_result &result);
 
     schedule_random &m_random;
