Tests/Fleet: Let the platform of the duty tests take bodies

http_server refuses bodies unless an option allows them since it is bounded, so the test's platform answered each report with 413 and ReportsEachRequestOnce failed after 62 s. The checks are unchanged.

--- a/Tests/Fleet/test_duties.cpp
+++ b/Tests/Fleet/test_duties.cpp
@@ -43,6 +43,8 @@
         asio::ip::tcp::acceptor probe(m_context, {asio::ip::make_address("127.0.3.8"), 0});
         m_platform = {"127.0.3.8", probe.local_endpoint().port()};
         probe.close();
+        forward::http_server_options options;
+        options.bodyBytes = std::size_t{64} * 1024;
         m_server = std::make_shared<forward::http_server>(
             m_context,
             [this](const forward::http_head &head, std::string body,
@@ -57,7 +59,8 @@
                 forward::http_response answer;
                 answer.status = m_status;
                 respond(answer);
-            });
+            },
+            std::move(options));
         EXPECT_TRUE(m_server->start(m_platform));
     }
 
