--- a/Libraries/LibForward/placement.cpp
+++ b/Libraries/LibForward/placement.cpp
@@ -22,7 +22,6 @@
 /// Factor for all engines after the second, so that a popular prefix is kept on two engines before
 /// it spreads to more.
 constexpr int furtherEngineRerouteFactor = 2;
-constexpr int cheapRerouteFactor = 1;
 /// Cost of using an engine of the other pool. A long prefill delays all low-latency requests in the
 /// batch, whereas a low-latency request among long prefills is the only one delayed.
 constexpr std::chrono::microseconds longPromptInLowLatencyCost{1'500'000};
@@ -46,10 +45,7 @@
 
 /// Requests above the bound of the load that an engine may have before it passes a prefix on, so
 /// that the small numbers of a quiet fleet move no prefix.
-constexpr double loadBoundMargin = 2;
-/// An engine passes on half of the requests at 1.26 times its bound. With a share of bound by load,
-/// a prefix with five times the bound stays at 2.2 times the bound; now at 1.5 times.
-constexpr double loadBoundSteepness = 3;
+constexpr double loadBoundMargin = 4;
 /// A prefix spreads to this many engines; each keeps a copy of it in its memory.
 constexpr std::size_t maximumPrefixEngines = 8;
 /// An endpoint that came into use more recently is taken to have at least the mean load: the sums
@@ -64,9 +60,7 @@
 /// Choosing at random among more than a few gives little more evenness, and more connections.
 /// Source: the power of two choices (Mitzenmacher, 2001).
 constexpr std::size_t nearEqualCount = 3;
-/// A shared part that is read in a shorter time than this is cheap enough to read again: it weighs
-/// what it costs (cheapRerouteFactor), so that a few popular short prefixes do not bind the
-/// requests of the small low-latency pool to few of its engines.
+/// A shared part that is read in a shorter time than this is cheap enough to read again.
 constexpr std::chrono::microseconds cheapSharedPart{10'000};
 /// How long a reported load stays: about the time of a request in a batch, of a prompt in the queue
 /// of an engine, and of a request at a plain service.
@@ -279,8 +273,8 @@
         auto random = request.random;
         for (auto *entry : order) {
             random = policy::mixBits(random + 1);
-            entry->isPassedOver = entry->occupied > bound
-                && fraction(random) < 1 - std::pow(bound / entry->occupied, loadBoundSteepness);
+            entry->isPassedOver
+                = entry->occupied > bound && fraction(random) < 1 - bound / entry->occupied;
             if (!entry->isPassedOver)
                 break;
         }
@@ -443,11 +437,8 @@
             - std::min(request.size->promptTokens, request.size->parts.back().tokens));
     const auto sharedPrefillTime = prefillTime(sharedTokens, options.speed);
     const bool isLowLatency = request.pool == engine_pool::LowLatency;
-    const bool isCheap
-        = options.rule == placement_rule::EvenLoad && sharedPrefillTime < cheapSharedPart;
-    const auto longOrShortFactor = isLowLatency ? rerouteFactor : longPromptRerouteFactor;
-    const auto defaultFactor = isCheap ? cheapRerouteFactor : longOrShortFactor;
-    const auto secondFactor = !isLowLatency && !isCheap
+    const auto defaultFactor = isLowLatency ? rerouteFactor : longPromptRerouteFactor;
+    const auto secondFactor = !isLowLatency
             && preferredEngineMissesObjective(request, candidates, preferred.first, options)
         ? missedObjectiveRerouteFactor
         : defaultFactor;
--- a/Libraries/LibForward/placement.h
+++ b/Libraries/LibForward/placement.h
@@ -52,7 +52,7 @@
     /// An engine with more than this multiple of the mean number of requests passes a part of those
     /// for its prefixes to the next engine. Source: consistent hashing with bounded loads
     /// (Mirrokni, Thorup, Zadimoghaddam, 2018).
-    double loadBound = 1.2;
+    double loadBound = 1.5;
 };
 
 /// The engines that a request prefers. A long prefill slows down every request in the same batch,
