LibForward: Count broken answers by their reason

Operators saw in the metrics that attempts failed, and not why: attempts_failed_total has the service only, and the cause stands in the log line of each attempt. Calls to the platform and for duties, which use the same connections, had no counter for it.

answers_broken_total{reason} counts each answer of which bytes had arrived when it was refused or broke off: by the reader (size of the head, close, reset) and by the checks of the exchange (signature, id, events). The pool counts, as all three readers of the node go through it.

--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -119,7 +119,8 @@
                  const node_settings &settings, std::shared_ptr<policy::memory_budget> memory)
         : m_context(context), m_network(std::move(network)), m_counters(counters), m_log(log),
           m_settings(settings), m_memory(std::move(memory)), m_timer(context),
-          m_pool(std::make_shared<forward::connection_pool>(context, forward::upstream_options()))
+          m_pool(std::make_shared<forward::connection_pool>(context, forward::upstream_options(),
+                                                            &counters))
     {
     }
 
--- a/Libraries/LibForward/exchange.cpp
+++ b/Libraries/LibForward/exchange.cpp
@@ -1,6 +1,7 @@
 #include "LibForward/exchange.h"
 
 #include "LibCore/hash.h"
+#include "LibForward/answer_checks.h"
 #include "LibForward/caller_session.h"
 #include "LibForward/endpoint_request.h"
 
@@ -57,17 +58,6 @@
     return text.data();
 }
 
-bool isSuccess(int status)
-{
-    return status / 100 == 2;
-}
-
-/// Statuses by which callers know that a request has not run and never will.
-bool promisesNotRun(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 std::string number(std::int64_t value)
 {
     return std::to_string(value);
@@ -468,7 +458,7 @@
     if (!isSuccess(m_response.status) || (!m_service->engine && !isStream()))
         return;
     // Not a response of the endpoint itself, or not the response to this request.
-    if (!m_response.has(m_owner->options().names.signature) || m_response.has("Content-Encoding"))
+    if (!isSigned(m_response, m_owner->options().names))
         abandonAttempt("answer_unsigned");
     else if (!answersThisRequest())
         abandonAttempt("answer_without_id");
@@ -482,6 +472,13 @@
 void exchange::abandonAttempt(std::string_view cause)
 {
     m_attempt->cancel();
+    answerBroken(cause);
+}
+
+/// The bytes are a response of HTTP, but not the answer to this request, or not a whole one.
+void exchange::answerBroken(std::string_view cause)
+{
+    m_owner->pool()->recordBrokenAnswer(cause);
     attemptFailed(cause, true);
 }
 
@@ -601,7 +598,7 @@
     }
     // It may belong to the request before this one, and then says nothing about this one.
     if (!answersThisRequest()) {
-        attemptFailed("answer_without_id", true);
+        answerBroken("answer_without_id");
         return;
     }
     if (m_response.has(names.notRun) || m_response.status == 421) {
@@ -619,11 +616,9 @@
 
 void exchange::handleWholeResponse()
 {
-    const auto &names = m_owner->options().names;
-    const bool isValid = m_response.has(names.signature) && !m_response.has("Content-Encoding");
-    if (isSuccess(m_response.status) && !isValid) {
+    if (isSuccess(m_response.status) && !isSigned(m_response, m_owner->options().names)) {
         releaseEndpoint(endpoint_outcome::Failed);
-        attemptFailed("answer_unsigned", true);
+        answerBroken("answer_unsigned");
         return;
     }
     recordRun();
@@ -671,8 +666,10 @@
         if (!error)
             recordBrokenAttempt();
         releaseEndpoint(endpoint_outcome::Failed);
-        const std::string cause = isEmpty ? "no_events" : "event_cut";
-        attemptFailed(error ? "broken: " + error.message() : cause, true);
+        if (error)
+            attemptFailed("broken: " + error.message(), true);
+        else
+            answerBroken(isEmpty ? "no_events" : "event_cut");
         return;
     }
     if (m_service->engine)
--- a/Libraries/LibForward/exchange.h
+++ b/Libraries/LibForward/exchange.h
@@ -100,6 +100,7 @@
     void chargeAnswer(std::size_t bytes);
     void handleEventBytes(std::string &bytes, caller_session &session);
     void abandonAttempt(std::string_view cause);
+    void answerBroken(std::string_view cause);
     void dropAttempt();
     bool answersThisRequest() const;
     void passOn(const std::string &part, caller_session &session);
--- a/Libraries/LibForward/forward_error.cpp
+++ b/Libraries/LibForward/forward_error.cpp
@@ -1,5 +1,7 @@
 #include "LibForward/forward_error.h"
 
+#include <asio/error.hpp>
+
 namespace quetzalcleat::forward {
 
 namespace {
@@ -53,4 +55,19 @@
     return {static_cast<int>(error), category};
 }
 
+std::string_view brokenAnswerReason(std::error_code error)
+{
+    if (error == forward_error::BadMessage)
+        return "message";
+    if (error == forward_error::HeaderTooLarge)
+        return "head_size";
+    if (error == forward_error::TooManyExtraBytes)
+        return "extra_bytes";
+    if (error == forward_error::ConnectionClosed)
+        return "closed";
+    if (error == asio::error::connection_reset)
+        return "reset";
+    return error.category() == asio::error::get_system_category() ? "connection" : "other";
+}
+
 } // namespace quetzalcleat::forward
--- a/Libraries/LibForward/forward_error.h
+++ b/Libraries/LibForward/forward_error.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string_view>
 #include <system_error>
 
 namespace quetzalcleat::forward {
@@ -23,6 +24,9 @@
 
 std::error_code make_error_code(forward_error error);
 
+/// Why an answer broke, as a name for the labels of metrics.
+std::string_view brokenAnswerReason(std::error_code error);
+
 } // namespace quetzalcleat::forward
 
 template <>
--- a/Libraries/LibForward/forwarder.cpp
+++ b/Libraries/LibForward/forwarder.cpp
@@ -27,7 +27,7 @@
                      std::function<std::chrono::milliseconds()> confirmationAge)
     : m_context(context), m_counters(counters), m_log(log), m_options(std::move(options)),
       m_confirmationAge(std::move(confirmationAge)), m_acceptor(context), m_timer(context),
-      m_pool(std::make_shared<connection_pool>(context, m_options.upstream)),
+      m_pool(std::make_shared<connection_pool>(context, m_options.upstream, &counters)),
       m_endpoints(m_options.notices), m_notices(m_endpoints, counters, log, m_options.names),
       m_streamMover(m_endpoints, counters, log), m_placements(counters), m_heldRequests(context),
       m_retryBudget(m_options.retries),
--- a/Libraries/LibForward/upstream.cpp
+++ b/Libraries/LibForward/upstream.cpp
@@ -214,6 +214,12 @@
     m_idle.clear();
 }
 
+void connection_pool::recordBrokenAnswer(std::string_view reason)
+{
+    if (m_counters != nullptr)
+        ++m_counters->counter("answers_broken_total", "reason=\"" + std::string(reason) + '"');
+}
+
 attempt::attempt(std::shared_ptr<connection_pool> pool, request content, handlers handlers)
     : m_pool(std::move(pool)), m_request(std::move(content)), m_handlers(std::move(handlers)),
       m_timer(m_pool->context())
@@ -435,6 +441,8 @@
     m_timer.cancel();
     const bool reusable = !error && m_writeDone && !m_sawUnrelatedBytes
         && m_reader.keepsConnection() && !m_reader.endsWithConnection();
+    if (error && m_receivedBytes)
+        m_pool->recordBrokenAnswer(brokenAnswerReason(error));
     const bool wasReused = m_connection && m_connection->wasUsedBefore;
     ending result{error, m_sent, error && m_sent && !m_receivedBytes && wasReused};
     if (m_connection) {
--- a/Libraries/LibForward/upstream.h
+++ b/Libraries/LibForward/upstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCore/counter_registry.h"
 #include "LibCore/settings.h"
 #include "LibCore/time.h"
 #include "LibForward/http_reader.h"
@@ -10,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -56,8 +58,10 @@
 public:
     using connection_pointer = std::shared_ptr<upstream_connection>;
 
-    connection_pool(asio::io_context &context, upstream_options options)
-        : m_context(context), m_options(options)
+    /// Broken answers are counted in `counters`, if there are any.
+    connection_pool(asio::io_context &context, upstream_options options,
+                    core::counter_registry *counters = nullptr)
+        : m_context(context), m_options(options), m_counters(counters)
     {
     }
 
@@ -70,6 +74,7 @@
               std::function<void(bool)> handler);
     void closeIdle(core::instant now);
     void closeAll();
+    void recordBrokenAnswer(std::string_view reason);
 
     asio::io_context &context() { return m_context; }
     /// For reads that are consumed at once. A connection that waits has no buffer of its own.
@@ -82,6 +87,7 @@
 
     asio::io_context &m_context;
     upstream_options m_options;
+    core::counter_registry *m_counters;
     std::map<std::string, std::vector<connection_pointer>> m_idle;
     std::array<char, 16 * 1024> m_readBuffer{};
 };
