LibForward: Refuse answers with an invalid status line

What callers saw: an answer with the status 000 reached them as an answer, and so did 099, 600 to 999, a status of two or four digits, HTTP/0.9 and HTTP/2.0, control bytes in the reason, and what followed a 101 that nobody had asked for.

Cause: http_parser takes any number up to 999 for a status and any digits for a version, and the reader passed on what the parser had found.

Change: response_checker checks each line of the head before the parser gets its end, with the grammar of LibCore/response_syntax (RFC 9112, 4; RFC 9110, 15). A broken line ends the attempt and its connection like any other failure: a request that may run once gets 502, others go elsewhere within their budget. The reason is in the log line attempt_failed and in answers_broken_total. RFC 9110 lets a client treat an invalid status as a 5xx, which this does.

Evidence: on the case Status000 of broken_answer.FailsAnAtMostOnceRequestHonestly fails, as the caller gets the answer. So do 14 more cases of status lines; the others of their list were refused before and lack the counter only. The sound answers beside them pass before and after.

--- /dev/null
+++ b/Libraries/LibCore/response_syntax.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "LibCore/response_error.h"
+#include "LibCore/result.h"
+
+#include <optional>
+#include <string_view>
+
+namespace quetzalcleat::core {
+
+/// The line without the end of line, which is CRLF or a single LF (RFC 9112, 2.2).
+std::string_view withoutLineEnd(std::string_view line);
+
+struct status_line
+{
+    int minorVersion = 1; ///< Of HTTP/1.
+    int status = 0; ///< 100 to 599.
+};
+
+/// Parses a status line without its end (RFC 9112, 4). The space after the status may be missing.
+/// Refuses 101, as no upgrade is ever requested.
+std::optional<status_line> parseStatusLine(std::string_view line);
+
+/// Follows the head of a response, line by line.
+class response_head_checker
+{
+public:
+    /// To be called with each line of the head, without its end, up to the empty line. Errors:
+    /// StatusLine.
+    result<void> addLine(std::string_view line);
+
+    bool isComplete() const { return m_isComplete; }
+
+private:
+    std::optional<status_line> m_statusLine;
+    bool m_isComplete = false;
+};
+
+} // namespace quetzalcleat::core
--- a/Libraries/LibForward/forward_error.cpp
+++ b/Libraries/LibForward/forward_error.cpp
@@ -1,5 +1,7 @@
 #include "LibForward/forward_error.h"
 
+#include "LibCore/response_error.h"
+
 #include <asio/error.hpp>
 
 namespace quetzalcleat::forward {
@@ -57,6 +59,8 @@
 
 std::string_view brokenAnswerReason(std::error_code error)
 {
+    if (error.category() == core::responseCategory())
+        return core::toString(static_cast<core::response_error>(error.value()));
     if (error == forward_error::BadMessage)
         return "message";
     if (error == forward_error::HeaderTooLarge)
--- a/Libraries/LibForward/http_reader.cpp
+++ b/Libraries/LibForward/http_reader.cpp
@@ -118,6 +118,7 @@
                      m_kind == message_kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser->state.data = this;
     m_head = {};
+    m_checker = {};
     m_bytes = 0;
     m_headerBytes = 0;
     m_bodyBytes = 0;
@@ -135,12 +136,32 @@
 {
     if (m_complete || bytes.empty())
         return std::size_t{0};
+    return m_kind == message_kind::Response ? readResponse(bytes, body) : parse(bytes, body);
+}
+
+core::result<std::size_t> http_reader::readResponse(std::string_view bytes, std::string &body)
+{
+    std::size_t used = 0;
+    while (used < bytes.size() && !m_complete) {
+        const auto rest = bytes.substr(used);
+        const auto checked = m_headComplete ? rest.size() : m_checker.checkHead(rest);
+        if (!checked)
+            return checked.error();
+        const auto parsed = parse(rest.substr(0, checked.value()), body);
+        if (!parsed)
+            return parsed.error();
+        used += parsed.value();
+    }
+    return used;
+}
+
+core::result<std::size_t> http_reader::parse(std::string_view bytes, std::string &body)
+{
     m_body = &body;
     const std::size_t bodyBefore = body.size();
     const bool headBefore = m_headComplete;
     auto used
         = http_parser_execute(&m_parser->state, &m_parser->settings, bytes.data(), bytes.size());
-    const auto error = HTTP_PARSER_ERRNO(&m_parser->state);
     m_bytes += used;
     const std::size_t bodyBytes = std::min(used, body.size() - bodyBefore);
     m_bodyBytes += bodyBytes;
@@ -152,13 +173,33 @@
         return forward_error::TooManyExtraBytes;
     if (!headBefore && m_headerBytes > m_headerLimit)
         return forward_error::HeaderTooLarge;
+    if (const auto error = parserError())
+        return error;
+    return used;
+}
+
+std::error_code http_reader::parserError() const
+{
+    const auto error = HTTP_PARSER_ERRNO(&m_parser->state);
     if (error == HPE_HEADER_OVERFLOW || m_tooManyFields)
         return forward_error::HeaderTooLarge;
-    if (error != HPE_OK && error != HPE_PAUSED)
-        return forward_error::BadMessage;
     if (m_parser->state.upgrade != 0)
         return forward_error::BadMessage;
-    return used;
+    switch (error) {
+    case HPE_OK:
+    case HPE_PAUSED:
+        return {};
+    // The parser may refuse a line before all of it has arrived.
+    case HPE_INVALID_CONSTANT:
+    case HPE_INVALID_VERSION:
+    case HPE_INVALID_STATUS:
+        if (m_kind == message_kind::Response)
+            return core::response_error::StatusLine;
+        break;
+    default:
+        break;
+    }
+    return forward_error::BadMessage;
 }
 
 bool http_reader::finish()
--- a/Libraries/LibForward/http_reader.h
+++ b/Libraries/LibForward/http_reader.h
@@ -3,6 +3,7 @@
 #include "LibCore/result.h"
 #include "LibForward/forward_error.h"
 #include "LibForward/http_head.h"
+#include "LibForward/response_checker.h"
 
 #include <cstddef>
 #include <memory>
@@ -27,7 +28,8 @@
     void restart(bool isHeadRequest = false);
 
     /// Parses up to the end of the current message and returns the number of bytes used. Body bytes
-    /// are appended to `body`. Errors: BadMessage, HeaderTooLarge, TooManyExtraBytes.
+    /// are appended to `body`. Errors: BadMessage, HeaderTooLarge, TooManyExtraBytes, and those of
+    /// core::response_error.
     core::result<std::size_t> read(std::string_view bytes, std::string &body);
 
     /// The peer has closed the connection. Returns whether the message is complete.
@@ -54,12 +56,17 @@
 private:
     struct parser;
 
+    core::result<std::size_t> readResponse(std::string_view bytes, std::string &body);
+    core::result<std::size_t> parse(std::string_view bytes, std::string &body);
+    std::error_code parserError() const;
+
     /// A field takes 64 bytes beyond its text, which may be of a few bytes.
     static constexpr std::size_t defaultFieldLimit = 1000;
 
     std::unique_ptr<parser> m_parser;
     message_kind m_kind;
     http_head m_head;
+    response_checker m_checker; ///< For responses.
     std::string *m_body = nullptr;
     std::size_t m_bytes = 0;
     std::size_t m_headerBytes = 0;
--- /dev/null
+++ b/Libraries/LibForward/response_checker.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "LibCore/response_syntax.h"
+#include "LibCore/result.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace quetzalcleat::forward {
+
+/// Checks the bytes of a response before they are parsed, as http_parser accepts more than HTTP
+/// allows.
+class response_checker
+{
+public:
+    /// Returns how many of the bytes belong to the head: all of them, or those up to its end.
+    /// Errors: those of core::response_head_checker.
+    core::result<std::size_t> checkHead(std::string_view bytes);
+
+private:
+    core::response_head_checker m_head;
+    std::string m_line; ///< The part of a line that arrived in earlier bytes.
+};
+
+} // namespace quetzalcleat::forward
--- a/Tests/Forward/test_broken_answers.cpp
+++ b/Tests/Forward/test_broken_answers.cpp
@@ -1,7 +1,9 @@
 #include "forwarder_fixture.h"
 
+#include <ostream>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace quetzalcleat::forward::test {
 
@@ -9,6 +11,83 @@
 
 const std::string identity = "X-Request-Id: r1\r\nX-Signature: s\r\n";
 
+struct answer_case
+{
+    const char *name;
+    std::string bytes;
+    const char *reason = "";
+};
+
+std::ostream &operator<<(std::ostream &stream, const answer_case &entry)
+{
+    return stream << entry.name;
+}
+
+std::string caseName(const ::testing::TestParamInfo<answer_case> &info)
+{
+    return info.param.name;
+}
+
+/// An answer that is sound but for its status line.
+std::string withStatusLine(const std::string &line)
+{
+    return line + "\r\n" + identity + "Content-Length: 2\r\n\r\nok";
+}
+
+/// An answer that is sound but for one of its field lines.
+std::string withField(const std::string &line)
+{
+    return "HTTP/1.1 200 OK\r\n" + identity + line + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+std::vector<answer_case> brokenStatusLines()
+{
+    return {
+        {"Status000", withStatusLine("HTTP/1.1 000 OK"), "status_line"},
+        {"Status099", withStatusLine("HTTP/1.1 099 OK"), "status_line"},
+        {"Status600", withStatusLine("HTTP/1.1 600 OK"), "status_line"},
+        {"Status999", withStatusLine("HTTP/1.1 999 OK"), "status_line"},
+        {"StatusOfTwoDigits", withStatusLine("HTTP/1.1 20 OK"), "status_line"},
+        {"StatusOfFourDigits", withStatusLine("HTTP/1.1 0200 OK"), "status_line"},
+        {"StatusWithLetters", withStatusLine("HTTP/1.1 2x0 OK"), "status_line"},
+        {"StatusWithSign", withStatusLine("HTTP/1.1 +20 OK"), "status_line"},
+        {"StatusMissing", withStatusLine("HTTP/1.1 "), "status_line"},
+        {"StatusRunsIntoTheReason", withStatusLine("HTTP/1.1 200OK"), "status_line"},
+        {"TwoSpaces", withStatusLine("HTTP/1.1  200 OK"), "status_line"},
+        {"ControlByteInTheReason", withStatusLine("HTTP/1.1 200 O\x01K"), "status_line"},
+        {"CarriageReturnInTheReason", withStatusLine("HTTP/1.1 200 O\rK"), "status_line"},
+        {"NulInTheReason", withStatusLine(std::string("HTTP/1.1 200 O\0K", 16)), "status_line"},
+        {"Version09", withStatusLine("HTTP/0.9 200 OK"), "status_line"},
+        {"Version20", withStatusLine("HTTP/2.0 200 OK"), "status_line"},
+        {"VersionOfTwoDigits", withStatusLine("HTTP/1.10 200 OK"), "status_line"},
+        {"OtherProtocol", withStatusLine("ICY 200 OK"), "status_line"},
+        {"LowerCaseProtocol", withStatusLine("http/1.1 200 OK"), "status_line"},
+        {"EmptyLineBefore", "\r\n" + withStatusLine("HTTP/1.1 200 OK"), "status_line"},
+        {"UnrequestedUpgrade",
+         "HTTP/1.1 101 Switching Protocols\r\n\r\n" + withStatusLine("HTTP/1.1 200 OK"),
+         "status_line"},
+        {"BrokenAfterInterim",
+         "HTTP/1.1 102 Processing\r\n\r\n" + withStatusLine("HTTP/1.1 000 OK"), "status_line"},
+    };
+}
+
+/// Answers with the body "ok" that RFC 9112 allows.
+std::vector<answer_case> soundAnswers()
+{
+    return {
+        {"Plain", withField("X-Sound: 1")},
+        {"NoReason", withStatusLine("HTTP/1.1 200 ")},
+        {"NoSpaceAfterTheStatus", withStatusLine("HTTP/1.1 200")},
+        {"ReasonWithTabAndBytesAbove127", withStatusLine("HTTP/1.1 200 tr\xc3\xa8s\tbien")},
+        {"Version10", withStatusLine("HTTP/1.0 200 OK")},
+        {"LaterMinorVersion", withStatusLine("HTTP/1.2 200 OK")},
+        {"OtherSuccess", withStatusLine("HTTP/1.1 299 Fine")},
+        {"InterimHeads",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+             + withField("X-Sound: 1")},
+    };
+}
+
 } // namespace
 
 class broken_answer_count : public forwarder_test
@@ -67,4 +146,87 @@
     EXPECT_EQ(counted("closed"), 0U);
 }
 
+class broken_answer : public broken_answer_count, public ::testing::WithParamInterface<answer_case>
+{
+protected:
+    void sendBroken(scripted_socket &endpoint)
+    {
+        endpoint.readMessage();
+        endpoint.send(GetParam().bytes);
+        EXPECT_TRUE(endpoint.waitForClose()) << "the connection stays open";
+    }
+};
+
+/// Guards against an endpoint in trouble whose bytes, which are no response of HTTP/1.1, reach the
+/// caller as an answer.
+TEST_P(broken_answer, FailsAnAtMostOnceRequestHonestly)
+{
+    auto caller = call("POST", "/book/a", "X-Time-Left-Ms: 15000\r\n", "order");
+    auto endpoint = acceptAny();
+    sendBroken(endpoint);
+    const auto answer = caller.readMessage();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 502")) << answer;
+    EXPECT_FALSE(anyConnection(std::chrono::milliseconds(50))) << "the request was sent again";
+    EXPECT_EQ(counted(GetParam().reason), 1U);
+}
+
+/// The same endpoint must not fail a request that another one can serve.
+TEST_P(broken_answer, IsRetriedElsewhere)
+{
+    auto caller = call("GET", "/read/a", "X-Time-Left-Ms: 15000\r\n");
+    auto endpoint = acceptAny();
+    sendBroken(endpoint);
+    auto other = acceptAny();
+    other.readMessage();
+    other.send(signedResponse("whole"));
+    EXPECT_TRUE(caller.readMessage().ends_with("whole"));
+    EXPECT_EQ(counted(GetParam().reason), 1U);
+}
+
+/// As above, for a stream.
+TEST_P(broken_answer, IsNoStream)
+{
+    auto caller = call("GET", "/resume/a", "X-Time-Left-Ms: 15000\r\n");
+    auto endpoint = acceptAny();
+    sendBroken(endpoint);
+    auto other = acceptAny();
+    other.readMessage();
+    other.send(streamHead() + chunk(event(1)) + "0\r\n\r\n");
+    const auto answer = caller.readMessage();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+    EXPECT_NE(answer.find(event(1)), std::string::npos) << answer;
+}
+
+/// More than one broken answer must not get a request more attempts than its route allows.
+TEST_P(broken_answer, KeepsToTheAttemptsOfTheRoute)
+{
+    auto caller = call("GET", "/read/a", "X-Time-Left-Ms: 15000\r\n");
+    for (int count = 0; count < 2; ++count) {
+        auto endpoint = acceptAny();
+        sendBroken(endpoint);
+    }
+    EXPECT_TRUE(caller.readMessage().starts_with("HTTP/1.1 502"));
+    EXPECT_FALSE(anyConnection(std::chrono::milliseconds(50)));
+}
+
+INSTANTIATE_TEST_SUITE_P(kinds, broken_answer, ::testing::ValuesIn(brokenStatusLines()), caseName);
+
+class sound_answer : public forwarder_test, public ::testing::WithParamInterface<answer_case>
+{
+};
+
+/// Guards against checks that refuse what RFC 9112 allows an endpoint to send.
+TEST_P(sound_answer, ReachesTheCaller)
+{
+    auto caller = call("POST", "/book/a", {}, "order");
+    auto endpoint = acceptAny();
+    endpoint.readMessage();
+    endpoint.send(GetParam().bytes);
+    const auto answer = caller.readMessage();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 2")) << answer;
+    EXPECT_TRUE(answer.ends_with("\r\n\r\nok")) << answer;
+}
+
+INSTANTIATE_TEST_SUITE_P(kinds, sound_answer, ::testing::ValuesIn(soundAnswers()), caseName);
+
 } // namespace quetzalcleat::forward::test
