LibForward: Refuse answers with an invalid field line

What callers saw: an answer in whose head the name of a field held a blank reached them as an answer with that line in it. If the blank stood before the colon of Content-Length or Transfer-Encoding, the length was read in two ways, and the body was not the endpoint's. Folded lines were joined.

Cause: http_parser, as Debian builds it, takes a blank for a character of a name. It compares names without the blank behind them, while the reader looked for the exact name.

Change: the checker of the head refuses field lines that RFC 9110, 5.5 and 5.6.2 do not allow: names that are no token, blanks before the colon, folded lines, control bytes in values. RFC 9112 lets a gateway answer 502 to a folded line; removing the blank before a colon, which it asks of a proxy that passes the message on, would leave the length to a guess.

--- a/Libraries/LibCore/response_error.cpp
+++ b/Libraries/LibCore/response_error.cpp
@@ -16,6 +16,8 @@
         switch (static_cast<response_error>(value)) {
         case response_error::StatusLine:
             return "the answer has an invalid status line";
+        case response_error::FieldLine:
+            return "the answer has an invalid field line";
         }
         return "unknown error";
     }
@@ -39,6 +41,8 @@
     switch (error) {
     case response_error::StatusLine:
         return "status_line";
+    case response_error::FieldLine:
+        return "field_line";
     }
     return "unknown";
 }
--- a/Libraries/LibCore/response_error.h
+++ b/Libraries/LibCore/response_error.h
@@ -8,6 +8,7 @@
 /// Why bytes are no response of HTTP/1.1 (RFC 9110, RFC 9112).
 enum class response_error {
     StatusLine = 1,
+    FieldLine,
 };
 
 const std::error_category &responseCategory();
--- a/Libraries/LibCore/response_syntax.cpp
+++ b/Libraries/LibCore/response_syntax.cpp
@@ -13,6 +13,14 @@
     return character >= '0' && character <= '9';
 }
 
+/// RFC 9110, 5.6.2: tchar.
+bool isTokenCharacter(char character)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return isDigit(character) || (character >= 'a' && character <= 'z')
+        || (character >= 'A' && character <= 'Z') || marks.find(character) != marks.npos;
+}
+
 /// Whether a text has visible characters, blanks and bytes above 127 only.
 bool isText(std::string_view text)
 {
@@ -24,6 +32,14 @@
     });
 }
 
+std::string_view withoutBlanks(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+    text.remove_suffix(text.size() - (text.find_last_not_of(blanks) + 1));
+    return text;
+}
+
 } // namespace
 
 std::string_view withoutLineEnd(std::string_view line)
@@ -58,6 +74,18 @@
     return result;
 }
 
+std::optional<field_line> parseFieldLine(std::string_view line)
+{
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return std::nullopt;
+    const auto name = line.substr(0, colon);
+    const auto value = line.substr(colon + 1);
+    if (!std::ranges::all_of(name, isTokenCharacter) || !isText(value))
+        return std::nullopt;
+    return field_line{name, withoutBlanks(value)};
+}
+
 result<void> response_head_checker::addLine(std::string_view line)
 {
     if (!m_statusLine) {
@@ -65,6 +93,8 @@
         return m_statusLine ? result<void>() : response_error::StatusLine;
     }
     m_isComplete = line.empty();
+    if (!m_isComplete && !parseFieldLine(line))
+        return response_error::FieldLine;
     return {};
 }
 
--- a/Libraries/LibCore/response_syntax.h
+++ b/Libraries/LibCore/response_syntax.h
@@ -21,12 +21,21 @@
 /// Refuses 101, as no upgrade is ever requested.
 std::optional<status_line> parseStatusLine(std::string_view line);
 
+struct field_line
+{
+    std::string_view name;
+    std::string_view value; ///< Without the blanks around it.
+};
+
+/// Parses a field line without its end (RFC 9112, 5). Folded lines are refused.
+std::optional<field_line> parseFieldLine(std::string_view line);
+
 /// Follows the head of a response, line by line.
 class response_head_checker
 {
 public:
     /// To be called with each line of the head, without its end, up to the empty line. Errors:
-    /// StatusLine.
+    /// StatusLine, FieldLine.
     result<void> addLine(std::string_view line);
 
     bool isComplete() const { return m_isComplete; }
--- a/Libraries/LibForward/http_reader.cpp
+++ b/Libraries/LibForward/http_reader.cpp
@@ -196,6 +196,11 @@
         if (m_kind == message_kind::Response)
             return core::response_error::StatusLine;
         break;
+    case HPE_INVALID_HEADER_TOKEN:
+    case HPE_LF_EXPECTED:
+        if (m_kind == message_kind::Response)
+            return core::response_error::FieldLine;
+        break;
     default:
         break;
     }
--- a/Tests/Forward/test_broken_answers.cpp
+++ b/Tests/Forward/test_broken_answers.cpp
@@ -40,6 +40,11 @@
     return "HTTP/1.1 200 OK\r\n" + identity + line + "\r\nContent-Length: 2\r\n\r\nok";
 }
 
+std::string withBody(const std::string &framing, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\n" + identity + framing + "\r\n" + body;
+}
+
 std::vector<answer_case> brokenStatusLines()
 {
     return {
@@ -71,6 +76,53 @@
     };
 }
 
+std::vector<answer_case> brokenFieldLines()
+{
+    return {
+        {"BlankInTheName", withField("X Broken: 1"), "field_line"},
+        {"BlankBeforeTheColon", withField("X-Broken : 1"), "field_line"},
+        {"BlankAfterContentLength", withBody("Content-Length : 2\r\n", "okHTTP/1.1 200 OK\r\n\r\n"),
+         "field_line"},
+        {"BlankAfterTransferEncoding",
+         withBody("Transfer-Encoding : chunked\r\n", "2\r\nok\r\n0\r\n\r\n"), "field_line"},
+        {"TabInTheName", withField("X\tBroken: 1"), "field_line"},
+        {"ControlByteInTheName",
+         withField("X\x01"
+                   "Broken: 1"),
+         "field_line"},
+        {"NulInTheName", withField(std::string("X\0Broken: 1", 11)), "field_line"},
+        {"DeleteInTheName",
+         withField("X\x7f"
+                   "Broken: 1"),
+         "field_line"},
+        {"ByteAbove127InTheName",
+         withField("X\xe9"
+                   "Broken: 1"),
+         "field_line"},
+        {"SeparatorInTheName", withField("X(Broken): 1"), "field_line"},
+        {"EmptyName", withField(": 1"), "field_line"},
+        {"NoColon", withField("X-Broken"), "field_line"},
+        {"FoldedLine", withField("X-Folded: 1\r\n 2"), "field_line"},
+        {"BlankBeforeTheFirstField",
+         "HTTP/1.1 200 OK\r\n X-Broken: 1\r\n" + identity + "Content-Length: 2\r\n\r\nok",
+         "field_line"},
+        {"ControlByteInTheValue", withField("X-Broken: a\x01z"), "field_line"},
+        {"NulInTheValue", withField(std::string("X-Broken: a\0z", 13)), "field_line"},
+        {"CarriageReturnInTheValue", withField("X-Broken: a\rz"), "field_line"},
+        {"TwoCarriageReturns", withField("X-Broken: a\r"), "field_line"},
+        {"BrokenInterim",
+         "HTTP/1.1 103 Early Hints\r\nX Broken: 1\r\n\r\n" + withField("X-Sound: 1"), "field_line"},
+    };
+}
+
+std::vector<answer_case> brokenAnswers()
+{
+    auto all = brokenStatusLines();
+    for (const auto &more : {brokenFieldLines()})
+        all.insert(all.end(), more.begin(), more.end());
+    return all;
+}
+
 /// Answers with the body "ok" that RFC 9112 allows.
 std::vector<answer_case> soundAnswers()
 {
@@ -82,6 +134,14 @@
         {"Version10", withStatusLine("HTTP/1.0 200 OK")},
         {"LaterMinorVersion", withStatusLine("HTTP/1.2 200 OK")},
         {"OtherSuccess", withStatusLine("HTTP/1.1 299 Fine")},
+        {"LinesThatEndWithLineFeedOnly",
+         "HTTP/1.1 200 OK\nX-Request-Id: r1\nX-Signature: s\nContent-Length: 2\n\nok"},
+        {"AllTokenCharacters", withField("X!#$%&'*+-.^_`|~09azAZ: 1")},
+        {"EmptyValue", withField("X-Empty:")},
+        {"NoBlankAfterTheColon", withField("X-Sound:1")},
+        {"BlanksAroundTheValue", withField("X-Sound: \t 1 \t ")},
+        {"TabAndBytesAbove127InTheValue", withField("X-Sound: a\tb \xe9")},
+        {"SameFieldTwice", withField("X-Sound: 1\r\nX-Sound: 2")},
         {"InterimHeads",
          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
              + withField("X-Sound: 1")},
@@ -209,7 +269,7 @@
     EXPECT_FALSE(anyConnection(std::chrono::milliseconds(50)));
 }
 
-INSTANTIATE_TEST_SUITE_P(kinds, broken_answer, ::testing::ValuesIn(brokenStatusLines()), caseName);
+INSTANTIATE_TEST_SUITE_P(kinds, broken_answer, ::testing::ValuesIn(brokenAnswers()), caseName);
 
 class sound_answer : public forwarder_test, public ::testing::WithParamInterface<answer_case>
 {
@@ -229,4 +289,26 @@
 
 INSTANTIATE_TEST_SUITE_P(kinds, sound_answer, ::testing::ValuesIn(soundAnswers()), caseName);
 
+/// Guards against a broken head, read after its caller has left, that counts as a notice.
+TEST_F(forwarder_test, BrokenHeadAfterACancelIsNoNotice)
+{
+    setEndpoints({"one"});
+    {
+        auto caller = call("POST", "/book/a", {}, "order");
+        auto endpoint = m_endpoints[0].accept();
+        endpoint.readMessage();
+        // Both arrive before the forwarder reads any of them.
+        inLoop([&] {
+            endpoint.send("HTTP/1.1 200 OK\r\n" + identity
+                          + "X Broken: 1\r\nX-Endpoint-Leaving: 1\r\nContent-Length: 2\r\n\r\nok");
+            caller.close();
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        });
+        EXPECT_TRUE(endpoint.waitForClose());
+    }
+    auto next = call("GET", "/read/a");
+    EXPECT_TRUE(m_endpoints[0].hasConnection(std::chrono::seconds(2)))
+        << "the endpoint is taken to be leaving";
+}
+
 } // namespace quetzalcleat::forward::test
