LibForward: Refuse answers without a length that were reset

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. They got that part as the complete answer. A stream ended as complete in the same way.

Cause: the kernel reports a reset once. If the write gets the error, which was ignored, the next read sees the end of the connection as after an orderly close, and that is the end of a body without a length.

Change: the result of the write is kept. At the end of the connection an error of the write other than a broken pipe means that the connection was lost, so the answer is not whole. A broken pipe is a reset of a connection that the endpoint had closed in order before, and ends the answer as it did. If the connection is already gone and the write has not told why, its result, which is due at once, is awaited.

Three tests of sound endpoints pass before and after: an early answer with a length, an orderly close before the upload has ended, and that close with a reset after it.

--- a/Libraries/LibForward/upstream.cpp
+++ b/Libraries/LibForward/upstream.cpp
@@ -288,14 +288,21 @@
         buffers[1] = asio::buffer(*m_request.body);
     asio::async_write(connection->socket, buffers,
                       [self = shared_from_this(), connection](std::error_code error, std::size_t) {
-                          // A write error is ignored here: the read reports it, after any
-                          // response that the endpoint sent early.
-                          if (!error)
-                              self->m_writeDone = true;
+                          self->handleWritten(error);
                       });
     read();
 }
 
+/// An error does not end the attempt here: the read does, after any response that the endpoint sent
+/// early.
+void attempt::handleWritten(std::error_code error)
+{
+    m_writeDone = !error;
+    m_writeError = error;
+    if (m_closedInWrite && !m_done)
+        handleClosed(asio::error::eof);
+}
+
 /// Ends the attempt later, because the caller of start() has no pointer to it yet.
 void attempt::withdraw()
 {
@@ -426,11 +433,32 @@
 void attempt::handleClosed(std::error_code error)
 {
     const bool closed = error == asio::error::eof;
-    if (closed && m_headHandled && !m_isUnrelatedResponse && m_reader.finish()) {
-        finish({});
-        return;
+    if (closed && m_headHandled && !m_isUnrelatedResponse && m_reader.endsWithConnection()) {
+        if (awaitsWriteResult()) {
+            m_closedInWrite = true;
+            return;
+        }
+        // The kernel reports a lost connection once. If the write has got the error, the next read
+        // sees an orderly end. A broken pipe is the reset of a connection that the endpoint had
+        // closed before in order.
+        if (m_writeError && m_writeError != asio::error::broken_pipe)
+            error = m_writeError;
+        else if (m_reader.finish())
+            error = {};
     }
-    finish(closed ? make_error_code(forward_error::ConnectionClosed) : error);
+    finish(error == asio::error::eof ? make_error_code(forward_error::ConnectionClosed) : error);
+}
+
+/// Whether the connection is lost and the write, which is about to end, has not told why.
+bool attempt::awaitsWriteResult() const
+{
+    if (m_writeDone || m_writeError)
+        return false;
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    return ::getsockopt(m_connection->socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size)
+        == 0
+        && info.tcpi_state == TCP_CLOSE;
 }
 
 void attempt::finish(std::error_code error)
--- a/Libraries/LibForward/upstream.h
+++ b/Libraries/LibForward/upstream.h
@@ -163,6 +163,8 @@
     void parseDiscarded(std::string_view bytes,
                         const std::function<void(const http_head &)> &notices);
     void handleClosed(std::error_code error);
+    void handleWritten(std::error_code error);
+    bool awaitsWriteResult() const;
     void finish(std::error_code error);
 
     std::shared_ptr<connection_pool> m_pool;
@@ -174,9 +176,11 @@
     std::string m_body;
     std::string m_discarded; ///< Arrived, but was not read, at cancel().
     std::chrono::milliseconds m_idleTime{0}; ///< Of the connection, as announced by the endpoint.
+    std::error_code m_writeError; ///< Of the write of the request.
     std::size_t m_unrelatedBytes = 0; ///< Of interim responses and of those to other requests.
     bool m_headHandled = false;
     bool m_writeDone = false;
+    bool m_closedInWrite = false; ///< The answer may have ended; the result of the write decides.
     bool m_receivedBytes = false;
     bool m_isUnrelatedResponse = false; ///< The response being read belongs to an earlier request.
     bool m_sawUnrelatedBytes = false;
--- a/Tests/Forward/scripted_socket.cpp
+++ b/Tests/Forward/scripted_socket.cpp
@@ -143,6 +143,11 @@
     return ::recv(m_descriptor, byte.data(), byte.size(), 0) <= 0;
 }
 
+void scripted_socket::finishSending() const
+{
+    ::shutdown(m_descriptor, SHUT_WR);
+}
+
 void scripted_socket::close()
 {
     if (m_descriptor >= 0)
--- a/Tests/Forward/scripted_socket.h
+++ b/Tests/Forward/scripted_socket.h
@@ -39,6 +39,8 @@
     /// Whether the peer closes without sending anything.
     bool waitForClose();
 
+    /// Ends the sending direction in order; what the peer sends is still accepted.
+    void finishSending() const;
     void close();
     void reset(); ///< Closes so that the peer sees a reset.
 
--- a/Tests/Forward/test_broken_answers.cpp
+++ b/Tests/Forward/test_broken_answers.cpp
@@ -289,6 +289,117 @@
 
 INSTANTIATE_TEST_SUITE_P(kinds, sound_answer, ::testing::ValuesIn(soundAnswers()), caseName);
 
+/// Answers that arrive while a long body is still being written.
+class early_answer_test : public forwarder_test
+{
+protected:
+    /// More than the socket buffers of a loopback connection hold.
+    static constexpr std::size_t bodyBytes = std::size_t{24} * 1024 * 1024;
+
+    void SetUp() override
+    {
+        auto content = defaultConfiguration();
+        content.limits.bodyBytes = 2 * bodyBytes;
+        start(std::move(content));
+        setEndpoints({"one"});
+    }
+
+    /// A caller whose body the endpoint does not read. Returns the endpoint.
+    scripted_socket startUpload(scripted_socket &caller, const std::string &target)
+    {
+        caller = call("POST", target, "X-Time-Left-Ms: 15000\r\n", std::string(bodyBytes, 'b'));
+        auto endpoint = m_endpoints[0].accept();
+        endpoint.readUntil("\r\n\r\n");
+        return endpoint;
+    }
+
+    static std::string unframedHead() { return "HTTP/1.1 200 OK\r\n" + identity + "\r\n"; }
+};
+
+/// Guards against an answer without a length that was reset while the body of its request was being
+/// written. The write reports the reset, and then the read sees the end of the connection.
+TEST_F(early_answer_test, ResetAnswerWithoutLengthIsNotWhole)
+{
+    constexpr int repetitions = 8;
+    for (int count = 0; count < repetitions; ++count) {
+        inLoop([this] { m_forwarder->endpoints().all().at("one")->ejectedUntil = {}; });
+        scripted_socket caller;
+        auto endpoint = startUpload(caller, "/book/a");
+        endpoint.send(unframedHead() + "part");
+        std::this_thread::sleep_for(std::chrono::milliseconds(20 * (count % 2)));
+        endpoint.reset();
+        const auto answer = caller.readMessage();
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 502")) << answer;
+        EXPECT_FALSE(anyConnection(std::chrono::milliseconds(20)));
+    }
+}
+
+/// As above, for a stream, which must not end like a whole one.
+TEST_F(early_answer_test, ResetStreamWithoutLengthIsNotWhole)
+{
+    scripted_socket caller;
+    auto endpoint = startUpload(caller, "/stream/a");
+    endpoint.send(unframedHead() + event(1));
+    EXPECT_TRUE(caller.readUntil(event(1)).ends_with(event(1)));
+    endpoint.reset();
+    EXPECT_EQ(caller.readAll().find("0\r\n\r\n"), std::string::npos);
+}
+
+/// As above, for a request that may be repeated: it is sent elsewhere with its whole body.
+TEST_F(early_answer_test, ResetAnswerWithoutLengthIsRetriedElsewhere)
+{
+    setEndpoints({"one", "two"});
+    auto caller = call("POST", "/read/a", "X-Time-Left-Ms: 15000\r\n", std::string(bodyBytes, 'b'));
+    auto endpoint = acceptAny();
+    endpoint.readUntil("\r\n\r\n");
+    endpoint.send(unframedHead() + "part");
+    endpoint.reset();
+    auto other = acceptAny();
+    const auto sent = other.readMessage();
+    EXPECT_TRUE(sent.ends_with("\r\n\r\n" + std::string(bodyBytes, 'b')));
+    other.send(signedResponse("whole"));
+    EXPECT_TRUE(caller.readMessage().ends_with("whole"));
+}
+
+/// A whole answer with a length counts although the rest of the body is refused with a reset.
+TEST_F(early_answer_test, WholeAnswerWithLengthCountsDespiteAReset)
+{
+    scripted_socket caller;
+    auto endpoint = startUpload(caller, "/book/a");
+    endpoint.send(signedResponse("early"));
+    const auto answer = caller.readMessage();
+    EXPECT_TRUE(answer.ends_with("early")) << answer;
+    endpoint.reset();
+}
+
+/// An endpoint may end its answer without a length before it has read the body.
+TEST_F(early_answer_test, AnswerWithoutLengthEndsWithAnOrderlyClose)
+{
+    scripted_socket caller;
+    auto endpoint = startUpload(caller, "/book/a");
+    endpoint.send(unframedHead() + "whole");
+    endpoint.finishSending();
+    const auto answer = caller.readMessage();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+    EXPECT_TRUE(answer.ends_with("whole")) << answer;
+    EXPECT_FALSE(anyConnection(std::chrono::milliseconds(20)));
+}
+
+/// As above, for an endpoint that refuses the rest of the body with a reset afterwards.
+TEST_F(early_answer_test, ResetAfterAnOrderlyCloseDoesNotBreakTheAnswer)
+{
+    constexpr int repetitions = 8;
+    for (int count = 0; count < repetitions; ++count) {
+        scripted_socket caller;
+        auto endpoint = startUpload(caller, "/book/a");
+        endpoint.send(unframedHead() + "whole");
+        endpoint.finishSending();
+        endpoint.reset();
+        const auto answer = caller.readMessage();
+        EXPECT_TRUE(answer.ends_with("whole")) << answer;
+    }
+}
+
 /// Guards against a broken head, read after its caller has left, that counts as a notice.
 TEST_F(forwarder_test, BrokenHeadAfterACancelIsNoNotice)
 {
