LibForward: Refuse answers with an ambiguous length or broken chunks

What callers saw: chunks under HTTP/1.0, transfer codings other than chunked and chunked twice were passed on with the coding removed from the head, so the body was not what it said. A chunk size could end in any byte after a carriage return.

Cause: http_parser decides about the body by the word chunked anywhere in the codings, and its build in Debian does not compare the bytes at the ends of chunk lines. An empty Content-Length left the request to its deadline.

Change: the checker of the head refuses a Content-Length that is not one number, a length beside chunks, and any transfer coding but chunked, which is the only one an endpoint may use without being asked (RFC 9112, 6 and 7). chunk_checker follows the chunks and the trailer in the same way.

Padded chunk sizes, extensions and trailers still pass.

--- a/Libraries/LibCore/response_error.cpp
+++ b/Libraries/LibCore/response_error.cpp
@@ -18,6 +18,12 @@
             return "the answer has an invalid status line";
         case response_error::FieldLine:
             return "the answer has an invalid field line";
+        case response_error::Length:
+            return "the answer has an invalid length";
+        case response_error::TransferCoding:
+            return "the answer has an unknown transfer coding";
+        case response_error::Chunk:
+            return "the answer has an invalid chunk";
         }
         return "unknown error";
     }
@@ -43,6 +49,12 @@
         return "status_line";
     case response_error::FieldLine:
         return "field_line";
+    case response_error::Length:
+        return "length";
+    case response_error::TransferCoding:
+        return "transfer_coding";
+    case response_error::Chunk:
+        return "chunk";
     }
     return "unknown";
 }
--- a/Libraries/LibCore/response_error.h
+++ b/Libraries/LibCore/response_error.h
@@ -9,6 +9,9 @@
 enum class response_error {
     StatusLine = 1,
     FieldLine,
+    Length, ///< Content-Length is no single number, or stands beside Transfer-Encoding.
+    TransferCoding, ///< Another one than chunked, which is the only one that was offered.
+    Chunk,
 };
 
 const std::error_category &responseCategory();
--- a/Libraries/LibCore/response_syntax.cpp
+++ b/Libraries/LibCore/response_syntax.cpp
@@ -1,6 +1,8 @@
 #include "LibCore/response_syntax.h"
 
 #include <algorithm>
+#include <cctype>
+#include <charconv>
 
 namespace quetzalcleat::core {
 
@@ -21,17 +23,6 @@
         || (character >= 'A' && character <= 'Z') || marks.find(character) != marks.npos;
 }
 
-/// Whether a text has visible characters, blanks and bytes above 127 only.
-bool isText(std::string_view text)
-{
-    constexpr unsigned char firstVisible = 0x20;
-    constexpr unsigned char deleteCharacter = 0x7f;
-    return std::ranges::all_of(text, [](char character) {
-        const auto byte = static_cast<unsigned char>(character);
-        return character == '\t' || (byte >= firstVisible && byte != deleteCharacter);
-    });
-}
-
 std::string_view withoutBlanks(std::string_view text)
 {
     constexpr std::string_view blanks = " \t";
@@ -40,8 +31,33 @@
     return text;
 }
 
+bool equalsLowerCase(std::string_view text, std::string_view lowerCase)
+{
+    return std::ranges::equal(text, lowerCase, [](unsigned char left, char right) {
+        return std::tolower(left) == right;
+    });
+}
+
+bool isLength(std::string_view text)
+{
+    std::uint64_t length = 0;
+    const auto *const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, length);
+    return parsed.ec == std::errc() && parsed.ptr == end;
+}
+
 } // namespace
 
+bool isText(std::string_view text)
+{
+    constexpr unsigned char firstVisible = 0x20;
+    constexpr unsigned char deleteCharacter = 0x7f;
+    return std::ranges::all_of(text, [](char character) {
+        const auto byte = static_cast<unsigned char>(character);
+        return character == '\t' || (byte >= firstVisible && byte != deleteCharacter);
+    });
+}
+
 std::string_view withoutLineEnd(std::string_view line)
 {
     if (line.ends_with('\n'))
@@ -92,9 +108,37 @@
         m_statusLine = parseStatusLine(line);
         return m_statusLine ? result<void>() : response_error::StatusLine;
     }
-    m_isComplete = line.empty();
-    if (!m_isComplete && !parseFieldLine(line))
+    if (line.empty())
+        return finish();
+    const auto field = parseFieldLine(line);
+    if (!field)
         return response_error::FieldLine;
+    return addField(*field);
+}
+
+result<void> response_head_checker::addField(const field_line &field)
+{
+    if (equalsLowerCase(field.name, "content-length")) {
+        if (m_hasLength || !isLength(field.value))
+            return response_error::Length;
+        m_hasLength = true;
+    }
+    if (equalsLowerCase(field.name, "transfer-encoding")) {
+        if (m_isChunked || !equalsLowerCase(field.value, "chunked"))
+            return response_error::TransferCoding;
+        m_isChunked = true;
+    }
+    return {};
+}
+
+result<void> response_head_checker::finish()
+{
+    if (m_isChunked && m_hasLength)
+        return response_error::Length;
+    // Transfer codings came with version 1.1 (RFC 9112, 6.1).
+    if (m_isChunked && m_statusLine->minorVersion == 0)
+        return response_error::TransferCoding;
+    m_isComplete = true;
     return {};
 }
 
--- a/Libraries/LibCore/response_syntax.h
+++ b/Libraries/LibCore/response_syntax.h
@@ -8,6 +8,9 @@
 
 namespace quetzalcleat::core {
 
+/// Whether a text has visible characters, blanks and bytes above 127 only.
+bool isText(std::string_view text);
+
 /// The line without the end of line, which is CRLF or a single LF (RFC 9112, 2.2).
 std::string_view withoutLineEnd(std::string_view line);
 
@@ -30,18 +33,25 @@
 /// Parses a field line without its end (RFC 9112, 5). Folded lines are refused.
 std::optional<field_line> parseFieldLine(std::string_view line);
 
-/// Follows the head of a response, line by line.
+/// Follows the head of a response, line by line, and finds out how the length of the body is
+/// given (RFC 9112, 6).
 class response_head_checker
 {
 public:
     /// To be called with each line of the head, without its end, up to the empty line. Errors:
-    /// StatusLine, FieldLine.
+    /// StatusLine, FieldLine, Length, TransferCoding.
     result<void> addLine(std::string_view line);
 
     bool isComplete() const { return m_isComplete; }
+    bool isChunked() const { return m_isChunked; }
 
 private:
+    result<void> addField(const field_line &field);
+    result<void> finish();
+
     std::optional<status_line> m_statusLine;
+    bool m_hasLength = false;
+    bool m_isChunked = false;
     bool m_isComplete = false;
 };
 
--- a/Libraries/LibForward/http_reader.cpp
+++ b/Libraries/LibForward/http_reader.cpp
@@ -144,7 +144,7 @@
     std::size_t used = 0;
     while (used < bytes.size() && !m_complete) {
         const auto rest = bytes.substr(used);
-        const auto checked = m_headComplete ? rest.size() : m_checker.checkHead(rest);
+        const auto checked = m_headComplete ? m_checker.checkBody(rest) : m_checker.checkHead(rest);
         if (!checked)
             return checked.error();
         const auto parsed = parse(rest.substr(0, checked.value()), body);
@@ -201,6 +201,11 @@
         if (m_kind == message_kind::Response)
             return core::response_error::FieldLine;
         break;
+    case HPE_INVALID_CONTENT_LENGTH:
+    case HPE_UNEXPECTED_CONTENT_LENGTH:
+        if (m_kind == message_kind::Response)
+            return core::response_error::Length;
+        break;
     default:
         break;
     }
--- a/Libraries/LibForward/response_checker.cpp
+++ b/Libraries/LibForward/response_checker.cpp
@@ -23,4 +23,9 @@
     return used;
 }
 
+core::result<std::size_t> response_checker::checkBody(std::string_view bytes)
+{
+    return m_head.isChunked() ? m_chunks.check(bytes) : bytes.size();
+}
+
 } // namespace quetzalcleat::forward
--- a/Libraries/LibForward/response_checker.h
+++ b/Libraries/LibForward/response_checker.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/response_syntax.h"
 #include "LibCore/result.h"
+#include "LibForward/chunk_checker.h"
 
 #include <cstddef>
 #include <string>
@@ -18,8 +19,13 @@
     /// Errors: those of core::response_head_checker.
     core::result<std::size_t> checkHead(std::string_view bytes);
 
+    /// To be called after the end of the head. Returns how many of the bytes of a chunked body
+    /// belong to it; all of them if it is not chunked. Errors: those of chunk_checker.
+    core::result<std::size_t> checkBody(std::string_view bytes);
+
 private:
     core::response_head_checker m_head;
+    chunk_checker m_chunks;
     std::string m_line; ///< The part of a line that arrived in earlier bytes.
 };
 
--- a/Tests/Forward/test_broken_answers.cpp
+++ b/Tests/Forward/test_broken_answers.cpp
@@ -45,6 +45,8 @@
     return "HTTP/1.1 200 OK\r\n" + identity + framing + "\r\n" + body;
 }
 
+const std::string chunked = "Transfer-Encoding: chunked\r\n";
+
 std::vector<answer_case> brokenStatusLines()
 {
     return {
@@ -112,13 +114,53 @@
         {"TwoCarriageReturns", withField("X-Broken: a\r"), "field_line"},
         {"BrokenInterim",
          "HTTP/1.1 103 Early Hints\r\nX Broken: 1\r\n\r\n" + withField("X-Sound: 1"), "field_line"},
+        {"BrokenTrailer", withBody(chunked, "2\r\nok\r\n0\r\nX Broken: 1\r\n\r\n"), "field_line"},
+    };
+}
+
+std::vector<answer_case> brokenLengths()
+{
+    return {
+        {"LengthWithSign", withBody("Content-Length: +2\r\n", "ok"), "length"},
+        {"NegativeLength", withBody("Content-Length: -2\r\n", "ok"), "length"},
+        {"LengthWithText", withBody("Content-Length: 2x\r\n", "ok"), "length"},
+        {"HexadecimalLength", withBody("Content-Length: 0x2\r\n", "ok"), "length"},
+        {"EmptyLength", withBody("Content-Length:\r\n", "ok"), "length"},
+        {"LengthAboveAllNumbers", withBody("Content-Length: 18446744073709551618\r\n", "ok"),
+         "length"},
+        {"TwoLengths", withBody("Content-Length: 2\r\nContent-Length: 3\r\n", "ok"), "length"},
+        {"ListOfLengths", withBody("Content-Length: 2, 3\r\n", "ok"), "length"},
+        {"LengthAndChunks", withBody("Content-Length: 2\r\n" + chunked, "2\r\nok\r\n0\r\n\r\n"),
+         "length"},
+        {"UnknownCoding", withBody("Transfer-Encoding: gzip\r\n", "ok"), "transfer_coding"},
+        {"CodingBeforeChunks",
+         withBody("Transfer-Encoding: gzip, chunked\r\n", "2\r\nok\r\n0\r\n\r\n"),
+         "transfer_coding"},
+        {"CodingAfterChunks",
+         withBody("Transfer-Encoding: chunked, gzip\r\n", "2\r\nok\r\n0\r\n\r\n"),
+         "transfer_coding"},
+        {"EmptyCoding", withBody("Transfer-Encoding:\r\n", "ok"), "transfer_coding"},
+        {"ChunkedTwice", withBody(chunked + chunked, "2\r\nok\r\n0\r\n\r\n"), "transfer_coding"},
+        {"ChunksOfVersion10",
+         "HTTP/1.0 200 OK\r\n" + identity + chunked + "\r\n2\r\nok\r\n0\r\n\r\n",
+         "transfer_coding"},
+        {"ChunkWithoutSize", withBody(chunked, "\r\nok\r\n0\r\n\r\n"), "chunk"},
+        {"ChunkSizeWithPrefix", withBody(chunked, "0x2\r\nok\r\n0\r\n\r\n"), "chunk"},
+        {"ChunkSizeWithSign", withBody(chunked, "+2\r\nok\r\n0\r\n\r\n"), "chunk"},
+        {"ChunkSizeAboveAllNumbers", withBody(chunked, "10000000000000002\r\nok\r\n0\r\n\r\n"),
+         "chunk"},
+        {"ChunkSizeWithoutReturn", withBody(chunked, "2\nok\r\n0\r\n\r\n"), "chunk"},
+        {"ChunkSizeEndsInOtherByte", withBody(chunked, "2\rxok\r\n0\r\n\r\n"), "chunk"},
+        {"ChunkLongerThanItsSize", withBody(chunked, "2\r\nokay\r\n0\r\n\r\n"), "chunk"},
+        {"ChunkWithoutLineEnd", withBody(chunked, "2\r\nok0\r\n\r\n"), "chunk"},
+        {"ControlByteInTheExtension", withBody(chunked, "2;a=\x01\r\nok\r\n0\r\n\r\n"), "chunk"},
     };
 }
 
 std::vector<answer_case> brokenAnswers()
 {
     auto all = brokenStatusLines();
-    for (const auto &more : {brokenFieldLines()})
+    for (const auto &more : {brokenFieldLines(), brokenLengths()})
         all.insert(all.end(), more.begin(), more.end());
     return all;
 }
@@ -142,9 +184,19 @@
         {"BlanksAroundTheValue", withField("X-Sound: \t 1 \t ")},
         {"TabAndBytesAbove127InTheValue", withField("X-Sound: a\tb \xe9")},
         {"SameFieldTwice", withField("X-Sound: 1\r\nX-Sound: 2")},
+        {"BlanksAroundTheLength", withBody("Content-Length: \t2 \r\n", "ok")},
+        {"LengthWithZeros", withBody("Content-Length: 002\r\n", "ok")},
+        {"Chunks", withBody(chunked, "1\r\no\r\n1\r\nk\r\n0\r\n\r\n")},
+        {"ChunkedInCapitals", withBody("transfer-encoding: CHUNKED\r\n", "2\r\nok\r\n0\r\n\r\n")},
+        {"ChunkSizeWithZeros", withBody(chunked, "0002\r\nok\r\n000\r\n\r\n")},
+        {"ChunkExtensions",
+         withBody(chunked, "2;name=value ; other=\"a b\"\r\nok\r\n0;last\r\n\r\n")},
+        {"PaddedChunkSize", withBody(chunked, "2  \r\nok\r\n0\r\n\r\n")},
+        {"Trailers", withBody(chunked, "2\r\nok\r\n0\r\nX-Sum: 1\r\nX-Empty:\r\n\r\n")},
         {"InterimHeads",
          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
              + withField("X-Sound: 1")},
+        {"UpgradeOffered", withField("Upgrade: h2c\r\nConnection: upgrade")},
     };
 }
 
