LibForward: End responses without a body with their head

What callers saw: a 304 with the length of the body that it does not have, which RFC 9110 allows, got no answer until the deadline of the request, and an interim response with a length took the head of the answer for its body.

Cause: http_parser skips the body of a response only if its caller says so, which the reader did for HEAD alone. Its own rules about 1xx, 204 and 304 apply only without a length.

Change: the reader says so for these statuses too (RFC 9112, 6.3).

--- a/Libraries/LibForward/http_reader.cpp
+++ b/Libraries/LibForward/http_reader.cpp
@@ -80,7 +80,8 @@
         self.m_endsWithConnection = self.m_kind == message_kind::Response && !hasNoBody
             && !self.m_head.has("Content-Length")
             && !containsToken(self.m_head.value("Transfer-Encoding"), "chunked");
-        return self.m_isHeadRequest ? 1 : 0;
+        // Otherwise the parser would take the bytes after the head for a body if there is a length.
+        return hasNoBody ? 1 : 0;
     }
 
     static int onBody(http_parser *state, const char *text, std::size_t size)
--- a/Tests/Forward/test_broken_answers.cpp
+++ b/Tests/Forward/test_broken_answers.cpp
@@ -341,6 +341,52 @@
 
 INSTANTIATE_TEST_SUITE_P(kinds, sound_answer, ::testing::ValuesIn(soundAnswers()), caseName);
 
+/// Guards against bytes after the head of a response without a body that are taken for its body,
+/// or are waited for (RFC 9112, 6.3).
+TEST_F(forwarder_test, ResponsesWithoutABodyEndWithTheirHead)
+{
+    setEndpoints({"one"});
+    for (const auto *status : {"204 No Content", "304 Not Modified"}) {
+        auto caller = call("GET", "/read/a", "X-Time-Left-Ms: 15000\r\n");
+        auto endpoint = m_endpoints[0].accept();
+        endpoint.readMessage();
+        endpoint.send("HTTP/1.1 " + std::string(status) + "\r\n" + identity
+                      + "Content-Length: 5\r\n\r\n");
+        const auto answer = caller.readMessage();
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 " + std::string(status))) << answer;
+        // The connection is used again.
+        caller.send(request("GET", "/read/b"));
+        EXPECT_TRUE(endpoint.readMessage().starts_with("GET /read/b")) << status;
+        endpoint.send(signedResponse("second"));
+        endpoint.close();
+        EXPECT_TRUE(caller.readMessage().ends_with("second")) << status;
+    }
+}
+
+/// As above, for an interim response.
+TEST_F(forwarder_test, InterimResponseWithALengthHasNoBody)
+{
+    auto caller = call("POST", "/book/a", {}, "order");
+    auto endpoint = acceptAny();
+    endpoint.readMessage();
+    endpoint.send("HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n"
+                  + signedResponse("booked"));
+    EXPECT_TRUE(caller.readMessage().ends_with("booked"));
+}
+
+/// A response to HEAD may have the fields of one with a body.
+TEST_F(forwarder_test, ResponsesToHeadHaveNoBody)
+{
+    for (const auto *framing : {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}) {
+        auto caller = call("HEAD", "/read/a");
+        auto endpoint = acceptAny();
+        endpoint.readMessage();
+        endpoint.send("HTTP/1.1 200 OK\r\n" + identity + framing + "\r\n");
+        const auto answer = caller.readUntil("\r\n\r\n");
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+    }
+}
+
 /// Answers that arrive while a long body is still being written.
 class early_answer_test : public forwarder_test
 {
