LibForward: Refuse heads and trailers that end without a line feed

What callers saw: an answer whose head ended in a carriage return and any other byte in place of the line feed reached them as an answer. The same end of a trailer ended a chunked body.

Cause: http_parser takes any byte after that carriage return for the line feed. The checks by line had not seen the end of the line yet, while the parser had.

The new cases HeadEndsWithoutLineFeed and TrailerEndsWithoutLineFeed failed before, and all cases are now read in pieces of every size.

Change: an end that the parser sees counts only if the checker sees it too.

--- a/Libraries/LibForward/http_reader.cpp
+++ b/Libraries/LibForward/http_reader.cpp
@@ -145,12 +145,18 @@
     std::size_t used = 0;
     while (used < bytes.size() && !m_complete) {
         const auto rest = bytes.substr(used);
-        const auto checked = m_headComplete ? m_checker.checkBody(rest) : m_checker.checkHead(rest);
+        const bool isHead = !m_headComplete;
+        const auto checked = isHead ? m_checker.checkHead(rest) : m_checker.checkBody(rest);
         if (!checked)
             return checked.error();
         const auto parsed = parse(rest.substr(0, checked.value()), body);
         if (!parsed)
             return parsed.error();
+        // The parser takes any byte after a carriage return for the end of a line.
+        if (isHead && m_headComplete && !m_checker.isHeadComplete())
+            return core::response_error::FieldLine;
+        if (!isHead && m_complete && !m_checker.isBodyComplete())
+            return core::response_error::Chunk;
         used += parsed.value();
     }
     return used;
--- a/Libraries/LibForward/response_checker.h
+++ b/Libraries/LibForward/response_checker.h
@@ -23,6 +23,10 @@
     /// belong to it; all of them if it is not chunked. Errors: those of chunk_checker.
     core::result<std::size_t> checkBody(std::string_view bytes);
 
+    bool isHeadComplete() const { return m_head.isComplete(); }
+    /// Whether the end of a chunked body was found; true if it is not chunked.
+    bool isBodyComplete() const { return !m_head.isChunked() || m_chunks.isComplete(); }
+
 private:
     core::response_head_checker m_head;
     chunk_checker m_chunks;
--- a/Tests/Forward/answer_cases.cpp
+++ b/Tests/Forward/answer_cases.cpp
@@ -97,6 +97,8 @@
         {"NulInTheValue", withField(std::string("X-Broken: a\0z", 13)), "field_line"},
         {"CarriageReturnInTheValue", withField("X-Broken: a\rz"), "field_line"},
         {"TwoCarriageReturns", withField("X-Broken: a\r"), "field_line"},
+        {"HeadEndsWithoutLineFeed",
+         "HTTP/1.1 200 OK\r\n" + answerIdentity + "Content-Length: 2\r\n\rxok", "field_line"},
         {"BrokenInterim",
          "HTTP/1.1 103 Early Hints\r\nX Broken: 1\r\n\r\n" + withField("X-Sound: 1"), "field_line"},
         {"BrokenTrailer", withBody(chunked, "2\r\nok\r\n0\r\nX Broken: 1\r\n\r\n"), "field_line"},
@@ -138,6 +140,7 @@
         {"ChunkSizeEndsInOtherByte", withBody(chunked, "2\rxok\r\n0\r\n\r\n"), "chunk"},
         {"ChunkLongerThanItsSize", withBody(chunked, "2\r\nokay\r\n0\r\n\r\n"), "chunk"},
         {"ChunkWithoutLineEnd", withBody(chunked, "2\r\nok0\r\n\r\n"), "chunk"},
+        {"TrailerEndsWithoutLineFeed", withBody(chunked, "2\r\nok\r\n0\r\n\rx"), "chunk"},
         {"ControlByteInTheExtension", withBody(chunked, "2;a=\x01\r\nok\r\n0\r\n\r\n"), "chunk"},
     };
 }
--- a/Tests/Forward/test_http_reader.cpp
+++ b/Tests/Forward/test_http_reader.cpp
@@ -1,4 +1,7 @@
 #include "LibForward/http_reader.h"
+#include "answer_cases.h"
+
+#include <algorithm>
 
 #include <gtest/gtest.h>
 
@@ -97,6 +100,41 @@
     EXPECT_TRUE(reader.keepsConnection());
 }
 
+/// Guards against a check that depends on how the network splits the answer.
+TEST(http_reader, RefusesBrokenAnswersSplitAnywhere)
+{
+    for (const auto &answer : quetzalcleat::test::brokenAnswers()) {
+        for (std::size_t size = 1; size <= answer.bytes.size(); ++size) {
+            http_reader reader(kind::Response);
+            std::string_view rest = answer.bytes;
+            std::optional<std::string> body;
+            // Interim responses come before the answer.
+            do {
+                reader.restart();
+                std::string unread(rest);
+                body = readInPieces(reader, unread, size);
+                rest.remove_prefix(std::min(rest.find("\r\n\r\n") + 4, rest.size()));
+            } while (body && reader.head().status / 100 == 1 && !rest.empty());
+            EXPECT_FALSE(body && reader.complete()) << answer.name << ' ' << size;
+        }
+    }
+}
+
+/// The same for answers that RFC 9112 allows.
+TEST(http_reader, ReadsSoundAnswersSplitAnywhere)
+{
+    for (const auto &answer : quetzalcleat::test::soundAnswers()) {
+        if (answer.bytes.starts_with("HTTP/1.1 1"))
+            continue;
+        for (std::size_t size = 1; size <= answer.bytes.size(); ++size) {
+            http_reader reader(kind::Response);
+            const auto body = readInPieces(reader, answer.bytes, size);
+            EXPECT_TRUE(reader.complete()) << answer.name << ' ' << size;
+            EXPECT_EQ(body, "ok") << answer.name << ' ' << size;
+        }
+    }
+}
+
 /// Guards against unbounded memory use by a header.
 TEST(http_reader, RefusesLargeHeaders)
 {
