LibHttp: Refuse answers with a broken head or an ambiguous length

What callers of quetzalcleatd saw: a status of 600 to 999, blanks and control bytes in the names of fields, folded lines, two transfer codings and chunks under HTTP/1.0 were read as answers of endpoints and of reports. Answers of services were passed on so, and settled the claim of a call that must not run twice.

Cause: libcurl accepts these heads, and the client looked only for a colon in each line.

Change: response_head_reader checks each line that libcurl passes on, of interim heads and of trailers too, with the grammar that LibForward uses. A refused line ends the transfer and its connection, with an error that names the reason, as before for heads that are too large.

Two things stay with libcurl, as the tests show: it takes a chunk size without a carriage return and control bytes in chunk extensions, with the right body, and refuses HTTP/1.2. An answer without a length that is reset while its request is being written was handled already, as libcurl reports the error of the write; the test stays.

--- a/Libraries/LibCore/response_syntax.cpp
+++ b/Libraries/LibCore/response_syntax.cpp
@@ -104,16 +104,18 @@
 
 result<void> response_head_checker::addLine(std::string_view line)
 {
-    if (!m_statusLine) {
+    if (awaitsStatusLine()) {
+        *this = {};
         m_statusLine = parseStatusLine(line);
         return m_statusLine ? result<void>() : response_error::StatusLine;
     }
     if (line.empty())
-        return finish();
+        return m_isComplete ? result<void>() : finish();
     const auto field = parseFieldLine(line);
     if (!field)
         return response_error::FieldLine;
-    return addField(*field);
+    // A trailer says nothing about the length.
+    return m_isComplete ? result<void>() : addField(*field);
 }
 
 result<void> response_head_checker::addField(const field_line &field)
--- a/Libraries/LibCore/response_syntax.h
+++ b/Libraries/LibCore/response_syntax.h
@@ -33,16 +33,22 @@
 /// Parses a field line without its end (RFC 9112, 5). Folded lines are refused.
 std::optional<field_line> parseFieldLine(std::string_view line);
 
-/// Follows the head of a response, line by line, and finds out how the length of the body is
-/// given (RFC 9112, 6).
+/// Follows the heads of a response, interim ones too, and its trailer, line by line, and finds out
+/// how the length of the body is given (RFC 9112, 6).
 class response_head_checker
 {
 public:
-    /// To be called with each line of the head, without its end, up to the empty line. Errors:
+    /// To be called with each line without its end, also with the empty one after a head. Errors:
     /// StatusLine, FieldLine, Length, TransferCoding.
     result<void> addLine(std::string_view line);
 
+    /// Whether the next line begins a head: the first one, or the one after an interim response.
+    bool awaitsStatusLine() const { return !m_statusLine || (m_isComplete && isInterim()); }
+    /// Whether the newest head has ended.
     bool isComplete() const { return m_isComplete; }
+    bool isInterim() const { return m_statusLine && m_statusLine->status < 200; }
+    /// Of the newest head; 0 before the first one.
+    int status() const { return m_statusLine ? m_statusLine->status : 0; }
     bool isChunked() const { return m_isChunked; }
 
 private:
--- a/Libraries/LibHttp/endpoint_client.cpp
+++ b/Libraries/LibHttp/endpoint_client.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/time.h"
 #include "LibHttp/http_error.h"
+#include "LibHttp/response_head_reader.h"
 
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
@@ -97,7 +98,7 @@
 class endpoint_client::implementation : public std::enable_shared_from_this<implementation>
 {
 public:
-    explicit implementation(asio::io_context &context);
+    implementation(asio::io_context &context, core::counter_registry *counters);
     ~implementation();
 
     implementation(const implementation &) = delete;
@@ -111,6 +112,7 @@
     void remove(transfer &removed);
     void perform(curl_socket_t socket, int events);
     void recordTimeout(const std::string &address);
+    void recordBrokenAnswer(std::error_code error);
     void recordIdentity(const endpoint_request &request, bool namesRequest);
     void configureConnectionReuse(CURL *easy, const endpoint_request &request);
     asio::io_context &context() { return m_context; }
@@ -127,6 +129,7 @@
 
     curl_global m_curlGlobal;
     asio::io_context &m_context;
+    core::counter_registry *m_counters;
     CURLM *m_multi = nullptr;
     asio::steady_timer m_timer;
     std::unordered_map<curl_socket_t, std::shared_ptr<watched_socket>> m_sockets;
@@ -202,14 +205,15 @@
 
     void endWith(CURLcode code)
     {
-        if (m_headError) {
-            end({m_headError, true});
-            return;
-        }
         // libcurl reports a connection that closes within the head as an empty response.
         if (code == CURLE_OK && !m_headDelivered)
             code = CURLE_GOT_NOTHING;
-        end({toError(code, m_headDelivered), maybeSent(code)});
+        const auto error = m_headError ? m_headError : toError(code, m_headDelivered);
+        const bool hasArrived
+            = m_headDelivered || m_headBytes > 0 || error == http_error::InvalidResponse;
+        if (const auto owner = m_owner.lock(); owner && hasArrived)
+            owner->recordBrokenAnswer(error);
+        end({error, maybeSent(code)});
     }
 
 private:
@@ -305,7 +309,7 @@
     transfer_handler m_handler;
     CURL *m_easy = nullptr;
     curl_slist *m_headers = nullptr;
-    response_head m_head;
+    response_head_reader m_headReader;
     std::size_t m_headBytes = 0;
     std::error_code m_headError;
     core::instant m_started;
@@ -382,37 +386,23 @@
 
 void endpoint_client::implementation::transfer::processHeaderLine(std::string_view line)
 {
-    while (line.ends_with('\n') || line.ends_with('\r'))
-        line.remove_suffix(1);
-    if (m_headDelivered || m_ended)
-        return; // Trailers of a chunked body.
-    if (line.starts_with("HTTP/")) {
-        m_head = {};
+    if (m_ended)
         return;
-    }
-    if (!line.empty()) {
-        const auto colon = line.find(':');
-        if (colon == std::string_view::npos)
-            return;
-        auto value = line.substr(colon + 1);
-        value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
-        m_head.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+    const auto read = m_headReader.addLine(line);
+    if (!read) {
+        m_headError = read.error();
         return;
     }
-    long status = 0;
-    curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
-    m_head.status = static_cast<std::uint16_t>(status);
-    if (status < 200) {
-        if (m_handler.onInterim)
-            m_handler.onInterim(m_head);
+    if (read.value() == response_head_reader::line_end::Interim && m_handler.onInterim)
+        m_handler.onInterim(m_headReader.head());
+    if (read.value() != response_head_reader::line_end::Final)
         return;
-    }
     checkIdentity();
     if (m_headError)
         return;
     m_headDelivered = true;
     m_headBytes = 0; // From here on, of the trailer.
-    m_handler.onHead(m_head);
+    m_handler.onHead(m_headReader.head());
 }
 
 void endpoint_client::implementation::transfer::checkIdentity()
@@ -420,7 +410,7 @@
     const auto owner = m_owner.lock();
     if (!m_request.checksIdentity || !owner)
         return;
-    const auto named = findHeader(m_head.headers, "X-Request-Id");
+    const auto named = findHeader(m_headReader.head().headers, "X-Request-Id");
     const bool namesThis = named && named == findHeader(m_request.headers, "X-Request-Id");
     owner->recordIdentity(m_request, namesThis);
     if (namesThis)
@@ -458,8 +448,9 @@
     });
 }
 
-endpoint_client::implementation::implementation(asio::io_context &context)
-    : m_context(context), m_multi(curl_multi_init()), m_timer(context)
+endpoint_client::implementation::implementation(asio::io_context &context,
+                                                core::counter_registry *counters)
+    : m_context(context), m_counters(counters), m_multi(curl_multi_init()), m_timer(context)
 {
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &implementation::onSocket);
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
@@ -537,6 +528,14 @@
     m_lastTimeouts[address] = std::chrono::steady_clock::now();
 }
 
+void endpoint_client::implementation::recordBrokenAnswer(std::error_code error)
+{
+    const auto reason = brokenAnswerReason(error);
+    if (m_counters != nullptr && !reason.empty())
+        ++m_counters->counter("quetzalcleat_answers_broken_total",
+                              "reason=\"" + std::string(reason) + '"');
+}
+
 void endpoint_client::implementation::recordIdentity(const endpoint_request &request,
                                                      bool namesRequest)
 {
@@ -677,8 +676,8 @@
     }
 }
 
-endpoint_client::endpoint_client(asio::io_context &context)
-    : m_implementation(std::make_shared<implementation>(context))
+endpoint_client::endpoint_client(asio::io_context &context, core::counter_registry *counters)
+    : m_implementation(std::make_shared<implementation>(context, counters))
 {
 }
 
--- a/Libraries/LibHttp/endpoint_client.h
+++ b/Libraries/LibHttp/endpoint_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCore/counter_registry.h"
 #include "LibCore/settings.h"
 #include "LibHttp/message.h"
 
@@ -46,7 +47,7 @@
 /// How a transfer ended.
 struct transfer_result
 {
-    std::error_code error; ///< Unset if the response is complete.
+    std::error_code error; ///< Unset if the response is complete; of http_error or response_error.
     bool maybeSent = true; ///< False only if no byte of the request was sent.
 };
 
@@ -92,7 +93,8 @@
 class endpoint_client
 {
 public:
-    explicit endpoint_client(asio::io_context &context);
+    /// Broken answers are counted in `counters`, if there are any.
+    explicit endpoint_client(asio::io_context &context, core::counter_registry *counters = nullptr);
     ~endpoint_client();
 
     endpoint_client(const endpoint_client &) = delete;
--- a/Libraries/LibHttp/http_error.cpp
+++ b/Libraries/LibHttp/http_error.cpp
@@ -1,5 +1,7 @@
 #include "LibHttp/http_error.h"
 
+#include "LibCore/response_error.h"
+
 #include <string>
 
 namespace quetzalcleat::http {
@@ -58,4 +60,17 @@
     return {static_cast<int>(error), httpCategory()};
 }
 
+std::string_view brokenAnswerReason(std::error_code error)
+{
+    if (error.category() == core::responseCategory())
+        return core::toString(static_cast<core::response_error>(error.value()));
+    if (error == http_error::InvalidResponse)
+        return "message";
+    if (error == http_error::OtherRequest)
+        return "other_request";
+    if (error == http_error::HeadTooLarge)
+        return "head_size";
+    return error == http_error::ConnectionBroken ? "connection" : "";
+}
+
 } // namespace quetzalcleat::http
--- a/Libraries/LibHttp/http_error.h
+++ b/Libraries/LibHttp/http_error.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string_view>
 #include <system_error>
 
 namespace quetzalcleat::http {
@@ -24,6 +25,10 @@
 const std::error_category &httpCategory();
 std::error_code make_error_code(http_error error);
 
+/// Why an answer broke, as a name for the labels of metrics; empty if the error is no broken
+/// answer.
+std::string_view brokenAnswerReason(std::error_code error);
+
 } // namespace quetzalcleat::http
 
 template <>
--- a/Services/quetzalcleatd/entry.h
+++ b/Services/quetzalcleatd/entry.h
@@ -33,7 +33,7 @@
     entry(asio::io_context &context, Control &control, core::counter_registry &counters,
           entry_options options)
         : m_options(std::move(options)), m_control(control), m_log("quetzalcleatd"),
-          m_endpoints(context), m_decisions(context, m_options.seed),
+          m_endpoints(context, &counters), m_decisions(context, m_options.seed),
           m_notices(m_decisions, counters, m_log),
           m_environment{context,           m_endpoints,        m_decisions,
                         m_notices,         counters,           m_log,
--- a/Tests/Daemon/test_completion.cpp
+++ b/Tests/Daemon/test_completion.cpp
@@ -86,6 +86,17 @@
          [](auto &, auto &call) { call.connection->send(completeResponse(500, "{}")); }, false},
         {"responds with 429",
          [](auto &, auto &call) { call.connection->send(completeResponse(429, "{}")); }, false},
+        {"responds with status 000",
+         [](auto &, auto &call) {
+             call.connection->send("HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}");
+         },
+         false},
+        {"responds with a blank in the name of a field",
+         [](auto &, auto &call) {
+             auto answer = chunkedHead(200) + fake_engine::event(call, 0, false);
+             call.connection->send(answer.insert(answer.find("\r\n") + 2, "X Broken: 1\r\n"));
+         },
+         false},
         {"closes after the head",
          [](auto &, auto &call) {
              call.connection->send(chunkedHead(200));
--- a/Tests/Daemon/test_service.cpp
+++ b/Tests/Daemon/test_service.cpp
@@ -329,6 +329,28 @@
     }
 }
 
+// Guards against bytes that are no response of HTTP/1.1 and reach the caller or the ledger as the
+// answer to a call.
+TEST_F(service_test, BrokenAnswerIsNoAnswer)
+{
+    startDaemon();
+    std::size_t calls = 0;
+    for (const auto *head : {"HTTP/1.1 000 OK", "HTTP/1.1 600 OK", "HTTP/1.1 200 OK\r\nX Broken: 1",
+                             "HTTP/1.1 200 OK\r\nX-Broken : 1", "HTTP/1.1 200 OK\r\nX\x01: 1"}) {
+        SCOPED_TRACE(head);
+        m_onServiceCall = [&](const auto &connection, const auto &) {
+            connection->send(std::string(head) + "\r\nContent-Length: 6\r\n\r\nbooked");
+        };
+        const auto response = order("wire 7", "key" + std::to_string(++calls));
+        await(*response);
+        EXPECT_EQ(response->head.status, 502);
+        EXPECT_EQ(response->errorField("outcome"), "unknown");
+        EXPECT_EQ(m_serviceCalls.size(), calls) << "the call was sent again";
+    }
+    for (const auto &finished : m_control.finished)
+        EXPECT_FALSE(finished.outcomeKnown);
+}
+
 // Guards against a call that is kept open without end by a service that sends a byte now and then.
 TEST_F(service_test, EndsAnAnswerThatGoesOnSlowly)
 {
--- a/Tests/Forward/answer_cases.cpp
+++ b/Tests/Forward/answer_cases.cpp
@@ -1,5 +1,7 @@
 #include "answer_cases.h"
 
+#include <string_view>
+
 namespace quetzalcleat::test {
 
 const std::string answerIdentity = "X-Request-Id: r1\r\nX-Signature: s\r\n";
@@ -186,4 +188,15 @@
     };
 }
 
+bool isAcceptedByLibcurl(const answer_case &broken)
+{
+    const std::string_view name(broken.name);
+    return name == "ChunkSizeWithoutReturn" || name == "ControlByteInTheExtension";
+}
+
+bool isRefusedByLibcurl(const answer_case &sound)
+{
+    return std::string_view(sound.name) == "LaterMinorVersion";
+}
+
 } // namespace quetzalcleat::test
--- a/Tests/Forward/answer_cases.h
+++ b/Tests/Forward/answer_cases.h
@@ -28,4 +28,10 @@
 /// Answers with the body "ok" that RFC 9112 allows.
 std::vector<answer_case> soundAnswers();
 
+/// Whether libcurl accepts the answer, although RFC 9112 does not allow endpoints to send it: the
+/// size of a chunk stays clear without a carriage return, and chunk extensions are skipped.
+bool isAcceptedByLibcurl(const answer_case &broken);
+/// Whether libcurl refuses the answer, although RFC 9112 allows it.
+bool isRefusedByLibcurl(const answer_case &sound);
+
 } // namespace quetzalcleat::test
