Quetzalcleat: Refuse answers with a broken head or an ambiguous length

What operators saw: an answer whose status was 600 to 999, or whose head had a blank or a control byte in the name of a field, was read as the verdict of a host. With a status of 4xx, such a head said that nothing had changed, although the edit may have been accepted.

Cause: libcurl accepts these heads, and the tool read only the status that libcurl found.

Change: the client checks each line of the head and the trailer.

--- a/Utilities/quetzalcleat/operator_client.cpp
+++ b/Utilities/quetzalcleat/operator_client.cpp
@@ -1,5 +1,6 @@
 #include "quetzalcleat/operator_client.h"
 
+#include "LibCore/response_syntax.h"
 #include "quetzalcleat/tool_error.h"
 
 #include <algorithm>
@@ -30,6 +31,22 @@
     return length;
 }
 
+/// The head of an answer, as libcurl accepts more than HTTP allows.
+struct received_head
+{
+    core::response_head_checker checker;
+    std::error_code error;
+};
+
+std::size_t checkHeadLine(const char *bytes, std::size_t size, std::size_t count, void *target)
+{
+    auto &head = *static_cast<received_head *>(target);
+    const std::size_t length = size * count;
+    head.error = head.checker.addLine(core::withoutLineEnd({bytes, length})).error();
+    // Any other count than that of the bytes ends the transfer.
+    return head.error ? 0 : length;
+}
+
 header_handle makeHeaders(const std::string &key)
 {
     const auto authorization = "Authorization: Bearer " + key;
@@ -92,7 +109,8 @@
             return answer;
         mayHaveArrived = mayHaveArrived || answer || answer.error() != tool_error::Unreachable;
         if (transmission >= m_options.transmissions) {
-            if (!answer && mayHaveArrived)
+            const bool isBroken = answer.error().category() == core::responseCategory();
+            if (!answer && mayHaveArrived && !isBroken)
                 return tool_error::AnswerLost;
             return answer;
         }
@@ -112,6 +130,7 @@
     const auto url = "http://" + server.text() + std::string(path);
     const auto headers = makeHeaders(m_options.key);
     operator_answer answer;
+    received_head head;
     auto *easy = handle.get();
     curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
@@ -122,6 +141,8 @@
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connectTimeout.count()));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(m_options.timeout.count()));
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers.get());
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, checkHeadLine);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &head);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, appendBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &answer.body);
     if (body) {
@@ -129,9 +150,12 @@
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body->data());
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body->size()));
     }
-    if (const auto code = curl_easy_perform(easy); code != CURLE_OK)
+    const auto code = curl_easy_perform(easy);
+    if (head.error)
+        return head.error;
+    if (code != CURLE_OK)
         return toError(code);
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &answer.status);
+    answer.status = head.checker.status();
     return answer;
 }
 
--- a/Utilities/quetzalcleat/operator_client.h
+++ b/Utilities/quetzalcleat/operator_client.h
@@ -29,7 +29,7 @@
 
 /// Sends requests to the operator API over libcurl.
 ///
-/// A request is sent again, to the next server, while no answer arrives or the answer is a 503. So
+/// A request is sent again, to the next server, while no sound answer arrives or it is a 503. So
 /// each request must be safe to repeat: an edit carries an edit id, by which a resent edit gets the
 /// verdict of the first one.
 class operator_client
