Quetzalcleat: Take no verdict from a head that ends early

What operators saw: an answer whose connection closed within its head was read as a verdict. After "HTTP/1.1 409 Conflict" and its line end, an edit was reported as refused, with nothing changed, although it may have been accepted.

Cause: libcurl takes the end of the connection within a head for the end of an empty answer, and reports the status that it has read. endpoint_client knew that already; the tool did not.

Change: without the end of a final head the answer is lost, so the next host is asked with the same edit id, and without an answer the outcome is unknown.

Evidence: HeadThatEndsEarlyIsNoVerdict cuts a head at each of its bytes.

--- a/Tests/Tool/test_broken_answers.cpp
+++ b/Tests/Tool/test_broken_answers.cpp
@@ -2,6 +2,7 @@
 #include "scripted_socket.h"
 
 #include "quetzalcleat/operator_client.h"
+#include "quetzalcleat/tool_error.h"
 
 #include <string>
 #include <thread>
@@ -21,7 +22,7 @@
 }
 
 /// A host that answers one request with the bytes, and a second one that answers after it.
-class operator_answer_test : public testing::TestWithParam<answer_case>
+class operator_answer_test : public testing::Test
 {
 protected:
     static quetzalcleat::core::socket_address addressOf(const scripted_listener &host)
@@ -52,7 +53,8 @@
     scripted_listener m_second;
 };
 
-class broken_operator_answer : public operator_answer_test
+class broken_operator_answer : public operator_answer_test,
+                               public testing::WithParamInterface<answer_case>
 {
 };
 
@@ -86,7 +88,22 @@
 INSTANTIATE_TEST_SUITE_P(kinds, broken_operator_answer,
                          testing::ValuesIn(quetzalcleat::test::brokenAnswers()), caseName);
 
-class sound_operator_answer : public operator_answer_test
+/// Guards against a verdict, for example that an edit was refused, that is read from a head which
+/// ended early.
+TEST_F(operator_answer_test, HeadThatEndsEarlyIsNoVerdict)
+{
+    const std::string head = "HTTP/1.1 409 Conflict\r\nX-Sound: 1\r\n\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        std::thread host([&] { answer(m_first, head.substr(0, length)); });
+        const auto verdict = client(1).post("/v1/edits", "edit");
+        host.join();
+        ASSERT_FALSE(verdict) << length;
+        EXPECT_EQ(verdict.error(), tool::tool_error::AnswerLost) << length;
+    }
+}
+
+class sound_operator_answer : public operator_answer_test,
+                              public testing::WithParamInterface<answer_case>
 {
 };
 
--- a/Utilities/quetzalcleat/operator_client.cpp
+++ b/Utilities/quetzalcleat/operator_client.cpp
@@ -155,6 +155,9 @@
         return head.error;
     if (code != CURLE_OK)
         return toError(code);
+    // libcurl takes a connection that closes within the head for the end of an empty answer.
+    if (!head.checker.isComplete() || head.checker.isInterim())
+        return tool_error::AnswerLost;
     answer.status = head.checker.status();
     return answer;
 }
