LibForward: Free the buffer of a body that is refused

Cause: arriving_body::reset() assigns an empty request_body. libstdc++ keeps the buffer of a text to which an empty one is moved, so the refused body of up to max-body-bytes stayed for the second in which its connection closes, while its charge was given back. Others were admitted to the same memory. How many bodies overlapped depended on timing.

Evidence: BodyThatIsResetHoldsNoMemory failed before (1,048,576 bytes kept).

std::exchange() moves the buffer into a temporary that frees it, as the other buffers of the connection do.

--- a/Libraries/LibForward/arriving_body.cpp
+++ b/Libraries/LibForward/arriving_body.cpp
@@ -17,7 +17,8 @@
 
 void arriving_body::reset()
 {
-    m_body = {{}, {m_owner.protection().budget(), policy::memory_kind::Body}};
+    // A plain assignment would keep the buffer, whose memory is no longer charged.
+    std::exchange(m_body, {{}, {m_owner.protection().budget(), policy::memory_kind::Body}});
     m_account.clear();
     m_verdict = verdict::Read;
     m_length = 0;
--- a/Tests/Forward/test_caller_limits.cpp
+++ b/Tests/Forward/test_caller_limits.cpp
@@ -1,3 +1,4 @@
+#include "LibForward/arriving_body.h"
 #include "LibForward/http_server.h"
 #include "LibForward/part_history.h"
 #include "forwarder_fixture.h"
@@ -83,6 +84,30 @@
     EXPECT_EQ(held(policy::memory_kind::Body), 0U);
 }
 
+/// Guards against the buffer of a refused body that stays while its connection closes: the memory
+/// counts as free and is given to others.
+TEST_F(caller_limits_test, BodyThatIsResetHoldsNoMemory)
+{
+    http_head begun;
+    begun.method = "POST";
+    begun.target = "/read/a";
+    begun.headers = {{"Host", "a.example"}, {"Content-Length", std::to_string(bodyBytes)}};
+    std::size_t reserved = 0;
+    std::size_t kept = 0;
+    inLoop([&] {
+        arriving_body body(*m_forwarder);
+        EXPECT_EQ(body.begin(begun, std::chrono::steady_clock::now()),
+                  arriving_body::check_result::Continue);
+        body.charge(body.wantedBytes(0));
+        reserved = body.bytes().capacity();
+        body.reset();
+        kept = body.bytes().capacity();
+    });
+    EXPECT_GE(reserved, bodyBytes);
+    EXPECT_EQ(kept, std::string().capacity());
+    EXPECT_EQ(held(policy::memory_kind::Body), 0U);
+}
+
 /// Guards against bodies in memory that no endpoint will get: without a route, or with a wrong key.
 TEST_F(caller_limits_test, BodiesWithoutRouteOrKeyAreNotStored)
 {
