LibHttp, LibPeer, quetzalcleatd: Free the buffers that are given back

- caller_server: the body of a request stays until its answer is read, though its charge was given back.
A caller who sends 4 MiB and reads slowly holds them beside the answer.
- completion_session: the prompt of a stream that cannot be resumed stays until the stream ends.
- connection: the buffer of a large frame between hosts stays for the life of the connection; the comment there says that it is freed.

--- a/Libraries/LibHttp/caller_server.cpp
+++ b/Libraries/LibHttp/caller_server.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <poll.h>
@@ -199,7 +200,8 @@
 
     const caller_request &request() const override { return m_request; }
 
-    void releaseBody() override { m_request.body = {}; }
+    // A plain assignment of an empty text would keep the buffer.
+    void releaseBody() override { std::exchange(m_request.body, {}); }
 
     void respond(response_head head, std::string body) override
     {
--- a/Libraries/LibPeer/connection.cpp
+++ b/Libraries/LibPeer/connection.cpp
@@ -5,6 +5,7 @@
 #include "LibPeer/peer_error.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <asio/post.hpp>
 #include <asio/read.hpp>
@@ -170,7 +171,7 @@
     m_lastReceived = currentTime();
     // Frees the buffer of a large frame, so that an idle connection does not hold the memory.
     if (m_frameBuffer.capacity() > 2 * fragmentBytes)
-        m_frameBuffer = {};
+        std::exchange(m_frameBuffer, {});
     if (m_state == connection_state::Handshake)
         return handleHandshake(content.value());
     return handleMessage(content.value());
--- a/Services/quetzalcleatd/completion_session.cpp
+++ b/Services/quetzalcleatd/completion_session.cpp
@@ -3,6 +3,8 @@
 #include "LibHttp/http_error.h"
 #include "quetzalcleatd/daemon_error.h"
 
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 namespace quetzalcleat::daemon {
@@ -318,7 +320,7 @@
         m_streaming = true;
         // The prompt is needed again only to resume the generation.
         if (!m_engine.canResume)
-            m_request.engineBody = {};
+            std::exchange(m_request.engineBody, {});
         m_exchange->startStream({200,
                                  {{"Content-Type", "text/event-stream"},
                                   {"Cache-Control", "no-cache"},
