--- a/Libraries/LibForward/http_reader.cpp
+++ b/Libraries/LibForward/http_reader.cpp
@@ -192,31 +192,25 @@
         return forward_error::HeaderTooLarge;
     if (m_parser->state.upgrade != 0)
         return forward_error::BadMessage;
-    switch (error) {
-    case HPE_OK:
-    case HPE_PAUSED:
+    if (error == HPE_OK || error == HPE_PAUSED)
         return {};
+    if (m_kind == message_kind::Request)
+        return forward_error::BadMessage;
+    switch (error) {
     // The parser may refuse a line before all of it has arrived.
     case HPE_INVALID_CONSTANT:
     case HPE_INVALID_VERSION:
     case HPE_INVALID_STATUS:
-        if (m_kind == message_kind::Response)
-            return core::response_error::StatusLine;
-        break;
+        return core::response_error::StatusLine;
     case HPE_INVALID_HEADER_TOKEN:
     case HPE_LF_EXPECTED:
-        if (m_kind == message_kind::Response)
-            return core::response_error::FieldLine;
-        break;
+        return core::response_error::FieldLine;
     case HPE_INVALID_CONTENT_LENGTH:
     case HPE_UNEXPECTED_CONTENT_LENGTH:
-        if (m_kind == message_kind::Response)
-            return core::response_error::Length;
-        break;
+        return core::response_error::Length;
     default:
-        break;
+        return forward_error::BadMessage;
     }
-    return forward_error::BadMessage;
 }
 
 bool http_reader::finish()
