LibCore: Keep one comparison without case and one parser of numbers

LibCore/text has the only ones now; the names stay visible in LibForward, whose parts use them in many places.

No change of behaviour: test_core, test_forward, test_http, test_tool and test_daemon pass. test_core has two new tests of them.

--- a/Libraries/LibCore/response_syntax.cpp
+++ b/Libraries/LibCore/response_syntax.cpp
@@ -1,8 +1,8 @@
 #include "LibCore/response_syntax.h"
 
+#include "LibCore/text.h"
+
 #include <algorithm>
-#include <cctype>
-#include <charconv>
 
 namespace quetzalcleat::core {
 
@@ -31,21 +31,6 @@
     return text;
 }
 
-bool equalsLowerCase(std::string_view text, std::string_view lowerCase)
-{
-    return std::ranges::equal(text, lowerCase, [](unsigned char left, char right) {
-        return std::tolower(left) == right;
-    });
-}
-
-bool isLength(std::string_view text)
-{
-    std::uint64_t length = 0;
-    const auto *const end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, length);
-    return parsed.ec == std::errc() && parsed.ptr == end;
-}
-
 } // namespace
 
 bool isText(std::string_view text)
@@ -120,13 +105,13 @@
 
 result<void> response_head_checker::addField(const field_line &field)
 {
-    if (equalsLowerCase(field.name, "content-length")) {
-        if (m_hasLength || !isLength(field.value))
+    if (equalsIgnoringCase(field.name, "content-length")) {
+        if (m_hasLength || !parseNumber(field.value))
             return response_error::Length;
         m_hasLength = true;
     }
-    if (equalsLowerCase(field.name, "transfer-encoding")) {
-        if (m_isChunked || !equalsLowerCase(field.value, "chunked"))
+    if (equalsIgnoringCase(field.name, "transfer-encoding")) {
+        if (m_isChunked || !equalsIgnoringCase(field.value, "chunked"))
             return response_error::TransferCoding;
         m_isChunked = true;
     }
--- a/Libraries/LibForward/http_head.cpp
+++ b/Libraries/LibForward/http_head.cpp
@@ -2,19 +2,9 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
-#include <charconv>
 
 namespace quetzalcleat::forward {
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right)
-{
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                      [](unsigned char first, unsigned char second) {
-                          return std::tolower(first) == std::tolower(second);
-                      });
-}
-
 bool containsToken(std::string_view value, std::string_view token)
 {
     while (!value.empty()) {
@@ -33,16 +23,6 @@
     return false;
 }
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t number = 0;
-    const auto *const end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(text.data(), end, number);
-    if (error != std::errc() || rest != end || text.empty())
-        return std::nullopt;
-    return number;
-}
-
 std::string_view http_head::value(std::string_view name) const
 {
     for (const auto &field : headers) {
--- a/Libraries/LibForward/http_head.h
+++ b/Libraries/LibForward/http_head.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <cstdint>
-#include <optional>
+#include "LibCore/text.h"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,14 +14,12 @@
     std::string value;
 };
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right);
+using core::equalsIgnoringCase;
+using core::parseNumber;
 
 /// Whether a comma-separated header value contains the token.
 bool containsToken(std::string_view value, std::string_view token);
 
-/// Parses a text that consists only of a non-negative decimal integer.
-std::optional<std::uint64_t> parseNumber(std::string_view text);
-
 /// First line and headers of a request or a response.
 struct http_head
 {
--- a/Libraries/LibHttp/message.cpp
+++ b/Libraries/LibHttp/message.cpp
@@ -1,20 +1,12 @@
 #include "LibHttp/message.h"
 
+#include "LibCore/text.h"
+
 #include <algorithm>
-#include <cctype>
 
 namespace quetzalcleat::http {
 
-namespace {
-
-bool equalsIgnoringCase(std::string_view left, std::string_view right)
-{
-    return std::ranges::equal(left, right, [](unsigned char first, unsigned char second) {
-        return std::tolower(first) == std::tolower(second);
-    });
-}
-
-} // namespace
+using core::equalsIgnoringCase;
 
 std::optional<std::string_view> findHeader(const header_list &headers, std::string_view name)
 {
--- a/Services/quetzalcleatd/service_call.cpp
+++ b/Services/quetzalcleatd/service_call.cpp
@@ -1,6 +1,7 @@
 #include "quetzalcleatd/service_call.h"
 
 #include "LibCore/hash.h"
+#include "LibCore/text.h"
 
 #include <algorithm>
 #include <array>
@@ -64,11 +65,8 @@
 
 bool isOneOf(std::string_view name, std::span<const std::string_view> names)
 {
-    return std::ranges::any_of(names, [name](std::string_view other) {
-        return std::ranges::equal(name, other, [](unsigned char left, unsigned char right) {
-            return std::tolower(left) == std::tolower(right);
-        });
-    });
+    return std::ranges::any_of(
+        names, [name](std::string_view other) { return core::equalsIgnoringCase(name, other); });
 }
 
 // Hop-by-hop headers (RFC 9110, section 7.6.1) and those that the router sets itself.
--- a/Tests/Core/test_core.cpp
+++ b/Tests/Core/test_core.cpp
@@ -2,6 +2,7 @@
 #include "LibCore/counter_registry.h"
 #include "LibCore/hash.h"
 #include "LibCore/result.h"
+#include "LibCore/text.h"
 
 #include <gtest/gtest.h>
 
@@ -34,6 +35,23 @@
               "# TYPE queue_length gauge\nqueue_length 2\n");
 }
 
+// Guards against lengths of messages that hosts and endpoints read differently.
+TEST(Text, ParsesOnlyWholeNumbers)
+{
+    EXPECT_EQ(core::parseNumber("0"), 0U);
+    EXPECT_EQ(core::parseNumber("18446744073709551615"), 18446744073709551615U);
+    for (const auto *text : {"", "+5", "-5", " 5", "5 ", "5,5", "0x5", "18446744073709551616"})
+        EXPECT_FALSE(core::parseNumber(text)) << text;
+}
+
+// Guards against a field that is not found for the case of its name.
+TEST(Text, ComparesWithoutCase)
+{
+    EXPECT_TRUE(core::equalsIgnoringCase("Content-Length", "content-LENGTH"));
+    EXPECT_FALSE(core::equalsIgnoringCase("Content-Length", "Content-Lengt"));
+    EXPECT_FALSE(core::equalsIgnoringCase("a_b", "a-b"));
+}
+
 // Guards against a result that loses its error.
 TEST(Result, CarriesErrors)
 {
