quetzalcleatd: End a graceful stop in progress when the entry shuts down

No caller saw anything: the process does not run its event loop after shutDown().

Cause: entry::shutDown() left the stop_sequence running. Its timer keeps it alive, so the event loop of the fixture, which runs once more while the daemon shuts down, could end the stop and call back.

shutDown() now abandons the stop: the timer is cancelled, a wait that has already expired does nothing, and the callback is released. The stop also no longer uses a daemon that was destroyed while its event loop goes on.

--- a/Services/quetzalcleatd/entry.h
+++ b/Services/quetzalcleatd/entry.h
@@ -82,9 +82,11 @@
     void beginStop(std::function<void(bool)> stopped) { m_stop->begin(std::move(stopped)); }
     void skipIdleWait() { m_stop->skipIdleWait(); }
 
-    /// Stops immediately, without waiting for requests in flight.
+    /// Stops immediately, without waiting for requests in flight. A graceful stop in progress
+    /// doesn't call back any more.
     void shutDown()
     {
+        m_stop->abandon();
         m_callers.closeListener();
         m_operators.closeListener();
         m_observer->stop();
--- a/Services/quetzalcleatd/stop_sequence.cpp
+++ b/Services/quetzalcleatd/stop_sequence.cpp
@@ -30,11 +30,21 @@
     wait(m_noticeTime, &stop_sequence::acceptWaiting);
 }
 
+void stop_sequence::abandon()
+{
+    if (!leaving())
+        return;
+    m_phase = phase::Stopped;
+    m_stopped = nullptr;
+    m_timer.cancel();
+}
+
 void stop_sequence::wait(std::chrono::milliseconds time, void (stop_sequence::*next)())
 {
     m_timer.expires_after(time);
     m_timer.async_wait([self = shared_from_this(), next](std::error_code error) {
-        if (!error)
+        // The timer may have expired before it was cancelled.
+        if (!error && self->m_phase != phase::Stopped)
             (self.get()->*next)();
     });
 }
--- a/Services/quetzalcleatd/stop_sequence.h
+++ b/Services/quetzalcleatd/stop_sequence.h
@@ -25,6 +25,10 @@
     /// Skips the wait for idle connections to close; requests in flight still complete.
     void skipIdleWait() { m_skipIdleWait = true; }
 
+    /// Ends a stop in progress without calling back. The environment and the server are not used
+    /// after this.
+    void abandon();
+
     bool leaving() const { return m_phase != phase::Live; }
 
 private:
--- a/Tests/Daemon/test_stop.cpp
+++ b/Tests/Daemon/test_stop.cpp
@@ -305,6 +305,17 @@
     EXPECT_EQ(m_control.abandoned.size(), 1U);
 }
 
+// Guards against a stop that calls back a caller that is gone, or uses a daemon that is gone.
+TEST_F(stop_test, ShutDownEndsAStopInProgress)
+{
+    const auto response = startWithStream();
+    beginStopAndAwaitClosedListener();
+    m_daemon->shutDown();
+    m_client.shutDown(); // Closes the last connection, which the stop waits for.
+    pass(std::chrono::milliseconds(100));
+    EXPECT_FALSE(m_stopped);
+}
+
 // Guards against a request on an idle connection that is taken while the process ends.
 TEST_F(stop_test, RefusesARequestAfterTheStopHasEnded)
 {
