Tests: Drop the handlers of a daemon test before its loop runs last

The destructor of daemon_fixture runs the event loop once more. A request that is still in transit then reaches a fake engine or the fake service, whose handler refers to locals of the test that are gone.

No test of the tree was seen to do this; each awaits its calls.

--- a/Tests/Daemon/daemon_fixture.cpp
+++ b/Tests/Daemon/daemon_fixture.cpp
@@ -89,6 +89,10 @@
 
 daemon_fixture::~daemon_fixture()
 {
+    // These refer to the test, which is destroyed already, while requests may still be in transit.
+    m_onServiceCall = nullptr;
+    for (const auto &engine : m_engines)
+        engine->onCompletion = nullptr;
     if (m_daemon)
         m_daemon->shutDown();
     m_client.shutDown();
