--- a/Libraries/LibCore/response_syntax.cpp
+++ b/Libraries/LibCore/response_syntax.cpp
@@ -23,14 +23,6 @@
         || (character >= 'A' && character <= 'Z') || marks.find(character) != marks.npos;
 }
 
-std::string_view withoutBlanks(std::string_view text)
-{
-    constexpr std::string_view blanks = " \t";
-    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
-    text.remove_suffix(text.size() - (text.find_last_not_of(blanks) + 1));
-    return text;
-}
-
 } // namespace
 
 bool isText(std::string_view text)
--- a/Libraries/LibCore/text.cpp
+++ b/Libraries/LibCore/text.cpp
@@ -13,6 +13,14 @@
     });
 }
 
+std::string_view withoutBlanks(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+    text.remove_suffix(text.size() - (text.find_last_not_of(blanks) + 1));
+    return text;
+}
+
 std::optional<std::uint64_t> parseNumber(std::string_view text)
 {
     std::uint64_t number = 0;
--- a/Libraries/LibForward/http_head.cpp
+++ b/Libraries/LibForward/http_head.cpp
@@ -9,12 +9,7 @@
 {
     while (!value.empty()) {
         const auto comma = value.find(',');
-        auto part = value.substr(0, comma);
-        while (!part.empty() && (part.front() == ' ' || part.front() == '\t'))
-            part.remove_prefix(1);
-        while (!part.empty() && (part.back() == ' ' || part.back() == '\t'))
-            part.remove_suffix(1);
-        if (equalsIgnoringCase(part, token))
+        if (equalsIgnoringCase(core::withoutBlanks(value.substr(0, comma)), token))
             return true;
         if (comma == std::string_view::npos)
             return false;
--- a/Tests/Core/test_core.cpp
+++ b/Tests/Core/test_core.cpp
@@ -52,6 +52,15 @@
     EXPECT_FALSE(core::equalsIgnoringCase("a_b", "a-b"));
 }
 
+// Guards against a field value or a list element that keeps or loses more than its outer blanks.
+TEST(Text, TrimsOnlySpacesAndTabsAtTheEnds)
+{
+    EXPECT_EQ(core::withoutBlanks(" \tclose, \tkeep-alive\t "), "close, \tkeep-alive");
+    EXPECT_EQ(core::withoutBlanks("\v0\r"), "\v0\r");
+    EXPECT_EQ(core::withoutBlanks(" \t "), "");
+    EXPECT_EQ(core::withoutBlanks(""), "");
+}
+
 // Guards against a result that loses its error.
 TEST(Result, CarriesErrors)
 {
