--- a/Services/quetzalcleatd/stop_sequence.cpp
+++ b/Services/quetzalcleatd/stop_sequence.cpp
@@ -32,7 +32,7 @@
 
 void stop_sequence::abandon()
 {
-    if (!leaving())
+    if (m_phase == phase::Live || m_phase == phase::Stopped)
         return;
     m_phase = phase::Stopped;
     m_stopped = nullptr;
--- a/Tests/Daemon/test_stop.cpp
+++ b/Tests/Daemon/test_stop.cpp
@@ -316,6 +316,24 @@
     EXPECT_FALSE(m_stopped);
 }
 
+// Guards against a callback that is destroyed while it runs.
+TEST_F(stop_test, CallbackMayShutDown)
+{
+    m_options.balancerNoticeTime = std::chrono::milliseconds(1);
+    m_options.idleCloseTime = std::chrono::milliseconds(1);
+    startDaemon();
+    const auto token = std::make_shared<int>();
+    long owners = 0;
+    m_daemon->beginStop([this, token, &owners](bool complete) {
+        m_daemon->shutDown();
+        owners = token.use_count();
+        m_stopped = complete;
+    });
+    await([&] { return m_stopped.has_value(); });
+    EXPECT_TRUE(*m_stopped);
+    EXPECT_EQ(owners, 2);
+}
+
 // Guards against a request on an idle connection that is taken while the process ends.
 TEST_F(stop_test, RefusesARequestAfterTheStopHasEnded)
 {
