LibPolicy: Confirm a crash only by losses near its time

What callers could see: sound requests refused for ten minutes. One host that had lost its own path to some engines reported their connections as broken. When these engines ended later, as in a release, other hosts lost them too, and each was taken for a crash with the parts of that time.

Cause: confirmCrashes() had no upper bound for the time of a loss that confirms a crash. Its bound is now the time for which hosts are asked about a crash.

Evidence: crash_witnesses.LaterEndConfirmsNoCrash failed before (a part was quarantined) and passes now.

--- a/Libraries/LibPolicy/part_quarantine.cpp
+++ b/Libraries/LibPolicy/part_quarantine.cpp
@@ -83,7 +83,7 @@
         const auto losses = m_losses.find(entry.incarnation);
         if (losses != m_losses.end()) {
             for (const auto &[host, at] : losses->second) {
-                if (at > entry.at - m_limits.crashSpan)
+                if (at > entry.at - m_limits.crashSpan && at < entry.at + m_limits.witnessTime)
                     entry.reporters.insert(host);
             }
         }
--- a/Tests/Policy/test_crash_witnesses.cpp
+++ b/Tests/Policy/test_crash_witnesses.cpp
@@ -39,10 +39,18 @@
     }
 
     /// The host cannot reach the engine, which runs.
-    void losePath(std::size_t host, const std::vector<part_id> &prompt)
+    std::string losePath(std::size_t host, const std::vector<part_id> &prompt)
     {
+        auto engine = "engine" + std::to_string(++m_engines);
         m_hosts[host].hasPath = false;
-        lose(m_hosts[host], "engine" + std::to_string(++m_engines), prompt);
+        lose(m_hosts[host], engine, prompt);
+        return engine;
+    }
+
+    /// The engine has ended, and a request of the host shows it.
+    void findEnded(std::size_t host, const std::string &engine)
+    {
+        m_hosts[host].losses[engine] = m_now;
     }
 
     /// Each host reports once an interval.
@@ -165,7 +173,7 @@
     for (int engine = 0; engine < 12; ++engine) {
         const auto prompt = *rc::gen::container<std::vector<part_id>>(
             3, rc::gen::inRange<part_id>(1, soundParts));
-        fleet.losePath(cutOff, prompt);
+        (void)fleet.losePath(cutOff, prompt);
         fleet.run(std::chrono::milliseconds(*rc::gen::inRange(0, 1000)));
         RC_ASSERT(!fleet.hasQuarantine());
     }
@@ -173,12 +181,27 @@
     RC_ASSERT(!fleet.hasQuarantine());
 }
 
+/// Guards against engines that one host has lost by its own path, and that end some time later, as
+/// in a release: that other hosts lose them then confirms no crash.
+TEST(crash_witnesses, LaterEndConfirmsNoCrash)
+{
+    reporting_fleet fleet(3);
+    std::vector<std::string> engines;
+    for (int count = 0; count < 3; ++count)
+        engines.push_back(fleet.losePath(0, {1, 2}));
+    fleet.run(15s);
+    for (const auto &engine : engines)
+        fleet.findEnded(1, engine);
+    fleet.run(4s);
+    EXPECT_FALSE(fleet.hasQuarantine());
+}
+
 /// Guards against engines that all hosts check at once: a few are asked, each for a short time.
 TEST(crash_witnesses, FewHostsAreAsked)
 {
     constexpr std::size_t hosts = 100;
     reporting_fleet fleet(hosts);
-    fleet.losePath(0, {deadly});
+    (void)fleet.losePath(0, {deadly});
     fleet.run(10s);
     constexpr std::size_t asksOfOneHost = 3; // In the time of two reports and the transit.
     EXPECT_GT(fleet.checks(), 0U);
