LibPolicy: Believe a single host only while no other reports

What callers could see: sound requests refused for ten minutes, because one host had lost its own path to three engines. Until the second host reports to a new leader, or after all other hosts have stopped, the first one was taken for a fleet of one host, and all its reports were believed, also those that other hosts had had the time to deny.

Cause: confirmCrashes() took the number of hosts of the moment. A single host now counts as alone once no other has reported for the time of an inquiry, and confirms only crashes since then.

Evidence: crash_witnesses.FirstHostOfANewLeaderConfirmsNoCrash and LastHostConfirmsNoEarlierCrash failed before (a part was quarantined) and pass now; part_quarantine_test.SingleHostIsBelieved still passes.

--- a/Libraries/LibPolicy/part_quarantine.cpp
+++ b/Libraries/LibPolicy/part_quarantine.cpp
@@ -73,17 +73,18 @@
     return m_limits.quarantineTime * (1 << std::min(releases, m_limits.maximumDoublings));
 }
 
-void part_quarantine::confirmCrashes(std::size_t hosts)
+void part_quarantine::confirmCrashes(bool hasSingleHost)
 {
-    // A single host cannot be confirmed by others.
-    const auto required = std::min(m_limits.minimumReporters, std::max(hosts, std::size_t{1}));
     for (auto &entry : m_crashes) {
         if (entry.isConfirmed)
             continue;
+        // A single host cannot be confirmed by others, but could be as long as there were others.
+        const bool canBeConfirmed = !hasSingleHost || entry.at < m_othersReportedAt;
+        const auto required = canBeConfirmed ? m_limits.minimumReporters : std::size_t{1};
         const auto losses = m_losses.find(entry.incarnation);
         if (losses != m_losses.end()) {
             for (const auto &[host, at] : losses->second) {
-                if (at > entry.at - m_limits.crashSpan && at < entry.at + m_limits.witnessTime)
+                if (at > entry.at - m_limits.crashSpan && at < entry.at + m_limits.confirmationTime)
                     entry.reporters.insert(host);
             }
         }
@@ -241,8 +242,11 @@
     if (m_updatedAt && now - *m_updatedAt < m_limits.updateInterval)
         return;
     m_updatedAt = now;
+    // At first, others may not have reported yet: hosts may have just begun to report here.
+    if (!m_othersReportedAt || conditions.hosts > 1)
+        m_othersReportedAt = now;
     forgetOld(now);
-    confirmCrashes(conditions.hosts);
+    confirmCrashes(now - *m_othersReportedAt >= inquiryTime(conditions));
     releaseAnswered();
     if (!m_crashes.empty() || !m_inquiries.empty())
         attribute(inquiryTime(conditions), now);
@@ -261,7 +265,7 @@
     std::vector<std::string> engines;
     for (auto &entry : m_crashes) {
         if (entry.isConfirmed || entry.reporters.contains(host)
-            || now - entry.at > m_limits.witnessTime)
+            || now - entry.at > m_limits.confirmationTime)
             continue;
         auto asked = entry.witnesses.find(host);
         if (asked == entry.witnesses.end()) {
--- a/Libraries/LibPolicy/part_quarantine.h
+++ b/Libraries/LibPolicy/part_quarantine.h
@@ -51,9 +51,9 @@
     /// Hosts that are asked whether an engine still runs that one host has lost. Enough that one of
     /// them answers if others end at the same time.
     std::size_t maximumWitnesses = 3;
-    /// Hosts are asked about crashes that are not older than this. The engine may have started
-    /// again later.
-    std::chrono::milliseconds witnessTime{10'000};
+    /// Hosts are asked about a crash, and their losses of the engine confirm it, for this long. It
+    /// may end for another reason later.
+    std::chrono::milliseconds confirmationTime{10'000};
     /// Reports of one incarnation within this time are of the same crash; it starts again later.
     std::chrono::milliseconds crashSpan{2000};
     /// Losses of engines are remembered for this long, to confirm crashes that are reported later.
@@ -86,8 +86,9 @@
 /// These crashes then count for no other part. Of equal parts, the one that no answer is known of
 /// comes first, then the one later in the prompt, which fewer other requests share.
 ///
-/// A crash counts once two hosts have lost the engine. While one has, some others are asked whether
-/// it still runs, as they may have no requests of their own that would show it.
+/// A crash counts once two hosts have lost the engine, unless only one reports at all. While one
+/// has, some others are asked whether it still runs, as they may have no requests of their own that
+/// would show it.
 ///
 /// Used on the host that all others report to. Does no I/O; time is passed in.
 class part_quarantine
@@ -153,7 +154,7 @@
 
     crash &crashOf(const std::string &incarnation, core::instant at);
     part_record &recordOf(part_id part, core::instant at);
-    void confirmCrashes(std::size_t hosts);
+    void confirmCrashes(bool hasSingleHost);
     bool countsFor(const crash &entry, part_id part) const;
     std::vector<candidate> candidates() const;
     void forgetOld(core::instant now);
@@ -171,6 +172,7 @@
     std::map<part_id, quarantine_entry> m_entries; ///< In force or released for a trial.
     std::set<part_id> m_inquiries;
     std::optional<core::instant> m_updatedAt;
+    std::optional<core::instant> m_othersReportedAt; ///< Last time that several hosts reported.
 };
 
 } // namespace quetzalcleat::policy
--- a/Tests/Policy/test_crash_witnesses.cpp
+++ b/Tests/Policy/test_crash_witnesses.cpp
@@ -53,15 +53,25 @@
         m_hosts[host].losses[engine] = m_now;
     }
 
-    /// Each host reports once an interval.
-    void run(std::chrono::milliseconds time)
+    /// Each host reports once an interval; nothing is heard of those after the first ones.
+    void run(std::chrono::milliseconds time, std::size_t reportingHosts)
     {
         const auto step = std::chrono::microseconds(interval) / static_cast<int>(m_hosts.size());
         for (const auto until = m_now + time; m_now < until; m_now += step) {
             m_turn = (m_turn + 1) % m_hosts.size();
-            report(m_hosts[m_turn]);
+            if (m_turn < reportingHosts)
+                report(m_hosts[m_turn], {reportingHosts, interval});
         }
     }
+    void run(std::chrono::milliseconds time) { run(time, m_hosts.size()); }
+
+    /// Another leader, which has no reports; the hosts repeat theirs.
+    void changeLeader()
+    {
+        m_quarantine = part_quarantine();
+        for (auto &reporter : m_hosts)
+            reporter.acknowledged = 0;
+    }
 
     /// No host has anything to report.
     void skip(std::chrono::milliseconds time) { m_now += time; }
@@ -85,6 +95,7 @@
         std::vector<suspect_part> suspects;
         std::map<std::string, core::instant> losses;
         bool hasPath = true;
+        std::size_t acknowledged = 0; ///< Of the suspects.
     };
 
     void lose(host &reporter, const std::string &engine, const std::vector<part_id> &prompt)
@@ -95,16 +106,14 @@
                 {engine, prompt[depth], static_cast<std::uint32_t>(depth), m_now});
     }
 
-    void report(host &reporter)
+    void report(host &reporter, const report_conditions &conditions)
     {
-        const report_conditions conditions{m_hosts.size(), interval};
         for (const auto &[engine, at] : reporter.losses) {
             if (m_now - at < lossReportTime)
                 m_quarantine.recordLoss(reporter.name, engine, m_now);
         }
-        for (const auto &suspect : reporter.suspects)
-            m_quarantine.recordSuspect(reporter.name, suspect);
-        reporter.suspects.clear();
+        for (; reporter.acknowledged < reporter.suspects.size(); ++reporter.acknowledged)
+            m_quarantine.recordSuspect(reporter.name, reporter.suspects[reporter.acknowledged]);
         m_quarantine.update(conditions, m_now);
         for (const auto &engine : m_quarantine.witnessInquiries(reporter.name, conditions, m_now)) {
             ++m_checks;
@@ -196,6 +205,33 @@
     EXPECT_FALSE(fleet.hasQuarantine());
 }
 
+/// Guards against a host that is believed without a witness, because it is the first one that
+/// reports to a new leader.
+TEST(crash_witnesses, FirstHostOfANewLeaderConfirmsNoCrash)
+{
+    reporting_fleet fleet(3);
+    for (int count = 0; count < 3; ++count)
+        (void)fleet.losePath(0, {1, 2});
+    fleet.run(1s);
+    EXPECT_FALSE(fleet.hasQuarantine());
+    fleet.changeLeader();
+    fleet.run(2 * reporting_fleet::interval, 1);
+    fleet.run(4s);
+    EXPECT_FALSE(fleet.hasQuarantine());
+}
+
+/// Guards against losses that no other host could confirm, and that are believed once the other
+/// hosts have stopped.
+TEST(crash_witnesses, LastHostConfirmsNoEarlierCrash)
+{
+    reporting_fleet fleet(2);
+    for (int count = 0; count < 3; ++count)
+        (void)fleet.losePath(0, {1, 2});
+    fleet.run(2s);
+    fleet.run(4s, 1);
+    EXPECT_FALSE(fleet.hasQuarantine());
+}
+
 /// Guards against engines that all hosts check at once: a few are asked, each for a short time.
 TEST(crash_witnesses, FewHostsAreAsked)
 {
