LibForward, LibPolicy: Tell parts of prompts apart by ids of any length

Cause: request_admission::promptSize() read ids into 64 bits and did not look at the result of from_chars(). Longer ids stayed 0, which stands for no part, so no crash was reported with them. Placement kept the time of the last request with "part 0" and took all long ids for cached.

Ruled out: the limits of the reports.

policy::parsePartId() is now the only reader of these ids. Numbers of up to 64 bits are kept, so logs and placement stay as they are for them; any other text is hashed. Parts without an id are never taken for cached.

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -8,10 +8,9 @@
 #include "LibPeer/configuration_lease.h"
 #include "LibPeer/crash_reporter.h"
 #include "LibPeer/peer_network.h"
+#include "LibPolicy/part_id.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -380,15 +379,6 @@
             m_forwarder->checkIsRunning(incarnation);
     }
 
-    /// As callers write it.
-    static std::string hexadecimal(policy::part_id part)
-    {
-        constexpr int base = 16;
-        std::array<char, 2 * sizeof(part)> digits{};
-        const auto end = std::to_chars(digits.begin(), digits.end(), part, base).ptr;
-        return {digits.begin(), end};
-    }
-
     /// Logs the parts that are in the first list only.
     void logQuarantine(const char *event, const std::vector<policy::quarantined_part> &parts,
                        const std::vector<policy::quarantined_part> &others)
@@ -402,7 +392,7 @@
             const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
                 entry.until - m_forwarder->now());
             m_log.write(event,
-                        {{"part", hexadecimal(entry.part)},
+                        {{"part", policy::toText(entry.part)},
                          {"left_ms", std::to_string(left.count())},
                          {"releases", std::to_string(entry.releases)},
                          {"leader", m_lease->leader()}});
--- a/Libraries/LibForward/endpoint_table.h
+++ b/Libraries/LibForward/endpoint_table.h
@@ -5,6 +5,7 @@
 #include "LibForward/part_history.h"
 #include "LibPolicy/endpoint_notices.h"
 #include "LibPolicy/load_estimate.h"
+#include "LibPolicy/part_id.h"
 #include "LibPolicy/pause_prediction.h"
 
 #include <chrono>
@@ -21,7 +22,7 @@
 /// One part of a prompt. A cached part can be used only if all parts before it are cached too.
 struct prompt_part
 {
-    std::uint64_t id = 0;
+    policy::part_id id = 0;
     std::uint32_t tokens = 0;
 };
 
--- a/Libraries/LibForward/part_history.cpp
+++ b/Libraries/LibForward/part_history.cpp
@@ -5,8 +5,10 @@
 
 namespace quetzalcleat::forward {
 
-void part_history::record(std::uint64_t part, core::instant now)
+void part_history::record(policy::part_id part, core::instant now)
 {
+    if (part == 0)
+        return;
     /// Between two searches for old entries.
     constexpr std::chrono::milliseconds interval = retention / 4;
     m_times[part] = now;
--- a/Libraries/LibForward/part_history.h
+++ b/Libraries/LibForward/part_history.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "LibCore/time.h"
+#include "LibPolicy/part_id.h"
 
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <unordered_map>
 
 namespace quetzalcleat::forward {
@@ -15,7 +15,7 @@
 class part_history
 {
 public:
-    using container = std::unordered_map<std::uint64_t, core::instant>;
+    using container = std::unordered_map<policy::part_id, core::instant>;
 
     /// As placement_options::cacheRetention.
     static constexpr std::chrono::milliseconds retention{60'000};
@@ -25,9 +25,10 @@
     /// Memory of an entry, with its share of the table.
     static constexpr std::size_t entryBytes = 48;
 
-    void record(std::uint64_t part, core::instant now);
+    /// Parts without an id are not kept, as they cannot be told apart.
+    void record(policy::part_id part, core::instant now);
 
-    container::const_iterator find(std::uint64_t part) const { return m_times.find(part); }
+    container::const_iterator find(policy::part_id part) const { return m_times.find(part); }
     container::const_iterator end() const { return m_times.end(); }
     bool empty() const { return m_times.empty(); }
     std::size_t size() const { return m_times.size(); }
--- a/Libraries/LibForward/request_admission.cpp
+++ b/Libraries/LibForward/request_admission.cpp
@@ -1,9 +1,9 @@
 #include "LibForward/request_admission.h"
 
 #include "LibCore/hash.h"
+#include "LibPolicy/part_id.h"
 
 #include <algorithm>
-#include <charconv>
 #include <string>
 #include <string_view>
 
@@ -75,14 +75,13 @@
     size.expectedOutputTokens = static_cast<std::uint32_t>(
         parseNumber(m_request.value(m_names.lengthEstimate)).value_or(size.outputTokens));
     auto rest = std::string_view(m_request.value(m_names.promptParts));
-    std::string_view shared;
+    policy::part_id shared = 0;
     while (!rest.empty()) {
         const auto end = rest.find(',');
         const auto entry = rest.substr(0, end);
         const auto colon = entry.find(':');
         prompt_part part;
-        const auto identifier = entry.substr(0, colon);
-        std::from_chars(identifier.data(), identifier.data() + identifier.size(), part.id, 16);
+        part.id = policy::parsePartId(entry.substr(0, colon));
         if (colon != std::string_view::npos)
             part.tokens
                 = static_cast<std::uint32_t>(parseNumber(entry.substr(colon + 1)).value_or(0));
@@ -90,11 +89,11 @@
         if (end == std::string_view::npos)
             break;
         // The last part is specific to this request or its session; the parts before it are shared.
-        shared = identifier;
+        shared = part.id;
         rest.remove_prefix(end + 1);
     }
-    if (!shared.empty())
-        result.sharedParts = core::hash64(shared) | 1U;
+    if (shared != 0)
+        result.sharedParts = core::hash64(policy::toText(shared)) | 1U;
     return result;
 }
 
--- a/Libraries/LibPolicy/part_quarantine.h
+++ b/Libraries/LibPolicy/part_quarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/time.h"
+#include "LibPolicy/part_id.h"
 
 #include <chrono>
 #include <cstddef>
@@ -13,9 +14,6 @@
 
 namespace quetzalcleat::policy {
 
-/// Names a part of a prompt that requests can share.
-using part_id = std::uint64_t;
-
 /// A part of a request that an engine was not yet answering when it crashed.
 struct suspect_part
 {
--- a/Tests/Fleet/test_crashing_parts.cpp
+++ b/Tests/Fleet/test_crashing_parts.cpp
@@ -122,12 +122,20 @@
     }
 
     /// A prompt of the subject that the deadly requests are about, unlike all others.
-    std::string soundParts() { return "aa:100,bb:50," + uniquePart(); }
+    std::string soundParts()
+    {
+        return m_idPrefix + "aa:100," + m_idPrefix + "bb:50," + uniquePart();
+    }
     std::string deadlyParts()
     {
-        return "aa:100," + std::string(deadlyPart) + ":10," + uniquePart();
+        return m_idPrefix + "aa:100," + m_idPrefix + deadlyPart + ":10," + uniquePart();
     }
 
+    /// The beginning of all ids of parts from now on.
+    void setIdPrefix(std::string prefix) { m_idPrefix = std::move(prefix); }
+
+    void expectDeadlyRequestsAreStopped();
+
     std::size_t crashes() const
     {
         std::size_t sum = 0;
@@ -148,7 +156,7 @@
     std::string uniquePart()
     {
         std::ostringstream text;
-        text << std::hex << (0x100000 + ++m_lastPart) << ":20";
+        text << m_idPrefix << std::hex << (0x100000 + ++m_lastPart) << ":20";
         return text.str();
     }
 
@@ -200,12 +208,13 @@
     core::socket_address m_listAddress;
     std::uint64_t m_lastRequest = 0;
     std::uint64_t m_lastPart = 0;
+    std::string m_idPrefix;
 };
 
-/// Guards against requests that crash one engine after the other: after the fifth crash by the same
-/// part of a prompt, and the time in which hosts learn of it, at most three more requests with it
-/// reach engines, while requests that share the other parts are served.
-TEST_F(crashing_parts_test, RequestsWithAPartThatCrashesEnginesAreStopped)
+/// After the fifth crash by the same part of a prompt, and the time in which hosts learn of it, at
+/// most three more requests with it reach engines, while requests that share the other parts are
+/// served.
+void crashing_parts_test::expectDeadlyRequestsAreStopped()
 {
     constexpr std::chrono::milliseconds contactTime = 4s;
     constexpr std::size_t toleratedCrashes = 5;
@@ -233,6 +242,19 @@
     }
 }
 
+/// Guards against requests that crash one engine after the other.
+TEST_F(crashing_parts_test, RequestsWithAPartThatCrashesEnginesAreStopped)
+{
+    expectDeadlyRequestsAreStopped();
+}
+
+/// Guards against parts that are told apart only by the first 16 digits of their ids (review/8).
+TEST_F(crashing_parts_test, RequestsWithALongIdThatCrashEnginesAreStopped)
+{
+    setIdPrefix("00112233445566778899aabbccdd");
+    expectDeadlyRequestsAreStopped();
+}
+
 /// Guards against a part that crashes engines to the end because only the host of the request finds
 /// that the engine has ended: here, no other request is under way at any host.
 TEST_F(crashing_parts_test, RequestsThatCrashEnginesAreStoppedWithoutOtherRequests)
