--- a/Libraries/LibPolicy/crash_witness.cpp
+++ b/Libraries/LibPolicy/crash_witness.cpp
@@ -57,12 +57,20 @@
 {
     for (const auto part : parts)
         m_answered[part] = now;
-    if (m_answered.size() <= m_limits.maximumAnswers)
-        return;
-    std::erase_if(m_answered,
-                  [&](const auto &entry) { return now - entry.second > m_limits.retention; });
     if (m_answered.size() > m_limits.maximumAnswers)
-        m_answered.clear();
+        forgetOldestAnswers();
+}
+
+/// Half of them at once, so that not every request sorts the answers.
+void crash_witness::forgetOldestAnswers()
+{
+    std::vector<core::instant> times;
+    times.reserve(m_answered.size());
+    for (const auto &[part, at] : m_answered)
+        times.push_back(at);
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    std::erase_if(m_answered, [&](const auto &entry) { return entry.second <= *middle; });
 }
 
 std::vector<crash_witness::report> crash_witness::reports(std::size_t maximum) const
--- a/Libraries/LibPolicy/crash_witness.h
+++ b/Libraries/LibPolicy/crash_witness.h
@@ -19,8 +19,8 @@
 {
     /// Between the broken connection and the discovery that the engine no longer runs, either way.
     std::chrono::milliseconds confirmationTime{5000};
-    /// Answers and reports are remembered for this long, like crashes in part_quarantine.
-    std::chrono::milliseconds retention{600'000};
+    /// Reports are remembered for this long, like crashes in part_quarantine.
+    std::chrono::milliseconds retention = std::chrono::hours(24);
     std::size_t maximumBroken = 512; ///< Parts that wait for the discovery.
     std::size_t maximumReports = 512;
     std::size_t maximumAnswers = 20'000;
@@ -78,6 +78,7 @@
 private:
     void addReport(suspect_part suspect);
     void forgetOld(core::instant now);
+    void forgetOldestAnswers();
 
     crash_witness_limits m_limits;
     std::deque<suspect_part> m_broken; ///< Of engines that may still run.
--- a/Libraries/LibPolicy/part_quarantine.cpp
+++ b/Libraries/LibPolicy/part_quarantine.cpp
@@ -18,6 +18,7 @@
             std::min_element(m_crashes.begin(), m_crashes.end(),
                              [](const crash &a, const crash &b) { return a.at < b.at; }));
     m_crashes.push_back({incarnation, at, {}, {}, false, {}, {}});
+    m_hasChanged = true;
     return m_crashes.back();
 }
 
@@ -49,19 +50,24 @@
         return;
     auto &depth = entry.parts[suspect.part];
     depth = std::max(depth, suspect.depth);
+    m_hasChanged = true;
     recordOf(suspect.part, suspect.at);
 }
 
 void part_quarantine::recordAnswer(part_id part, core::instant at)
 {
     auto &record = recordOf(part, at);
-    record.answeredAt = std::max(record.answeredAt.value_or(at), at);
+    if (record.answeredAt && *record.answeredAt >= at)
+        return;
+    record.answeredAt = at;
+    m_hasChanged = true;
 }
 
 void part_quarantine::adopt(const quarantined_part &entry, core::instant now)
 {
     if (entry.until <= now)
         return;
+    m_hasChanged = true;
     auto &known = m_entries[entry.part];
     known.until = std::max(known.until, entry.until);
     known.releases = std::max(known.releases, entry.releases);
@@ -89,6 +95,7 @@
             }
         }
         entry.isConfirmed = entry.reporters.size() >= required;
+        m_hasChanged = m_hasChanged || entry.isConfirmed;
     }
 }
 
@@ -149,13 +156,15 @@
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         auto &[part, known] = *entry;
         // After the release, one crash is enough. A part that crashes nothing is forgotten.
-        if (known.until <= now && now - known.until > lengthAfter(known.releases)) {
+        if (now - known.until > std::max(lengthAfter(known.releases), m_limits.retention)) {
             entry = m_entries.erase(entry);
+            m_hasChanged = true;
             continue;
         }
         if (known.until <= now && known.since < known.until) {
             known.since = known.until;
             ++known.releases;
+            m_hasChanged = true;
         }
         ++entry;
     }
@@ -248,8 +257,9 @@
     forgetOld(now);
     confirmCrashes(now - *m_othersReportedAt >= inquiryTime(conditions));
     releaseAnswered();
-    if (!m_crashes.empty() || !m_inquiries.empty())
+    if (m_hasChanged || !m_inquiries.empty())
         attribute(inquiryTime(conditions), now);
+    m_hasChanged = false;
 }
 
 /// Time in which each host is asked and answers.
--- a/Libraries/LibPolicy/part_quarantine.h
+++ b/Libraries/LibPolicy/part_quarantine.h
@@ -56,13 +56,14 @@
     std::chrono::milliseconds crashSpan{2000};
     /// Losses of engines are remembered for this long, to confirm crashes that are reported later.
     std::chrono::milliseconds lossRetention{10'000};
-    /// Crashes are remembered for this long.
-    std::chrono::milliseconds retention{600'000};
+    /// Crashes are remembered for this long, as requests with a part may be rare.
+    std::chrono::milliseconds retention = std::chrono::hours(24);
     /// Of the first quarantine, from the last crash; doubled each time that the part crashes an
     /// engine again after its release.
     std::chrono::milliseconds quarantineTime{600'000};
     std::uint32_t maximumDoublings = 5;
-    /// Between two decisions, which take time in proportion to the crashes and their parts.
+    /// Between two decisions, which take time in proportion to the crashes and their parts. Without
+    /// new reports and open inquiries there is nothing to decide.
     std::chrono::milliseconds updateInterval{200};
     std::size_t maximumLosses = 1024;
     std::size_t maximumCrashes = 128;
@@ -169,6 +170,7 @@
     std::map<part_id, part_record> m_parts;
     std::map<part_id, quarantine_entry> m_entries; ///< In force or released for a trial.
     std::set<part_id> m_inquiries;
+    bool m_hasChanged = false; ///< Since the last attribution.
     std::optional<core::instant> m_updatedAt;
     std::optional<core::instant> m_othersReportedAt; ///< Last time that several hosts reported.
 };
--- a/Tests/Policy/test_crash_witnesses.cpp
+++ b/Tests/Policy/test_crash_witnesses.cpp
@@ -171,6 +171,20 @@
     RC_ASSERT(late <= toleratedRequests);
 }
 
+/// Guards against a part that is never found because its first crash is forgotten before its third:
+/// with hours between the requests, the third crash is the last one before the quarantine.
+RC_GTEST_PROP(crash_witnesses, RarePartIsFound, ())
+{
+    const auto hosts = *rc::gen::inRange<std::size_t>(2, 12);
+    reporting_fleet fleet(hosts);
+    for (std::size_t crash = 0; crash < quarantine_limits().minimumCrashes; ++crash) {
+        fleet.skip(std::chrono::minutes(*rc::gen::inRange(1, 6 * 60)));
+        fleet.crash(*rc::gen::inRange<std::size_t>(0, hosts), {deadly}, 3s);
+        fleet.run(4s);
+    }
+    RC_ASSERT(fleet.refuses({deadly}));
+}
+
 /// Guards against a host that has lost only its own path to the engines and is taken to have seen
 /// crashes: nothing is quarantined.
 RC_GTEST_PROP(crash_witnesses, LostPathOfOneHostQuarantinesNothing, ())
--- a/Tests/Policy/test_part_quarantine.cpp
+++ b/Tests/Policy/test_part_quarantine.cpp
@@ -340,6 +340,18 @@
     EXPECT_EQ(answers[1].part, 3U);
 }
 
+/// Guards against a host that forgets all answers at once, so that sound parts seem to have none.
+TEST_F(crash_witness_test, NewestAnswersAreKept)
+{
+    constexpr part_id answers = 100'000;
+    for (part_id part = 1; part <= answers; ++part) {
+        witness.recordAnswered({part}, now);
+        now += 1ms;
+        witness.setInquiries({part, part > 100 ? part - 100 : part});
+        ASSERT_EQ(witness.answers().size(), 2U);
+    }
+}
+
 /// Guards against a quarantine that outlasts its time on a host that hears of no leader.
 TEST_F(crash_witness_test, QuarantineEnds)
 {
