Tests: Reset connections while requests are sent to the tool's host

The tool had no test of an answer without a length whose connection is reset while a long edit is being written, and the daemon none with a status at which libcurl stops to send.

--- a/Tests/Http/test_broken_answers.cpp
+++ b/Tests/Http/test_broken_answers.cpp
@@ -172,11 +172,13 @@
 TEST_F(early_answer_test, ResetAnswerWithoutLengthIsNotWhole)
 {
     constexpr int repetitions = 5;
-    for (int count = 0; count < repetitions; ++count) {
-        const auto seen = upload("HTTP/1.1 200 OK\r\n\r\npart", true);
-        ASSERT_TRUE(seen.end);
-        EXPECT_TRUE(seen.end->error);
-        EXPECT_TRUE(seen.end->maybeSent);
+    for (const std::string status : {"200 OK", "409 Conflict"}) {
+        for (int count = 0; count < repetitions; ++count) {
+            const auto seen = upload("HTTP/1.1 " + status + "\r\n\r\npart", true);
+            ASSERT_TRUE(seen.end);
+            EXPECT_TRUE(seen.end->error) << status;
+            EXPECT_TRUE(seen.end->maybeSent);
+        }
     }
 }
 
--- a/Tests/Tool/test_broken_answers.cpp
+++ b/Tests/Tool/test_broken_answers.cpp
@@ -102,6 +102,29 @@
     }
 }
 
+/// Guards against a verdict of which only a part has arrived, because the connection was reset
+/// while a long edit was still being written.
+TEST_F(operator_answer_test, ResetWhileTheEditIsSentIsNoVerdict)
+{
+    constexpr std::size_t editBytes = std::size_t{24} * 1024 * 1024;
+    constexpr int repetitions = 5;
+    for (const std::string status : {"200 OK", "409 Conflict"}) {
+        for (int count = 0; count < repetitions; ++count) {
+            std::thread host([&] {
+                auto connection = m_first.accept();
+                connection.readUntil("\r\n\r\n");
+                connection.send("HTTP/1.1 " + status + "\r\n\r\npart");
+                std::this_thread::sleep_for(std::chrono::milliseconds(50 * (count % 2)));
+                connection.reset();
+            });
+            const auto verdict = client(1).post("/v1/edits", std::string(editBytes, 'e'));
+            host.join();
+            ASSERT_FALSE(verdict) << status;
+            EXPECT_EQ(verdict.error(), tool::tool_error::AnswerLost) << status;
+        }
+    }
+}
+
 class sound_operator_answer : public operator_answer_test,
                               public testing::WithParamInterface<answer_case>
 {
