LibPolicy, LibPeer: Suspect every part of a prompt, however many it has

Cause: limits counted parts, and cut prompts. The leader kept the first 256 parts of a crash, a host the last 512 of all its reports, and a request for a lease took 64.

Reports now hold whole prompts. The limits of memory drop the oldest prompts at the hosts and the oldest crashes at the leader, which keeps a record only of parts that it asks the hosts about, the likeliest 512 at a time.

--- a/Libraries/LibPeer/crash_reporter.cpp
+++ b/Libraries/LibPeer/crash_reporter.cpp
@@ -52,7 +52,7 @@
     const auto reports = m_witness.reports(maximumSuspects);
     for (const auto &[number, suspect] : reports)
         request.crashSuspects.push_back(
-            {suspect.incarnation, suspect.part, suspect.depth, milliseconds(now - suspect.at)});
+            {suspect.incarnation, suspect.parts, milliseconds(now - suspect.at)});
     if (!reports.empty()) {
         m_sent[request.sequence] = reports.back().number;
         if (m_sent.size() > maximumOpenRequests)
@@ -100,9 +100,8 @@
             quarantine.recordLoss(host, load.incarnation, now);
     }
     for (const auto &suspect : request.crashSuspects)
-        quarantine.recordSuspect(host,
-                                 {suspect.incarnation, suspect.part, suspect.depth,
-                                  now - bounded(suspect.ageMilliseconds)});
+        quarantine.recordSuspect(
+            host, {suspect.incarnation, suspect.parts, now - bounded(suspect.ageMilliseconds)});
     for (const auto &answered : request.partAnswers)
         quarantine.recordAnswer(answered.part, now - bounded(answered.ageMilliseconds));
     for (const auto &known : partsOf(request.quarantinedParts, now))
--- a/Libraries/LibPeer/crash_reporter.h
+++ b/Libraries/LibPeer/crash_reporter.h
@@ -19,8 +19,8 @@
 class crash_reporter
 {
 public:
-    /// Suspects in one request; the rest follows in the next ones.
-    static constexpr std::size_t maximumSuspects = 64;
+    /// Suspect parts in one request; the rest follows in the next ones.
+    static constexpr std::size_t maximumSuspects = 4096;
 
     explicit crash_reporter(policy::crash_witness &witness) : m_witness(witness) { }
 
--- a/Libraries/LibPeer/message_fields.h
+++ b/Libraries/LibPeer/message_fields.h
@@ -66,7 +66,7 @@
 constexpr auto fieldsOf(std::type_identity<endpoint_changes>)
 { return std::tuple(&endpoint_changes::epoch, &endpoint_changes::version, &endpoint_changes::ageMilliseconds, &endpoint_changes::isComplete, &endpoint_changes::entries, &endpoint_changes::compressedEntries, &endpoint_changes::removed); }
 constexpr auto fieldsOf(std::type_identity<crash_suspect>)
-{ return std::tuple(&crash_suspect::incarnation, &crash_suspect::part, &crash_suspect::depth, &crash_suspect::ageMilliseconds); }
+{ return std::tuple(&crash_suspect::incarnation, &crash_suspect::parts, &crash_suspect::ageMilliseconds); }
 constexpr auto fieldsOf(std::type_identity<part_answer>)
 { return std::tuple(&part_answer::part, &part_answer::ageMilliseconds); }
 constexpr auto fieldsOf(std::type_identity<part_quarantine_notice>)
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -301,12 +301,12 @@
     bool operator==(const endpoint_changes &) const = default;
 };
 
-/// A part of a prompt that an engine was not yet answering when it crashed; see part_quarantine.h.
+/// The prompt of a request that an engine was not yet answering when it crashed; see
+/// part_quarantine.h.
 struct crash_suspect
 {
     std::string incarnation; ///< Of the engine.
-    std::uint64_t part = 0;
-    std::uint32_t depth = 0; ///< Number of parts before it in the prompt.
+    std::vector<std::uint64_t> parts;
     std::uint64_t ageMilliseconds = 0; ///< Since the crash.
 
     bool operator==(const crash_suspect &) const = default;
--- a/Libraries/LibPolicy/crash_witness.cpp
+++ b/Libraries/LibPolicy/crash_witness.cpp
@@ -5,9 +5,26 @@
 
 namespace quetzalcleat::policy {
 
+namespace {
+
+/// The newest entry stays in any case.
+template <typename Entry, typename PartCount>
+void dropOldest(std::deque<Entry> &entries, std::size_t maximumParts, PartCount &&partsOf)
+{
+    std::size_t parts = 0;
+    for (const auto &entry : entries)
+        parts += partsOf(entry);
+    while (parts > maximumParts && entries.size() > 1) {
+        parts -= partsOf(entries.front());
+        entries.pop_front();
+    }
+}
+
+} // namespace
+
 void crash_witness::forgetOld(core::instant now)
 {
-    std::erase_if(m_broken, [&](const suspect_part &entry) {
+    std::erase_if(m_broken, [&](const suspect_prompt &entry) {
         return now - entry.at > m_limits.confirmationTime;
     });
     std::erase_if(
@@ -16,28 +33,27 @@
         m_reports.pop_front();
 }
 
-void crash_witness::addReport(suspect_part suspect)
+void crash_witness::addReport(suspect_prompt suspect)
 {
-    if (m_reports.size() >= m_limits.maximumReports)
-        m_reports.pop_front();
     m_reports.push_back({++m_lastNumber, std::move(suspect)});
+    dropOldest(m_reports, m_limits.maximumParts,
+               [](const report &entry) { return entry.suspect.parts.size(); });
 }
 
 void crash_witness::recordBroken(const std::string &incarnation, const std::vector<part_id> &parts,
                                  core::instant now)
 {
     forgetOld(now);
-    const bool isLost = m_lost.contains(incarnation);
-    for (std::size_t depth = 0; depth < parts.size(); ++depth) {
-        suspect_part suspect{incarnation, parts[depth], static_cast<std::uint32_t>(depth), now};
-        if (isLost) {
-            addReport(std::move(suspect));
-            continue;
-        }
-        if (m_broken.size() >= m_limits.maximumBroken)
-            m_broken.pop_front();
-        m_broken.push_back(std::move(suspect));
+    if (parts.empty())
+        return;
+    suspect_prompt suspect{incarnation, parts, now};
+    if (m_lost.contains(incarnation)) {
+        addReport(std::move(suspect));
+        return;
     }
+    m_broken.push_back(std::move(suspect));
+    dropOldest(m_broken, m_limits.maximumParts,
+               [](const suspect_prompt &entry) { return entry.parts.size(); });
 }
 
 void crash_witness::recordLost(const std::string &incarnation, core::instant now)
@@ -45,7 +61,7 @@
     forgetOld(now);
     m_lost[incarnation] = now;
     const auto others
-        = std::stable_partition(m_broken.begin(), m_broken.end(), [&](const suspect_part &entry) {
+        = std::stable_partition(m_broken.begin(), m_broken.end(), [&](const suspect_prompt &entry) {
               return entry.incarnation == incarnation;
           });
     for (auto entry = m_broken.begin(); entry != others; ++entry)
@@ -73,12 +89,17 @@
     std::erase_if(m_answered, [&](const auto &entry) { return entry.second <= *middle; });
 }
 
-std::vector<crash_witness::report> crash_witness::reports(std::size_t maximum) const
+std::vector<crash_witness::report> crash_witness::reports(std::size_t maximumParts) const
 {
     std::vector<report> result;
+    std::size_t parts = 0;
     for (const auto &entry : m_reports) {
-        if (entry.number > m_acknowledged && result.size() < maximum)
-            result.push_back(entry);
+        if (entry.number <= m_acknowledged)
+            continue;
+        parts += entry.suspect.parts.size();
+        if (parts > maximumParts && !result.empty())
+            break;
+        result.push_back(entry);
     }
     return result;
 }
--- a/Libraries/LibPolicy/crash_witness.h
+++ b/Libraries/LibPolicy/crash_witness.h
@@ -21,8 +21,9 @@
     std::chrono::milliseconds confirmationTime{5000};
     /// Reports are remembered for this long, like crashes in part_quarantine.
     std::chrono::milliseconds retention = std::chrono::hours(24);
-    std::size_t maximumBroken = 512; ///< Parts that wait for the discovery.
-    std::size_t maximumReports = 512;
+    /// Of the requests that wait for the discovery, and of the reports; the oldest ones are
+    /// dropped.
+    std::size_t maximumParts = 32'768;
     std::size_t maximumAnswers = 20'000;
 };
 
@@ -37,7 +38,7 @@
     struct report
     {
         std::uint64_t number = 0;
-        suspect_part suspect;
+        suspect_prompt suspect;
     };
 
     struct answered_part
@@ -57,8 +58,9 @@
     /// An engine is answering a request with these parts.
     void recordAnswered(const std::vector<part_id> &parts, core::instant now);
 
-    /// Reports that are not acknowledged, the oldest first.
-    std::vector<report> reports(std::size_t maximum) const;
+    /// Reports that are not acknowledged, the oldest first. With more parts than the maximum only
+    /// if the first one has more.
+    std::vector<report> reports(std::size_t maximumParts) const;
     /// The reports up to this number have arrived.
     void acknowledge(std::uint64_t number);
     /// The receiver of the reports has changed and needs all of them.
@@ -76,12 +78,12 @@
                                                     core::instant now) const;
 
 private:
-    void addReport(suspect_part suspect);
+    void addReport(suspect_prompt suspect);
     void forgetOld(core::instant now);
     void forgetOldestAnswers();
 
     crash_witness_limits m_limits;
-    std::deque<suspect_part> m_broken; ///< Of engines that may still run.
+    std::deque<suspect_prompt> m_broken; ///< Of engines that may still run.
     std::map<std::string, core::instant> m_lost; ///< Engines that ended recently.
     std::deque<report> m_reports;
     std::uint64_t m_lastNumber = 0;
--- a/Libraries/LibPolicy/part_quarantine.cpp
+++ b/Libraries/LibPolicy/part_quarantine.cpp
@@ -22,9 +22,22 @@
     return m_crashes.back();
 }
 
+void part_quarantine::limitCrashParts()
+{
+    const auto isOlder = [](const crash &a, const crash &b) { return a.at < b.at; };
+    std::size_t parts = 0;
+    for (const auto &entry : m_crashes)
+        parts += entry.parts.size();
+    while (parts > m_limits.maximumCrashParts && m_crashes.size() > 1) {
+        const auto oldest = std::min_element(m_crashes.begin(), m_crashes.end(), isOlder);
+        parts -= oldest->parts.size();
+        m_crashes.erase(oldest);
+    }
+}
+
 part_quarantine::part_record &part_quarantine::recordOf(part_id part, core::instant at)
 {
-    if (m_parts.size() >= m_limits.maximumParts && !m_parts.contains(part))
+    if (m_parts.size() >= m_limits.maximumRecords && !m_parts.contains(part))
         m_parts.erase(
             std::min_element(m_parts.begin(), m_parts.end(), [](const auto &a, const auto &b) {
                 return a.second.lastChange < b.second.lastChange;
@@ -42,16 +55,17 @@
     m_losses[incarnation][host] = at;
 }
 
-void part_quarantine::recordSuspect(const std::string &host, const suspect_part &suspect)
+void part_quarantine::recordSuspect(const std::string &host, const suspect_prompt &suspect)
 {
     auto &entry = crashOf(suspect.incarnation, suspect.at);
     entry.reporters.insert(host);
-    if (entry.parts.size() >= m_limits.maximumPartsPerCrash && !entry.parts.contains(suspect.part))
-        return;
-    auto &depth = entry.parts[suspect.part];
-    depth = std::max(depth, suspect.depth);
+    std::uint32_t before = 0;
+    for (const auto part : suspect.parts) {
+        auto &depth = entry.parts[part];
+        depth = std::max(depth, before++);
+    }
     m_hasChanged = true;
-    recordOf(suspect.part, suspect.at);
+    limitCrashParts();
 }
 
 void part_quarantine::recordAnswer(part_id part, core::instant at)
@@ -111,10 +125,10 @@
     return known == m_entries.end() || entry.at >= known->second.since;
 }
 
-/// The parts of the crashes that are attributed to no part yet.
+/// The parts of the crashes that are attributed to no part yet, if they lack one crash at most.
 std::vector<part_quarantine::candidate> part_quarantine::candidates() const
 {
-    std::map<part_id, candidate> found;
+    std::unordered_map<part_id, candidate> found;
     for (const auto &entry : m_crashes) {
         if (entry.cause || !entry.isConfirmed)
             continue;
@@ -129,8 +143,9 @@
         }
     }
     std::vector<candidate> result;
-    result.reserve(found.size());
     for (auto &[part, known] : found) {
+        if (known.crashes + 1 < requiredCrashes(part))
+            continue;
         const auto record = m_parts.find(part);
         known.wasAnswered = record != m_parts.end() && record->second.answeredAt.has_value();
         result.push_back(known);
@@ -199,19 +214,11 @@
         }
     };
     for (;;) {
-        m_inquiries.clear();
         const auto ordered = candidates();
+        chooseInquiries(ordered, now);
         const auto due = std::find_if(ordered.begin(), ordered.end(), [&](const candidate &entry) {
             return entry.crashes >= requiredCrashes(entry.part);
         });
-        // One crash less is enough to ask, so that the answers are known by the next crash.
-        for (const auto &entry : ordered) {
-            const auto required = requiredCrashes(entry.part);
-            const bool isEarly = entry.crashes + 1 == required
-                && now - entry.lastCrash < m_limits.earlyInquiryTime;
-            if (entry.crashes >= required || isEarly)
-                m_inquiries.insert(entry.part);
-        }
         if (due == ordered.end())
             break;
         auto &record = recordOf(due->part, due->lastCrash);
@@ -241,9 +248,31 @@
     for (auto &[part, record] : m_parts) {
         if (!m_inquiries.contains(part))
             record.inquiredAt.reset();
-        else if (!record.inquiredAt)
-            record.inquiredAt = now;
     }
+    for (const auto part : m_inquiries) {
+        auto &record = recordOf(part, now);
+        record.inquiredAt = record.inquiredAt.value_or(now);
+    }
+}
+
+/// Those that lack no crash come first. One crash less is enough to ask, so that the answers are
+/// known by the next crash.
+void part_quarantine::chooseInquiries(const std::vector<candidate> &ordered, core::instant now)
+{
+    m_inquiries.clear();
+    const auto addIf = [&](auto &&condition) {
+        for (const auto &entry : ordered) {
+            if (m_inquiries.size() >= m_limits.maximumInquiries)
+                return;
+            if (condition(entry))
+                m_inquiries.insert(entry.part);
+        }
+    };
+    addIf([&](const candidate &entry) { return entry.crashes >= requiredCrashes(entry.part); });
+    addIf([&](const candidate &entry) {
+        return entry.crashes + 1 == requiredCrashes(entry.part)
+            && now - entry.lastCrash < m_limits.earlyInquiryTime;
+    });
 }
 
 void part_quarantine::update(const report_conditions &conditions, core::instant now)
--- a/Libraries/LibPolicy/part_quarantine.h
+++ b/Libraries/LibPolicy/part_quarantine.h
@@ -10,16 +10,17 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace quetzalcleat::policy {
 
-/// A part of a request that an engine was not yet answering when it crashed.
-struct suspect_part
+/// The prompt of a request that an engine was not yet answering when it crashed.
+struct suspect_prompt
 {
     std::string incarnation; ///< Of the engine.
-    part_id part = 0;
-    std::uint32_t depth = 0; ///< Number of parts before it in the prompt.
+    /// In the order of the prompt. Parts that no other request can have are left out.
+    std::vector<part_id> parts;
     core::instant at; ///< When the connection to the engine broke.
 };
 
@@ -67,8 +68,11 @@
     std::chrono::milliseconds updateInterval{200};
     std::size_t maximumLosses = 1024;
     std::size_t maximumCrashes = 128;
-    std::size_t maximumPartsPerCrash = 256;
-    std::size_t maximumParts = 10'000;
+    /// Of all crashes together; the oldest ones are forgotten.
+    std::size_t maximumCrashParts = 65'536;
+    /// Parts that the hosts are asked about at the same time.
+    std::size_t maximumInquiries = 512;
+    std::size_t maximumRecords = 10'000; ///< Of parts that the hosts were asked about.
 };
 
 /// How hosts report to a part_quarantine.
@@ -97,7 +101,7 @@
 
     /// A host has found that an engine no longer runs.
     void recordLoss(const std::string &host, const std::string &incarnation, core::instant at);
-    void recordSuspect(const std::string &host, const suspect_part &suspect);
+    void recordSuspect(const std::string &host, const suspect_prompt &suspect);
     /// An engine was answering a request with this part.
     void recordAnswer(part_id part, core::instant at);
     /// What a host was told by another instance of this table.
@@ -123,7 +127,7 @@
         std::set<std::string> reporters;
         std::map<std::string, core::instant> witnesses; ///< When each host was first asked.
         bool isConfirmed = false; ///< By enough hosts.
-        std::map<part_id, std::uint32_t> parts; ///< With their depth.
+        std::unordered_map<part_id, std::uint32_t> parts; ///< With the number of parts before them.
         std::optional<part_id> cause; ///< The quarantined part that it is attributed to.
     };
 
@@ -152,6 +156,7 @@
     };
 
     crash &crashOf(const std::string &incarnation, core::instant at);
+    void limitCrashParts();
     part_record &recordOf(part_id part, core::instant at);
     void confirmCrashes(bool hasSingleHost);
     bool countsFor(const crash &entry, part_id part) const;
@@ -159,6 +164,7 @@
     void forgetOld(core::instant now);
     void releaseAnswered();
     void attribute(std::chrono::milliseconds answerTime, core::instant now);
+    void chooseInquiries(const std::vector<candidate> &ordered, core::instant now);
     std::size_t requiredCrashes(part_id part) const;
     std::chrono::milliseconds lengthAfter(std::uint32_t releases) const;
     std::chrono::milliseconds inquiryTime(const report_conditions &conditions) const;
--- a/Tests/Fleet/test_crashing_parts.cpp
+++ b/Tests/Fleet/test_crashing_parts.cpp
@@ -128,12 +128,18 @@
     }
     std::string deadlyParts()
     {
-        return m_idPrefix + "aa:100," + m_idPrefix + deadlyPart + ":10," + uniquePart();
+        std::string parts = m_idPrefix + "aa:100,";
+        for (int index = 0; index < m_partsBefore; ++index)
+            parts += uniquePart() + ',';
+        return parts + m_idPrefix + deadlyPart + ":10," + uniquePart();
     }
 
     /// The beginning of all ids of parts from now on.
     void setIdPrefix(std::string prefix) { m_idPrefix = std::move(prefix); }
 
+    /// Of their own, in front of the deadly one.
+    void setPartsBefore(int parts) { m_partsBefore = parts; }
+
     void expectDeadlyRequestsAreStopped();
 
     std::size_t crashes() const
@@ -209,6 +215,7 @@
     std::uint64_t m_lastRequest = 0;
     std::uint64_t m_lastPart = 0;
     std::string m_idPrefix;
+    int m_partsBefore = 0;
 };
 
 /// After the fifth crash by the same part of a prompt, and the time in which hosts learn of it, at
@@ -255,6 +262,13 @@
     expectDeadlyRequestsAreStopped();
 }
 
+/// Guards against a part that is not reported because many others stand before it (review/9).
+TEST_F(crashing_parts_test, RequestsWithManyPartsThatCrashEnginesAreStopped)
+{
+    setPartsBefore(900);
+    expectDeadlyRequestsAreStopped();
+}
+
 /// Guards against a part that crashes engines to the end because only the host of the request finds
 /// that the engine has ended: here, no other request is under way at any host.
 TEST_F(crashing_parts_test, RequestsThatCrashEnginesAreStoppedWithoutOtherRequests)
--- a/Tests/Peer/test_crash_reporter.cpp
+++ b/Tests/Peer/test_crash_reporter.cpp
@@ -1,4 +1,9 @@
 #include "LibPeer/crash_reporter.h"
+#include "LibPeer/frame.h"
+#include "LibPeer/message_codec.h"
+
+#include <numeric>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -43,7 +48,7 @@
     EXPECT_EQ(request().crashSuspects.size(), 1U);
     const auto sent = request();
     ASSERT_EQ(sent.crashSuspects.size(), 1U);
-    EXPECT_EQ(sent.crashSuspects[0].part, 5U);
+    EXPECT_EQ(sent.crashSuspects[0].parts, std::vector<std::uint64_t>{5});
     // No answer of a leader.
     reporter.read("follower", answerOf(0, sent.sequence), now);
     EXPECT_EQ(request().crashSuspects.size(), 1U);
@@ -84,11 +89,35 @@
     EXPECT_FALSE(witness.findQuarantined({7}, now));
 }
 
+/// Guards against prompts of which the leader gets a part only (review/9): the longest ones that a
+/// head of 64 KiB holds arrive whole, one in each request.
+TEST_F(crash_reporter_test, LongPromptsArriveWhole)
+{
+    constexpr std::size_t prompts = 2;
+    constexpr std::size_t longest = 64 * 1024 / 4;
+    reporter.read("leader", answerOf(1, request().sequence), now);
+    std::vector<std::uint64_t> parts(longest);
+    std::iota(parts.begin(), parts.end(), std::uint64_t{1} << 63U);
+    for (std::size_t count = 0; count < prompts; ++count)
+        witness.recordBroken("engine", parts, now);
+    witness.recordLost("engine", now);
+    for (std::size_t count = 0; count < prompts; ++count) {
+        const auto sent = request();
+        ASSERT_EQ(sent.crashSuspects.size(), 1U);
+        EXPECT_EQ(sent.crashSuspects[0].parts, parts);
+        const auto encoded = encodeMessage(sent);
+        EXPECT_LT(encoded.size(), maximumFrameBytes);
+        EXPECT_EQ(decodeMessage(encoded).value(), message(sent));
+        reporter.read("leader", answerOf(1, sent.sequence), now);
+    }
+    EXPECT_TRUE(request().crashSuspects.empty());
+}
+
 /// Guards against ages that a host makes up: they are bounded.
 TEST_F(crash_reporter_test, HugeAgesAreBounded)
 {
     configuration_lease_request sent;
-    sent.crashSuspects = {{"engine", 5, 0, ~std::uint64_t{0}}};
+    sent.crashSuspects = {{"engine", {5}, ~std::uint64_t{0}}};
     sent.partAnswers = {{5, ~std::uint64_t{0}}};
     sent.quarantinedParts = {{6, ~std::uint64_t{0}, ~std::uint32_t{0}}};
     policy::part_quarantine quarantine;
--- a/Tests/Policy/test_crash_witnesses.cpp
+++ b/Tests/Policy/test_crash_witnesses.cpp
@@ -92,7 +92,7 @@
     struct host
     {
         std::string name;
-        std::vector<suspect_part> suspects;
+        std::vector<suspect_prompt> suspects;
         std::map<std::string, core::instant> losses;
         bool hasPath = true;
         std::size_t acknowledged = 0; ///< Of the suspects.
@@ -101,9 +101,7 @@
     void lose(host &reporter, const std::string &engine, const std::vector<part_id> &prompt)
     {
         reporter.losses[engine] = m_now;
-        for (std::size_t depth = 0; depth < prompt.size(); ++depth)
-            reporter.suspects.push_back(
-                {engine, prompt[depth], static_cast<std::uint32_t>(depth), m_now});
+        reporter.suspects.push_back({engine, prompt, m_now});
     }
 
     void report(host &reporter, const report_conditions &conditions)
--- a/Tests/Policy/test_part_quarantine.cpp
+++ b/Tests/Policy/test_part_quarantine.cpp
@@ -24,11 +24,8 @@
     void crash(const std::vector<std::vector<part_id>> &prompts)
     {
         const auto engine = "engine" + std::to_string(++m_engines);
-        for (const auto &prompt : prompts) {
-            for (std::size_t depth = 0; depth < prompt.size(); ++depth)
-                quarantine.recordSuspect(
-                    "one", {engine, prompt[depth], static_cast<std::uint32_t>(depth), now});
-        }
+        for (const auto &prompt : prompts)
+            quarantine.recordSuspect("one", {engine, prompt, now});
         quarantine.recordLoss("two", engine, now);
     }
 
@@ -147,7 +144,7 @@
 TEST_F(part_quarantine_test, LossesOfOneHostAreNoCrashes)
 {
     for (int engine = 0; engine < 9; ++engine)
-        quarantine.recordSuspect("one", {"engine" + std::to_string(engine), deadly, 0, now});
+        quarantine.recordSuspect("one", {"engine" + std::to_string(engine), {deadly}, now});
     wait(5s);
     EXPECT_TRUE(quarantined().empty());
 }
@@ -156,7 +153,7 @@
 TEST_F(part_quarantine_test, SingleHostIsBelieved)
 {
     for (int engine = 0; engine < 3; ++engine)
-        quarantine.recordSuspect("one", {"engine" + std::to_string(engine), deadly, 0, now});
+        quarantine.recordSuspect("one", {"engine" + std::to_string(engine), {deadly}, now});
     for (int step = 0; step < 10; ++step, now += 250ms)
         quarantine.update({1, 250ms}, now);
     EXPECT_EQ(quarantined(), parts{deadly});
@@ -166,8 +163,8 @@
 TEST_F(part_quarantine_test, ReportsOfOneCrashCountOnce)
 {
     for (int count = 0; count < 5; ++count, now += 300ms) {
-        quarantine.recordSuspect("one", {"engine", deadly, 0, now});
-        quarantine.recordSuspect("two", {"engine", deadly, 0, now});
+        quarantine.recordSuspect("one", {"engine", {deadly}, now});
+        quarantine.recordSuspect("two", {"engine", {deadly}, now});
     }
     wait(5s);
     EXPECT_TRUE(quarantined().empty());
@@ -177,8 +174,8 @@
 TEST_F(part_quarantine_test, CrashesOfOneEngineAtDifferentTimesCount)
 {
     for (int count = 0; count < 3; ++count) {
-        quarantine.recordSuspect("one", {"engine", deadly, 0, now});
-        quarantine.recordSuspect("two", {"engine", deadly, 0, now});
+        quarantine.recordSuspect("one", {"engine", {deadly}, now});
+        quarantine.recordSuspect("two", {"engine", {deadly}, now});
         wait(4s);
     }
     EXPECT_EQ(quarantined(), parts{deadly});
@@ -257,17 +254,19 @@
     core::instant now{1h};
     constexpr part_id deadly = 100;
     constexpr part_id subjects = 5;
-    const auto deadlyDepth = *rc::gen::inRange<std::uint32_t>(0, 3);
+    const bool deadlyComesFirst = *rc::gen::arbitrary<bool>();
     const auto crashes = *rc::gen::container<std::vector<std::pair<part_id, int>>>(
         8, rc::gen::pair(rc::gen::inRange<part_id>(1, subjects), rc::gen::inRange(0, 4)));
     int engine = 0;
     for (const auto &[subject, waiting] : crashes) {
         const auto name = std::to_string(++engine);
         for (const char *host : {"one", "two"}) {
-            quarantine.recordSuspect(host, {name, subject, 1, now});
-            quarantine.recordSuspect(host, {name, deadly, deadlyDepth, now});
+            std::vector<part_id> prompt{subject, deadly};
+            if (deadlyComesFirst)
+                std::swap(prompt[0], prompt[1]);
+            quarantine.recordSuspect(host, {name, prompt, now});
             for (int other = 0; other < waiting; ++other)
-                quarantine.recordSuspect(host, {name, static_cast<part_id>(other + 1), 0, now});
+                quarantine.recordSuspect(host, {name, {static_cast<part_id>(other + 1)}, now});
         }
         now += 300ms;
         quarantine.update({2, 250ms}, now);
@@ -281,6 +280,41 @@
     RC_ASSERT(quarantine.quarantined(now).size() == 1U);
 }
 
+/// Guards against a part that is never suspected because it stands behind many others, or before
+/// them (review/9): it is found wherever it stands in the longest prompts, while the others, which
+/// sound requests share, stay free.
+RC_GTEST_PROP(part_quarantine, PartIsFoundAmongManyOthers, ())
+{
+    constexpr std::size_t longest = 4096;
+    constexpr part_id deadly = 1'000'000;
+    constexpr report_conditions conditions{2, 250ms};
+    const auto others = *rc::gen::inRange<std::size_t>(0, longest);
+    const auto shared = *rc::gen::inRange<std::size_t>(0, others + 1);
+    const auto depth = *rc::gen::inRange<std::size_t>(0, others + 1);
+    part_quarantine quarantine;
+    core::instant now{1h};
+    part_id unique = shared;
+    for (std::size_t crash = 0; crash < quarantine_limits().minimumCrashes; ++crash) {
+        const auto engine = std::to_string(crash);
+        std::vector<part_id> prompt;
+        for (std::size_t index = 0; index < others; ++index)
+            prompt.push_back(index < shared ? index + 1 : ++unique);
+        prompt.insert(prompt.begin() + static_cast<std::ptrdiff_t>(depth), deadly);
+        quarantine.recordSuspect("one", {engine, prompt, now});
+        quarantine.recordLoss("two", engine, now);
+        for (const auto end = now + 10s; now < end; now += conditions.interval) {
+            quarantine.update(conditions, now);
+            for (const auto part : quarantine.inquiries()) {
+                if (part <= shared)
+                    quarantine.recordAnswer(part, now);
+            }
+        }
+    }
+    const auto found = quarantine.quarantined(now);
+    RC_ASSERT(found.size() == 1U);
+    RC_ASSERT(found[0].part == deadly);
+}
+
 /// What one host has seen.
 class crash_witness_test : public testing::Test
 {
@@ -289,7 +323,7 @@
     {
         std::vector<part_id> found;
         for (const auto &entry : witness.reports(100))
-            found.push_back(entry.suspect.part);
+            found.insert(found.end(), entry.suspect.parts.begin(), entry.suspect.parts.end());
         return found;
     }
 
@@ -317,7 +351,8 @@
 /// Guards against reports that are lost with a request, or that a new leader never gets.
 TEST_F(crash_witness_test, ReportsAreRepeatedUntilAcknowledged)
 {
-    witness.recordBroken("engine", {1, 2}, now);
+    witness.recordBroken("engine", {1}, now);
+    witness.recordBroken("engine", {2}, now);
     witness.recordLost("engine", now);
     witness.acknowledge(1);
     EXPECT_EQ(reported(), parts{2});
