--- a/Tests/Policy/test_crash_witnesses.cpp
+++ b/Tests/Policy/test_crash_witnesses.cpp
@@ -207,9 +207,9 @@
 TEST(crash_witnesses, LaterEndConfirmsNoCrash)
 {
     reporting_fleet fleet(3);
-    std::vector<std::string> engines;
-    for (int count = 0; count < 3; ++count)
-        engines.push_back(fleet.losePath(0, {1, 2}));
+    std::vector<std::string> engines(3);
+    for (auto &engine : engines)
+        engine = fleet.losePath(0, {1, 2});
     fleet.run(15s);
     for (const auto &engine : engines)
         fleet.findEnded(1, engine);
