--- a/Tests/Platform/test_platform_dialect.cpp
+++ b/Tests/Platform/test_platform_dialect.cpp
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 using namespace quetzalcleat;
 using platform::platform_dialect;
@@ -79,12 +80,12 @@
 TEST(platform_dialect, SkipsListEntriesThatCannotBeRead)
 {
     const auto page = platform_dialect::readEndpointListPage(R"({"instances":[
-        {"service":"s","address":"10.0.0.9:8080","zone":"z","capacity":64,"state":"ready","id":"i1"},
-        {"service":"s","address":"10.0.0.9","zone":"z","state":"ready","id":"i2"},
-        {"service":"s","address":"10.0.0.9:80","state":"paused","id":"i3"},
-        {"service":7,"address":"10.0.0.9:80","state":"ready","id":"i4"},
+        {"service":"s","version":"v1","warmup-left-ms":0,"address":"10.0.0.9:8080","zone":"z","capacity":64,"state":"ready","id":"i1"},
+        {"service":"s","version":"v1","warmup-left-ms":0,"capacity":64,"address":"10.0.0.9","zone":"z","state":"ready","id":"i2"},
+        {"service":"s","version":"v1","warmup-left-ms":0,"zone":"z","capacity":64,"address":"10.0.0.9:80","state":"paused","id":"i3"},
+        {"service":7,"version":"v1","warmup-left-ms":0,"zone":"z","capacity":64,"address":"10.0.0.9:80","state":"ready","id":"i4"},
         "text", null,
-        {"service":"s","address":"10.0.0.8:80","state":"draining","id":"i5"}],"next":"p-50"})");
+        {"service":"s","version":"v1","warmup-left-ms":0,"zone":"z","capacity":64,"address":"10.0.0.8:80","state":"draining","id":"i5"}],"next":"p-50"})");
     ASSERT_TRUE(page);
     ASSERT_EQ(page.value().endpoints.size(), 2U);
     EXPECT_EQ(page.value().skipped, 5U);
@@ -96,14 +97,39 @@
     EXPECT_FALSE(platform_dialect::readEndpointListPage("{}"));
 }
 
+/// Guards against an entry of another writer, which lacks fields, that names an endpoint to use
+/// (review/6).
+TEST(platform_dialect, EntriesWithoutAFieldAreSkipped)
+{
+    const std::string whole
+        = R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","capacity":64,"state":"ready","warmup-left-ms":0,"id":"i1"})";
+    const auto entry = nlohmann::json::parse(whole);
+    for (const auto &[name, value] : entry.items()) {
+        auto lacking = entry;
+        lacking.erase(name);
+        auto empty = entry;
+        empty[name] = nullptr;
+        auto other = entry;
+        other[name] = value.is_string() ? nlohmann::json(7) : nlohmann::json("7");
+        for (const auto &odd : {lacking, empty, other}) {
+            SCOPED_TRACE(odd.dump());
+            const auto page = platform_dialect::readEndpointListPage(
+                R"({"instances":[)" + odd.dump() + "," + whole + "]}");
+            ASSERT_TRUE(page);
+            EXPECT_EQ(page.value().endpoints.size(), 1U);
+            EXPECT_EQ(page.value().skipped, 1U);
+        }
+    }
+}
+
 /// Guards against an entry of another writer that hides the valid ones because its bytes cannot be
 /// read: text that is no UTF-8, a number out of range, a missing value.
 TEST(platform_dialect, UnreadableEntryHidesNoOther)
 {
     const std::string good
-        = R"({"service":"s","address":"10.0.0.9:80","zone":"z","capacity":6,"state":"ready","id":"i1"})";
+        = R"({"service":"s","version":"v1","warmup-left-ms":0,"address":"10.0.0.9:80","zone":"z","capacity":6,"state":"ready","id":"i1"})";
     const std::string other
-        = R"({"service":"s","address":"10.0.0.8:80","zone":"z","capacity":6,"state":"ready","id":"a\"]}"})";
+        = R"({"service":"s","version":"v1","warmup-left-ms":0,"address":"10.0.0.8:80","zone":"z","capacity":6,"state":"ready","id":"a\"]}"})";
     for (const std::string bad :
          {"{\"id\":\"i2\xff\",\"service\":\"s\"}", R"({"id":"i2","capacity":1e999})", R"({"id":})",
           R"({"id":"i2","models":[{"name":"\x"}]})", "{\"id\":\"i2\n\"}"}) {
@@ -129,8 +155,8 @@
     constexpr long smallestHostKilobytes = 88 * 1024;
     const auto nested = std::string(depth, '[') + std::string(depth, ']');
     const auto entry = [](const std::string &id, const std::string &more) {
-        return R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","id":")" + id
-            + "\"" + more + "}";
+        return R"({"service":"s","version":"v1","warmup-left-ms":0,"capacity":64,"address":"10.0.0.9:80","zone":"z","state":"ready","id":")"
+            + id + "\"" + more + "}";
     };
     for (const auto &odd : {entry("i2", ",\"models\":" + nested), nested,
                             std::string(depth, '{') + std::string(depth, '}')}) {
@@ -154,18 +180,19 @@
 /// Guards against numbers and ports out of range that end a host or are cut to others.
 TEST(platform_dialect, EntriesWithNumbersOutOfRangeAreSkipped)
 {
-    const std::string good = R"({"service":"s","address":"10.0.0.9:80","state":"ready","id":"i1"})";
+    const std::string good
+        = R"({"service":"s","version":"v1","warmup-left-ms":0,"zone":"z","capacity":64,"address":"10.0.0.9:80","state":"ready","id":"i1"})";
     for (
         const char *odd :
-        {R"({"service":"s","address":"10.0.0.8:65536","state":"ready","id":"i2"})",
-         R"({"service":"s","address":"10.0.0.8:0","state":"ready","id":"i2"})",
-         R"({"service":"s","address":"10.0.0.8:-1","state":"ready","id":"i2"})",
-         R"({"service":"s","address":"10.0.0.8:99999999999999999999","state":"ready","id":"i2"})",
-         R"({"service":"s","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":4294967296})",
-         R"({"service":"s","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":-1})",
-         R"({"service":"s","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":1e300})",
-         R"({"service":"s","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":1e999})",
-         R"({"service":"s","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":18446744073709551616})"}) {
+        {R"({"service":"s","version":"v1","warmup-left-ms":0,"zone":"z","capacity":64,"address":"10.0.0.8:65536","state":"ready","id":"i2"})",
+         R"({"service":"s","version":"v1","warmup-left-ms":0,"zone":"z","capacity":64,"address":"10.0.0.8:0","state":"ready","id":"i2"})",
+         R"({"service":"s","version":"v1","warmup-left-ms":0,"zone":"z","capacity":64,"address":"10.0.0.8:-1","state":"ready","id":"i2"})",
+         R"({"service":"s","version":"v1","warmup-left-ms":0,"zone":"z","capacity":64,"address":"10.0.0.8:99999999999999999999","state":"ready","id":"i2"})",
+         R"({"service":"s","version":"v1","warmup-left-ms":0,"zone":"z","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":4294967296})",
+         R"({"service":"s","version":"v1","warmup-left-ms":0,"zone":"z","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":-1})",
+         R"({"service":"s","version":"v1","warmup-left-ms":0,"zone":"z","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":1e300})",
+         R"({"service":"s","version":"v1","warmup-left-ms":0,"zone":"z","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":1e999})",
+         R"({"service":"s","version":"v1","warmup-left-ms":0,"zone":"z","address":"10.0.0.8:80","state":"ready","id":"i2","capacity":18446744073709551616})"}) {
         SCOPED_TRACE(odd);
         const auto page = platform_dialect::readEndpointListPage(
             R"({"instances":[)" + std::string(odd) + "," + good + R"(],"next":"p-50"})");
@@ -184,8 +211,8 @@
           std::string("\\u00e9"), std::string(), std::string(1000, 'i')}) {
         SCOPED_TRACE(odd);
         const auto page = platform_dialect::readEndpointListPage(
-            R"({"instances":[{"service":"s","address":"10.0.0.9:80","state":"ready","id":")" + odd
-            + R"("}]})");
+            R"({"instances":[{"service":"s","version":"v1","warmup-left-ms":0,"zone":"z","capacity":64,"address":"10.0.0.9:80","state":"ready","id":")"
+            + odd + R"("}]})");
         ASSERT_TRUE(page);
         EXPECT_TRUE(page.value().endpoints.empty());
         EXPECT_EQ(page.value().skipped, 1U);
