Tests: Share the bound of crashes and the stream that ends

Two tests of crashing parts counted the crashes within the contact time by the same lines, and two of checked ends sent the same stream.

--- a/Tests/Fleet/test_crashing_parts.cpp
+++ b/Tests/Fleet/test_crashing_parts.cpp
@@ -219,27 +219,46 @@
 };
 
 /// After the fifth crash by the same part of a prompt, and the time in which hosts learn of it, at
-/// most three more requests with it reach engines, while requests that share the other parts are
-/// served.
+/// most three more requests with it may reach engines.
+class crash_bound
+{
+public:
+    /// To be called after each request.
+    void record(std::size_t crashes)
+    {
+        constexpr std::chrono::milliseconds contactTime = 4s;
+        const auto now = std::chrono::steady_clock::now();
+        if (!m_fifthCrash && crashes >= toleratedCrashes)
+            m_fifthCrash = now;
+        if (m_fifthCrash && now - *m_fifthCrash < contactTime)
+            m_known = crashes;
+    }
+
+    std::size_t crashes() const
+    {
+        constexpr std::size_t toleratedRequests = 3;
+        return std::max(m_known, toleratedCrashes) + toleratedRequests;
+    }
+
+private:
+    static constexpr std::size_t toleratedCrashes = 5;
+
+    std::size_t m_known = 0; ///< Crashes at the end of the contact time.
+    std::optional<core::instant> m_fifthCrash;
+};
+
+/// Requests with the deadly part are stopped, while those that share its other parts are served.
 void crashing_parts_test::expectDeadlyRequestsAreStopped()
 {
-    constexpr std::chrono::milliseconds contactTime = 4s;
-    constexpr std::size_t toleratedCrashes = 5;
-    constexpr std::size_t toleratedRequests = 3;
     constexpr int requests = 30;
-    std::size_t known = 0; // Crashes at the end of the contact time.
-    std::optional<core::instant> fifthCrash;
+    crash_bound bound;
     for (int request = 0; request < requests; ++request) {
         EXPECT_EQ(ask(0, soundParts()), 200);
         EXPECT_NE(ask(static_cast<std::size_t>(request) % m_entries.size(), deadlyParts()), 200);
         runFor(200ms);
-        const auto now = std::chrono::steady_clock::now();
-        if (!fifthCrash && crashes() >= toleratedCrashes)
-            fifthCrash = now;
-        if (fifthCrash && now - *fifthCrash < contactTime)
-            known = crashes();
+        bound.record(crashes());
     }
-    EXPECT_LE(crashes(), std::max(known, toleratedCrashes) + toleratedRequests);
+    EXPECT_LE(crashes(), bound.crashes());
     // Ends crashing requests at the callers, too.
     for (std::size_t host = 0; host < m_entries.size(); ++host) {
         const auto before = crashes();
@@ -255,7 +274,7 @@
     expectDeadlyRequestsAreStopped();
 }
 
-/// Guards against parts that are told apart only by the first 16 digits of their ids (review/8).
+/// Guards against ids of more than 16 digits that are read as no id (review/8).
 TEST_F(crashing_parts_test, RequestsWithALongIdThatCrashEnginesAreStopped)
 {
     setIdPrefix("00112233445566778899aabbccdd");
@@ -273,24 +292,16 @@
 /// that the engine has ended: here, no other request is under way at any host.
 TEST_F(crashing_parts_test, RequestsThatCrashEnginesAreStoppedWithoutOtherRequests)
 {
-    constexpr std::chrono::milliseconds contactTime = 4s;
-    constexpr std::size_t toleratedCrashes = 5;
-    constexpr std::size_t toleratedRequests = 3;
     constexpr std::chrono::milliseconds played = 12s;
     setRestartTime(2s);
-    std::size_t known = 0; // Crashes at the end of the contact time.
-    std::optional<core::instant> fifthCrash;
+    crash_bound bound;
     const auto end = std::chrono::steady_clock::now() + played;
     while (std::chrono::steady_clock::now() < end) {
         EXPECT_NE(ask(0, deadlyParts()), 200);
         runFor(500ms);
-        const auto now = std::chrono::steady_clock::now();
-        if (!fifthCrash && crashes() >= toleratedCrashes)
-            fifthCrash = now;
-        if (fifthCrash && now - *fifthCrash < contactTime)
-            known = crashes();
+        bound.record(crashes());
     }
-    EXPECT_LE(crashes(), std::max(known, toleratedCrashes) + toleratedRequests);
+    EXPECT_LE(crashes(), bound.crashes());
     const auto before = crashes();
     EXPECT_EQ(ask(1, deadlyParts()), 503);
     EXPECT_EQ(crashes(), before);
--- a/Tests/Forward/test_broken_streams.cpp
+++ b/Tests/Forward/test_broken_streams.cpp
@@ -336,18 +336,26 @@
 {
 protected:
     checked_end_test() { m_upstream.checkTime = std::chrono::milliseconds(1500); }
+
+    /// A stream that ends with its connection after an event. Returns the listener of its endpoint.
+    scripted_listener &sendStream(scripted_socket &caller)
+    {
+        caller = call("GET", "/stream/a", "X-Time-Left-Ms: 15000\r\n");
+        auto &listener = usedListener();
+        auto endpoint = listener.accept();
+        endpoint.readMessage();
+        endpoint.send(unframedHead() + event(1));
+        endpoint.close();
+        return listener;
+    }
 };
 
 /// As above, if the listening socket of the killed endpoint is closed last: the connection that
 /// shows whether it runs is accepted first.
 TEST_F(checked_end_test, StreamIsBrokenIfTheListenerClosesLast)
 {
-    auto caller = call("GET", "/stream/a", "X-Time-Left-Ms: 15000\r\n");
-    auto &listener = usedListener();
-    auto endpoint = listener.accept();
-    endpoint.readMessage();
-    endpoint.send(unframedHead() + event(1));
-    endpoint.close();
+    scripted_socket caller;
+    auto &listener = sendStream(caller);
     EXPECT_TRUE(listener.hasConnection(std::chrono::seconds(2)));
     listener.close();
     EXPECT_FALSE(caller.readAll().ends_with(lastChunk));
@@ -356,13 +364,8 @@
 /// Guards against an endpoint that is taken for a killed one because it closes a connection.
 TEST_F(checked_end_test, StreamIsWholeIfTheEndpointClosesAConnection)
 {
-    auto caller = call("GET", "/stream/a", "X-Time-Left-Ms: 15000\r\n");
-    auto &listener = usedListener();
-    auto endpoint = listener.accept();
-    endpoint.readMessage();
-    endpoint.send(unframedHead() + event(1));
-    endpoint.close();
-    listener.accept().close();
+    scripted_socket caller;
+    sendStream(caller).accept().close();
     EXPECT_TRUE(caller.readMessage().ends_with(lastChunk));
 }
 
