LibForward: Let a connection that is being checked carry requests

Cause: since that check, a connection became idle only 20 ms after it was open. The next request to the endpoint opened another one, and the endpoint of the test, which accepts the first, waited for a request that came on the second.

The connection is idle at once, as before, and is looked at after 20 ms wherever it is then. If it has ended, the check connects once more.

--- a/Libraries/LibForward/upstream.cpp
+++ b/Libraries/LibForward/upstream.cpp
@@ -127,12 +127,14 @@
     connect(address, key,
             [self = shared_from_this(), address, key, handler = std::move(handler)](
                 const connection_pointer &connection, std::error_code error) {
-                if (!error)
-                    self->releaseIfItLasts(connection, address, handler);
-                else if (error == asio::error::connection_reset)
+                if (!error) {
+                    self->release(connection, self->m_options.idleTime);
+                    self->confirmThatItLasts(connection, address, handler);
+                } else if (error == asio::error::connection_reset) {
                     self->openAgain(address, key, handler);
-                else
+                } else {
                     handler(error);
+                }
             });
 }
 
@@ -146,19 +148,17 @@
             });
 }
 
-void connection_pool::releaseIfItLasts(const connection_pointer &connection,
-                                       const core::socket_address &address,
-                                       std::function<void(std::error_code)> handler)
+void connection_pool::confirmThatItLasts(const connection_pointer &connection,
+                                         const core::socket_address &address,
+                                         std::function<void(std::error_code)> handler)
 {
     const auto timer = std::make_shared<asio::steady_timer>(m_context, m_options.checkTime);
     timer->async_wait([self = shared_from_this(), connection, address, timer,
                        handler = std::move(handler)](std::error_code) {
-        if (isClosedByPeer(connection->socket)) {
+        if (isClosed(connection->socket))
             self->openAgain(address, connection->key, handler);
-            return;
-        }
-        self->release(connection, self->m_options.idleTime);
-        handler({});
+        else
+            handler({});
     });
 }
 
--- a/Libraries/LibForward/upstream.h
+++ b/Libraries/LibForward/upstream.h
@@ -72,8 +72,9 @@
     connection_pointer acquire(const std::string &key);
     bool hasIdle(const std::string &key, core::instant now) const;
     void release(const connection_pointer &connection, std::chrono::milliseconds idleTime);
-    /// Opens a connection to find out whether the endpoint runs. It becomes idle. The error tells
-    /// why there is none: connection_refused or connection_reset if the endpoint does not run.
+    /// Opens a connection to find out whether the endpoint runs. It becomes idle at once. The error
+    /// tells why there is none: connection_refused or connection_reset if the endpoint does not
+    /// run.
     void open(const core::socket_address &address, const std::string &key,
               std::function<void(std::error_code)> handler);
     void closeIdle(core::instant now);
@@ -90,8 +91,9 @@
                  std::function<void(const connection_pointer &, std::error_code)> handler);
     void openAgain(const core::socket_address &address, const std::string &key,
                    std::function<void(std::error_code)> handler);
-    void releaseIfItLasts(const connection_pointer &connection, const core::socket_address &address,
-                          std::function<void(std::error_code)> handler);
+    void confirmThatItLasts(const connection_pointer &connection,
+                            const core::socket_address &address,
+                            std::function<void(std::error_code)> handler);
     std::size_t idleCount() const;
     void watch(const connection_pointer &connection);
 
--- a/Libraries/LibForward/upstream_socket.cpp
+++ b/Libraries/LibForward/upstream_socket.cpp
@@ -49,7 +49,7 @@
     return error;
 }
 
-bool isClosedByPeer(asio::ip::tcp::socket &socket)
+bool isClosed(asio::ip::tcp::socket &socket)
 {
     char byte = 0;
     const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/Libraries/LibForward/upstream_socket.h
+++ b/Libraries/LibForward/upstream_socket.h
@@ -14,7 +14,7 @@
                            const asio::ip::tcp::endpoint &remoteEndpoint,
                            const upstream_options &options);
 
-/// Whether the peer has ended the connection, on which nothing was sent yet, in any way.
-bool isClosedByPeer(asio::ip::tcp::socket &socket);
+/// Whether the connection has ended, in any way, and all that has arrived was read.
+bool isClosed(asio::ip::tcp::socket &socket);
 
 } // namespace quetzalcleat::forward
