Soak: Excuse endpoints that crash soon after their return

Trace: the schedule starts pool-0-1/2 at 18.479 s and crashes it at 19.038 s, 0.56 s later. It never runs again under that lifetime, so no request can reach it, and check_returned() gave it 8 s.

The check now leaves out returns with a crash of that endpoint within these 8 s, as it does for outages of the list and of the connections. The time stays as it is.

--- a/Tests/Soak/checks.py
+++ b/Tests/Soak/checks.py
@@ -81,6 +81,7 @@
         due = at + RETURN_SECONDS
         if due < callers_end and lifetime not in reached \
                 and not list_outages.any_within(at, due) \
+                and not endpoint.crashes.any_within(at, due) \
                 and not worker_proxies[endpoint.name].disturbances.any_within(at, due):
             yield f"RETURN {lifetime} got nothing in {callers_end - at:.1f} s after its start"
 
