LibPeer: Send documents to hosts in compressed form

Cause: a document that has grown was sent whole to each host, 0.7 MB to 83 hosts. The leader wrote and authenticated 58 MB; a host needs 0.75 s for it at 7.5 Mbit/s, the link of 64 of the 83. Copies that were late counted as lost after 1.1 s and were sent again behind the first ones, so the hosts that were behind fell further behind.

The leader now compresses a document once for all hosts, and sends a patch only if that is smaller.

Ruled out: the parsing of each version at the hosts.

Evidence: configuration_distributor.LargestDocumentIsInTimeOnTheSlowestLink fails without the compression (2.9 MB, bound 1.4 MB) and passes now. BoundsTheDocumentsInTransit uses text that cannot be compressed, so that it still reaches the bound.

--- a/Libraries/LibPeer/configuration_distributor.cpp
+++ b/Libraries/LibPeer/configuration_distributor.cpp
@@ -1,18 +1,27 @@
 #include "LibPeer/configuration_distributor.h"
 
 #include "LibPeer/document_patch.h"
+#include "LibPeer/text_compression.h"
 
 #include <algorithm>
 #include <numeric>
 
 namespace quetzalcleat::peer {
 
+namespace {
+
+/// A patch below this part of the document is smaller than the document in compressed form.
+constexpr std::size_t smallPatchPart = 16;
+
+} // namespace
+
 void configuration_distributor::publish(const state::configuration &newest)
 {
     if (!m_documents.empty() && m_documents.back().revision >= newest.revision)
         return;
     m_documents.push_back(newest);
     m_patches.clear();
+    m_compressed.clear();
     const auto bytes = [this] {
         return std::accumulate(
             m_documents.begin(), m_documents.end(), std::size_t{0},
@@ -71,9 +80,9 @@
 }
 
 /// Whether the leader can keep one more complete document until it is sent.
-bool configuration_distributor::hasRoom(core::instant now) const
+bool configuration_distributor::hasRoom(core::instant now)
 {
-    std::size_t bytes = m_documents.back().document.size();
+    std::size_t bytes = compressedDocument().size();
     for (const auto &[host, known] : m_positions)
         bytes += isInTransit(known, now) ? known.sentBytes : 0;
     return bytes <= maximumTransitBytes;
@@ -95,13 +104,13 @@
     if (patch != nullptr)
         answer.patch = *patch;
     else
-        answer.configuration.document = newest.document;
+        answer.compressedDocument = compressedDocument();
     // Later configurations do not extend the time in which the host has to report the first one.
     if (base == 0 || known.sent <= known.reported)
         known.unreportedSince = now;
     known.sent = newest.revision;
     known.sentAt = now;
-    known.sentBytes = patch == nullptr ? newest.document.size() : 0;
+    known.sentBytes = patch == nullptr ? compressedDocument().size() : 0;
     return true;
 }
 
@@ -126,9 +135,20 @@
         found = m_patches.emplace(base, std::move(patch)).first;
     }
     const auto &patch = found->second;
+    if (patch.steps.size() > maximumPatchSteps)
+        return nullptr;
+    // Compression takes time in proportion to the document, so it is not done for small patches.
+    const auto bytes = patchBytes(patch);
     const bool isSmall
-        = patch.steps.size() <= maximumPatchSteps && patchBytes(patch) < newest.document.size() / 2;
+        = bytes < newest.document.size() / smallPatchPart || bytes < compressedDocument().size();
     return isSmall ? &patch : nullptr;
 }
 
+const std::string &configuration_distributor::compressedDocument()
+{
+    if (m_compressed.empty())
+        m_compressed = compressText(m_documents.back().document);
+    return m_compressed;
+}
+
 } // namespace quetzalcleat::peer
--- a/Libraries/LibPeer/configuration_lease.cpp
+++ b/Libraries/LibPeer/configuration_lease.cpp
@@ -2,6 +2,8 @@
 
 #include "LibCore/logger.h"
 #include "LibPeer/document_patch.h"
+#include "LibPeer/text_compression.h"
+#include "LibState/command.h"
 
 #include <algorithm>
 #include <utility>
@@ -183,6 +185,15 @@
             return;
         }
         newest.document = std::move(*document);
+    } else {
+        auto document = decompressText(answer.compressedDocument, state::maximumDocumentBytes);
+        m_needsDocument = !document;
+        if (!document) {
+            log().warning("cannot decompress the document of revision "
+                          + std::to_string(newest.revision) + "; requesting it again");
+            return;
+        }
+        newest.document = std::move(*document);
     }
     m_needsDocument = false;
     m_revision = newest.revision;
--- a/Libraries/LibPeer/frame.h
+++ b/Libraries/LibPeer/frame.h
@@ -17,7 +17,7 @@
 constexpr std::size_t maximumFrameBytes = 1024 * 1024;
 /// Limit before authentication, so that an unauthenticated peer cannot force large allocations.
 constexpr std::size_t maximumHandshakeFrameBytes = 1024;
-constexpr std::uint8_t frameVersion = 6;
+constexpr std::uint8_t frameVersion = 7;
 
 /// Authenticates the frames of one direction of a connection. The tag is HMAC-SHA-256, truncated
 /// to 16 bytes (RFC 2104, section 5), over the number of the frame in its direction, the version
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -356,8 +356,9 @@
     bool confirmed = false;
     std::uint64_t revision = 0;
     bool hasDocument = false;
-    state::configuration configuration; ///< Set if hasDocument.
-    document_patch patch; ///< If set, replaces the text of the document.
+    state::configuration configuration; ///< Set if hasDocument, but for the text of the document.
+    document_patch patch; ///< The text, as its differences; if not set, it is in the next field.
+    std::string compressedDocument; ///< See text_compression.h.
     std::string leader; ///< Host name; empty if unknown.
     std::vector<std::string> controlHosts;
     std::uint32_t hosts = 0; ///< Hosts that sent requests recently, including the receiver.
@@ -378,10 +379,11 @@
             && revision == other.revision && hasDocument == other.hasDocument
             && configuration.revision == other.configuration.revision
             && configuration.document == other.configuration.document && patch == other.patch
-            && leader == other.leader && controlHosts == other.controlHosts && hosts == other.hosts
-            && loads == other.loads && endpoints == other.endpoints
-            && quarantineEpoch == other.quarantineEpoch && partInquiries == other.partInquiries
-            && quarantinedParts == other.quarantinedParts && enginesToCheck == other.enginesToCheck;
+            && compressedDocument == other.compressedDocument && leader == other.leader
+            && controlHosts == other.controlHosts && hosts == other.hosts && loads == other.loads
+            && endpoints == other.endpoints && quarantineEpoch == other.quarantineEpoch
+            && partInquiries == other.partInquiries && quarantinedParts == other.quarantinedParts
+            && enginesToCheck == other.enginesToCheck;
     }
 };
 
--- a/Tests/Peer/test_configuration_distributor.cpp
+++ b/Tests/Peer/test_configuration_distributor.cpp
@@ -1,10 +1,14 @@
 #include "LibPeer/configuration_distributor.h"
 #include "LibPeer/document_patch.h"
 #include "LibPeer/message_codec.h"
+#include "LibPeer/text_compression.h"
+#include "LibState/command.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <random>
+
 using namespace quetzalcleat;
 using namespace quetzalcleat::peer;
 using std::chrono::milliseconds;
@@ -27,6 +31,47 @@
     return {revision, documentOf(revision * 3, routes), "e", "h"};
 }
 
+/// The complete document in an answer; empty if there is none.
+std::string documentIn(const configuration_lease_answer &answer)
+{
+    EXPECT_TRUE(answer.configuration.document.empty());
+    if (answer.compressedDocument.empty())
+        return {};
+    const auto text = decompressText(answer.compressedDocument, state::maximumDocumentBytes);
+    EXPECT_TRUE(text);
+    return text.value_or("");
+}
+
+/// Text that hardly becomes smaller by compression.
+std::string randomText(std::size_t bytes)
+{
+    std::mt19937_64 random(1);
+    std::string text;
+    while (text.size() < bytes)
+        text += static_cast<char>(random());
+    return text;
+}
+
+/// Routes with names, hosts and prefixes of their own.
+std::string documentOfDistinctRoutes(int routes)
+{
+    std::mt19937_64 random(routes);
+    const auto word = [&random](int letters) {
+        std::string text;
+        for (int letter = 0; letter < letters; ++letter)
+            text += static_cast<char>('a' + random() % 26);
+        return text;
+    };
+    std::string text = "{\"version\":5,\"routes\":[";
+    for (int route = 0; route < routes; ++route)
+        text += (route == 0 ? "" : ",") + std::string("{\"name\":\"r-") + word(7) + "\",\"host\":\""
+            + word(6) + ".example\",\"path-prefix\":\"/" + word(7)
+            + "/\",\"kind\":\"streaming\",\"timeout-ms\":8000,\"slo-ms\":800,\"priority\":1,"
+              "\"service\":\"refund-llm\",\"max-attempts\":1,\"public\":false,\"sticky\":true,"
+              "\"resumable\":false,\"target-gap-ms\":300}";
+    return text + "],\"services\":[{\"name\":\"refund-llm\"}]}";
+}
+
 /// A host that applies what it gets, as configuration_lease does.
 struct receiving_host
 {
@@ -34,8 +79,8 @@
     {
         if (!answer.hasDocument || answer.configuration.revision <= revision)
             return;
-        bytes += answer.configuration.document.size() + patchBytes(answer.patch);
-        auto text = answer.configuration.document;
+        bytes += answer.compressedDocument.size() + patchBytes(answer.patch);
+        auto text = documentIn(answer);
         if (answer.patch.baseRevision != 0) {
             if (answer.patch.baseRevision != revision)
                 return;
@@ -125,7 +170,7 @@
     leader.answer(answer, "host", 1, start);
     EXPECT_GT(makePatch(from, to).steps.size(), configuration_distributor::maximumPatchSteps);
     EXPECT_TRUE(answer.patch.steps.empty());
-    EXPECT_EQ(answer.configuration.document, to);
+    EXPECT_EQ(documentIn(answer), to);
     EXPECT_TRUE(decodeMessage(encodeMessage(answer)));
 }
 
@@ -169,7 +214,7 @@
 TEST(configuration_distributor, BoundsTheDocumentsInTransit)
 {
     configuration_distributor leader;
-    const std::string document(std::size_t{2} * 1024 * 1024, 'x');
+    const auto document = randomText(std::size_t{2} * 1024 * 1024);
     leader.publish({1, document, "e", "h"});
     const auto request = [&](int host, core::instant now) {
         configuration_lease_answer answer;
@@ -179,7 +224,7 @@
     std::size_t sent = 0;
     for (int host = 0; host < 100; ++host)
         sent += request(host, start) ? 1 : 0;
-    EXPECT_EQ(sent, configuration_distributor::maximumTransitBytes / document.size());
+    EXPECT_EQ(sent, configuration_distributor::maximumTransitBytes / compressText(document).size());
     for (int host = 0; host < 100; ++host) {
         configuration_lease_answer answer;
         if (host < static_cast<int>(sent))
@@ -238,7 +283,7 @@
     EXPECT_FALSE(soon.hasDocument);
     configuration_lease_answer late;
     leader.answer(late, "host", 0, start + configuration_distributor::lossTimeout);
-    EXPECT_EQ(late.configuration.document, documentOf(3, 20));
+    EXPECT_EQ(documentIn(late), documentOf(3, 20));
     // A push that relies on the lost one is ignored by the host, which then asks.
     leader.publish(configurationOf(2, 21));
     configuration_lease_answer push;
@@ -252,3 +297,65 @@
     host.receive(again);
     EXPECT_EQ(host.document, documentOf(6, 21));
 }
+
+/// Guards against a confirmed change that is not in force in time because the document takes longer
+/// on the way to a host than the time in which it has to be in force, as seen on
+/// siamwan-refund-grown when the configuration grew by 3,000 routes: the links of its hosts have
+/// 7.5 Mbit/s, which requests use as well. The page allows 3 s.
+TEST(configuration_distributor, LargestDocumentIsInTimeOnTheSlowestLink)
+{
+    constexpr std::size_t bytesPerMillisecond = 937;
+    constexpr std::size_t timeToApply = 3000;
+    auto routes = 1000;
+    auto document = documentOfDistinctRoutes(routes);
+    while (document.size() < state::maximumDocumentBytes * 9 / 10)
+        document = documentOfDistinctRoutes(routes += 1000);
+    ASSERT_LT(document.size(), state::maximumDocumentBytes);
+    configuration_distributor leader;
+    leader.publish({1, documentOfDistinctRoutes(49), "e", "h"});
+    leader.publish({2, document, "e", "h"});
+    for (const std::uint64_t revision : {0, 1}) {
+        configuration_lease_answer answer;
+        leader.answer(answer, "host-" + std::to_string(revision), revision, start);
+        ASSERT_TRUE(answer.hasDocument);
+        // Half of the link is left to requests.
+        EXPECT_LT(encodeMessage(answer).size(), bytesPerMillisecond * timeToApply / 2);
+        receiving_host host;
+        host.revision = revision;
+        host.document = documentOfDistinctRoutes(49);
+        host.receive(answer);
+        EXPECT_EQ(host.document, document);
+    }
+}
+
+/// Guards against a leader whose link to all hosts, or whose memory, is taken by one change.
+TEST(configuration_distributor, GrownDocumentReachesAllHostsAtOnce)
+{
+    constexpr int hosts = 300;
+    configuration_distributor leader;
+    leader.publish({1, documentOfDistinctRoutes(49), "e", "h"});
+    leader.publish({2, documentOfDistinctRoutes(3049), "e", "h"});
+    for (int host = 0; host < hosts; ++host) {
+        configuration_lease_answer answer;
+        leader.answer(answer, "host-" + std::to_string(host), 1, start);
+        EXPECT_TRUE(answer.hasDocument);
+    }
+}
+
+/// Guards against a host that keeps an old version because it cannot read the compressed document,
+/// and against bytes that take more memory than a document may.
+TEST(text_compression, RefusesDamagedAndOversizedText)
+{
+    const auto text = documentOfDistinctRoutes(500);
+    const auto compressed = compressText(text);
+    EXPECT_EQ(decompressText(compressed, text.size()), text);
+    EXPECT_FALSE(decompressText(compressed, text.size() - 1));
+    EXPECT_FALSE(decompressText(compressed + 'x', text.size()));
+    EXPECT_FALSE(decompressText(compressText(std::string(1'000'000, 'x')), 999'999));
+    for (const std::size_t length : {std::size_t{0}, std::size_t{1}, compressed.size() - 1})
+        EXPECT_FALSE(decompressText(compressed.substr(0, length), text.size()));
+    auto damaged = compressed;
+    damaged[damaged.size() / 2] ^= 1;
+    EXPECT_FALSE(decompressText(damaged, text.size()));
+    EXPECT_EQ(decompressText(compressText({}), 0), std::string());
+}
