LibPeer, LibPolicy: Count the age of a list from the request, and keep the newest

What callers saw: nothing that was traced to this.

Cause: a host counted the age of a control host's list from the arrival of the answer, however long that had waited on its way, on a clock of the control host that stops while it is suspended, and from the end of the read, whose first page may be some seconds older. Such a list kept the host from reading the platform's list itself, and counted as proof that an endpoint which leaves had started again. A list that was read earlier also replaced one that was read later: that of a control host that led before, and a slow read of the host itself, which then stayed in force until the list of the control host changed.

An age now counts from the request, and from the start of the read, by clocks that count suspended time. policy::newest_list decides which list is in force.

--- a/Libraries/LibFleet/control_node.h
+++ b/Libraries/LibFleet/control_node.h
@@ -188,7 +188,8 @@
         list.address = m_settings.endpointListAddress;
         list.interval = interval;
         m_listReader = std::make_shared<forward::endpoint_list_reader<Dialect>>(
-            m_pool, m_log, list, [weak](const std::vector<forward::listed_endpoint> &endpoints) {
+            m_pool, m_log, list,
+            [weak](const std::vector<forward::listed_endpoint> &endpoints, core::instant readAt) {
                 const auto self = weak.lock();
                 if (!self)
                     return;
@@ -198,8 +199,7 @@
                     entries.push_back({entry.incarnation, entry.service, entry.address.ip,
                                        entry.address.port, entry.dataCentre, entry.slots,
                                        entry.isLeaving});
-                const auto now = std::chrono::steady_clock::now();
-                self->m_catalogue->update(entries, now);
+                self->m_catalogue->update(entries, readAt);
                 self->m_capacitySources.setList(endpoints, core::suspendAwareNow());
             });
         m_listReader->setReadCondition([weak] {
--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -8,6 +8,7 @@
 #include "LibPeer/configuration_lease.h"
 #include "LibPeer/crash_reporter.h"
 #include "LibPeer/peer_network.h"
+#include "LibPolicy/newest_list.h"
 #include "LibPolicy/part_id.h"
 
 #include <algorithm>
@@ -52,11 +53,9 @@
         list.address = m_settings.endpointListAddress;
         m_listReader = std::make_shared<forward::endpoint_list_reader<Dialect>>(
             m_forwarder->pool(), m_log, list,
-            [weak](const std::vector<forward::listed_endpoint> &endpoints) {
-                if (const auto self = weak.lock()) {
-                    self->applyList(endpoints, false);
-                    self->m_forwarder->confirmEndpoints();
-                }
+            [weak](const std::vector<forward::listed_endpoint> &endpoints, core::instant readAt) {
+                if (const auto self = weak.lock())
+                    self->useOwnList(endpoints, readAt);
             });
         m_listReader->setReadCondition([weak] {
             const auto self = weak.lock();
@@ -104,7 +103,7 @@
 
     bool isReady() const
     {
-        return !m_forwarder->isStopping() && m_forwarder->routes() && m_hasList
+        return !m_forwarder->isStopping() && m_forwarder->routes() && m_newestList.hasList()
             && m_forwarder->hasConfirmedConfiguration();
     }
 
@@ -217,9 +216,9 @@
                   if (const auto self = weak.lock())
                       self->applyLoads(loads, hosts);
               };
-        handlers.endpoints = [weak](const std::map<std::string, peer::listed_endpoint> &entries) {
+        handlers.endpoints = [weak](const std::map<std::string, peer::listed_endpoint> &) {
             if (const auto self = weak.lock())
-                self->applyEntries(entries);
+                self->m_controlListChanged = true;
         };
         handlers.addCrashes = [weak](peer::configuration_lease_request &request) {
             if (const auto self = weak.lock())
@@ -267,11 +266,32 @@
         m_dutyReporter->start();
     }
 
-    void applyList(const std::vector<forward::listed_endpoint> &endpoints, bool isOfControlHost)
+    void useOwnList(const std::vector<forward::listed_endpoint> &endpoints, core::instant readAt)
     {
-        m_hasList = true;
-        m_hasListOfControlHost = isOfControlHost;
+        if (!m_newestList.offer(policy::newest_list::ownReads, readAt))
+            return;
         m_forwarder->setEndpoints(endpoints);
+        confirmIfRecent();
+    }
+
+    /// To be called after each answer of a control host, which also tells the age of its list.
+    void useControlList()
+    {
+        const auto &list = m_lease->endpoints();
+        if (!list.readAt())
+            return;
+        const bool wasInForce = m_newestList.isFrom(list.epoch());
+        if (!m_newestList.offer(list.epoch(), *list.readAt()))
+            return;
+        if (std::exchange(m_controlListChanged, false) || !wasInForce)
+            applyEntries(list.entries());
+        confirmIfRecent();
+    }
+
+    void confirmIfRecent()
+    {
+        if (m_newestList.age(m_forwarder->now()) <= forward::endpoint_table::maximumListDelay)
+            m_forwarder->confirmEndpoints();
     }
 
     void applyEntries(const std::map<std::string, peer::listed_endpoint> &entries)
@@ -285,7 +305,7 @@
                                  entry.dataCentre,
                                  entry.slots,
                                  entry.isLeaving});
-        applyList(endpoints, true);
+        m_forwarder->setEndpoints(endpoints);
     }
 
     /// Whether this host reads the platform's list itself: only while no control host sends it. The
@@ -301,8 +321,8 @@
                              1000.0 * std::max(m_hosts, 1U)
                              / (share * m_settings.endpointListRequestRate)))));
         // A starting host does not wait: after all hosts have failed there may be no leader yet.
-        const bool reads
-            = !m_hasList || m_lease->listAge() > forward::endpoint_table::maximumListDelay;
+        const bool reads = !m_newestList.hasList()
+            || m_lease->listAge() > forward::endpoint_table::maximumListDelay;
         if (std::exchange(m_readsList, reads) != reads)
             m_log.write(
                 "list_source",
@@ -358,10 +378,7 @@
         m_hosts = std::max(m_hosts, hosts);
         m_forwarder->retryBudget().setAdditionalRetriesShare(
             1.0 / static_cast<double>(std::max(m_hosts, 1U)));
-        // Each answer of a control host also tells the age of its list.
-        if (m_hasListOfControlHost
-            && m_lease->listAge() <= forward::endpoint_table::maximumListDelay)
-            m_forwarder->confirmEndpoints();
+        useControlList();
     }
 
     void applyQuarantine(const peer::configuration_lease_answer &answer)
@@ -414,7 +431,7 @@
                 {{"ready", ready ? "yes" : "no"},
                  {"stopping", m_forwarder->isStopping() ? "yes" : "no"},
                  {"configuration", m_forwarder->routes() ? "yes" : "no"},
-                 {"list", m_hasList ? "yes" : "no"},
+                 {"list", m_newestList.hasList() ? "yes" : "no"},
                  {"lease_age_ms",
                   std::to_string(std::min<std::int64_t>(m_lease->age().count(), 999'999))}});
         }
@@ -434,8 +451,8 @@
     std::shared_ptr<duty_reporter> m_dutyReporter; ///< Null without duties in the settings.
     std::optional<peer::crash_reporter> m_crashReporter; ///< Of what m_forwarder has seen.
     std::uint32_t m_hosts = 0;
-    bool m_hasList = false;
-    bool m_hasListOfControlHost = false; ///< The list in use came from a control host.
+    policy::newest_list m_newestList;
+    bool m_controlListChanged = false; ///< Since it was last in force.
     bool m_readsList = false;
     bool m_wasReady = false;
 };
--- a/Libraries/LibForward/endpoint_list_reader.h
+++ b/Libraries/LibForward/endpoint_list_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCore/time.h"
 #include "LibForward/endpoint_table.h"
 #include "LibForward/event_log.h"
 #include "LibForward/upstream.h"
@@ -54,7 +55,9 @@
 class endpoint_list_reader : public std::enable_shared_from_this<endpoint_list_reader<Dialect>>
 {
 public:
-    using handler = std::function<void(const std::vector<listed_endpoint> &)>;
+    /// Gets the list and the time at which its first page was requested, by
+    /// core::suspendAwareNow(): what the platform showed then is in the list.
+    using handler = std::function<void(const std::vector<listed_endpoint> &, core::instant)>;
 
     endpoint_list_reader(std::shared_ptr<connection_pool> pool, event_log &log,
                          endpoint_list_reader_options options, handler changed)
@@ -102,8 +105,10 @@
 private:
     void readPage(const std::string &token)
     {
-        if (token.empty())
+        if (token.empty()) {
             m_collected.clear();
+            m_readAt = core::suspendAwareNow();
+        }
         m_body.clear();
         m_status = 0;
         attempt::request request;
@@ -182,7 +187,7 @@
         }
         if (!std::exchange(m_hasRead, true) || std::exchange(m_failing, false))
             m_log.write("list_read", {{"endpoints", std::to_string(m_collected.size())}});
-        m_changed(m_collected);
+        m_changed(m_collected, m_readAt);
         scheduleRead();
     }
 
@@ -213,6 +218,7 @@
     asio::steady_timer m_timeout;
     std::shared_ptr<attempt> m_attempt;
     std::vector<listed_endpoint> m_collected;
+    core::instant m_readAt; ///< Start of the read in progress.
     std::string m_body;
     std::size_t m_skipped = 0;
     int m_status = 0;
--- a/Libraries/LibPeer/configuration_lease.cpp
+++ b/Libraries/LibPeer/configuration_lease.cpp
@@ -74,9 +74,10 @@
 
 std::chrono::milliseconds configuration_lease::listAge() const
 {
-    if (!m_listReadAt)
+    const auto readAt = m_endpoints.readAt();
+    if (!readAt)
         return std::chrono::milliseconds::max();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(m_options.now() - *m_listReadAt);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_options.now() - *readAt);
 }
 
 void configuration_lease::startTimer()
@@ -149,18 +150,12 @@
     const auto requestTime = m_requestTimes.find(answer.sequence);
     if (requestTime == m_requestTimes.end() || answer.revision > m_revision)
         return;
-    if (!m_confirmedAt || requestTime->second > *m_confirmedAt)
-        m_confirmedAt = requestTime->second;
+    const auto requestedAt = requestTime->second;
+    if (!m_confirmedAt || requestedAt > *m_confirmedAt)
+        m_confirmedAt = requestedAt;
     m_requestTimes.erase(m_requestTimes.begin(), std::next(requestTime));
-    if (answer.endpoints.epoch != 0) {
-        const bool changed = m_endpoints.apply(answer.endpoints);
-        if (m_endpoints.epoch() == answer.endpoints.epoch
-            && m_endpoints.version() == answer.endpoints.version)
-            m_listReadAt
-                = m_options.now() - std::chrono::milliseconds(answer.endpoints.ageMilliseconds);
-        if (changed && m_handlers.endpoints)
-            m_handlers.endpoints(m_endpoints.entries());
-    }
+    if (m_endpoints.apply(answer.endpoints, requestedAt) && m_handlers.endpoints)
+        m_handlers.endpoints(m_endpoints.entries());
     if (m_handlers.quarantine)
         m_handlers.quarantine(answer);
     if (m_handlers.loads)
--- a/Libraries/LibPeer/configuration_lease.h
+++ b/Libraries/LibPeer/configuration_lease.h
@@ -68,8 +68,10 @@
     /// request, and includes time in which the host was suspended. The maximum if there was none.
     std::chrono::milliseconds age() const;
 
-    /// Age of the list of endpoints from a control host; the maximum if there is none.
+    /// Upper bound of the age of the list of endpoints from a control host; the maximum if there is
+    /// none.
     std::chrono::milliseconds listAge() const;
+    const endpoint_replica &endpoints() const { return m_endpoints; }
 
     std::uint64_t revision() const { return m_revision; }
     const std::string &leader() const { return m_leader; }
@@ -100,7 +102,6 @@
     std::map<std::uint64_t, core::instant> m_requestTimes; ///< When each request was sent.
     std::optional<core::instant> m_confirmedAt;
     endpoint_replica m_endpoints;
-    std::optional<core::instant> m_listReadAt; ///< By the control host, on this host's clock.
     bool m_wasConfirmed = false;
     bool m_stopped = false;
 };
--- a/Libraries/LibPeer/control_service.cpp
+++ b/Libraries/LibPeer/control_service.cpp
@@ -787,8 +787,7 @@
     const bool needsList
         = m_catalogue && m_catalogue->needsCompleteList(request.listEpoch, request.listVersion);
     if (m_catalogue && answer.confirmed && !(needsList && m_listTransfers.isInTransit(host, now)))
-        m_catalogue->fill(answer.endpoints, request.listEpoch, request.listVersion,
-                          std::chrono::steady_clock::now());
+        m_catalogue->fill(answer.endpoints, request.listEpoch, request.listVersion, now);
     // If sending fails, the host asks again.
     if (m_network->send(host, answer) && answer.endpoints.isComplete)
         m_listTransfers.recordSent(host, now);
--- a/Libraries/LibPeer/endpoint_catalogue.cpp
+++ b/Libraries/LibPeer/endpoint_catalogue.cpp
@@ -12,6 +12,8 @@
 
 /// Removed entries that are kept; hosts that are further behind get the complete list.
 constexpr std::size_t maximumRemoved = 512;
+/// Ages beyond it are alike: such a list is outdated. In ms.
+constexpr std::uint64_t longestAge = 3'600'000;
 
 const core::logger &log()
 {
@@ -21,9 +23,9 @@
 
 } // namespace
 
-void endpoint_catalogue::update(const std::vector<listed_endpoint> &list, core::instant now)
+void endpoint_catalogue::update(const std::vector<listed_endpoint> &list, core::instant readAt)
 {
-    m_readAt = now;
+    m_readAt = readAt;
     const auto next = m_version + 1;
     bool changed = false;
     std::set<std::string> listed;
@@ -96,7 +98,7 @@
     return m_compressed;
 }
 
-bool endpoint_replica::apply(const endpoint_changes &changes)
+bool endpoint_replica::apply(const endpoint_changes &changes, core::instant requestedAt)
 {
     const bool follows = changes.epoch == m_epoch && changes.version >= m_version;
     if (changes.epoch == 0 || (!changes.isComplete && !follows))
@@ -120,6 +122,9 @@
         m_entries.erase(incarnation);
     for (const auto &entry : changes.entries)
         m_entries[entry.incarnation] = entry;
+    const auto age = std::chrono::milliseconds(std::min(changes.ageMilliseconds, longestAge));
+    const bool isSameSource = changes.epoch == m_epoch && m_readAt;
+    m_readAt = isSameSource ? std::max(*m_readAt, requestedAt - age) : requestedAt - age;
     m_epoch = changes.epoch;
     m_version = changes.version;
     return changed;
--- a/Libraries/LibPeer/endpoint_catalogue.h
+++ b/Libraries/LibPeer/endpoint_catalogue.h
@@ -20,8 +20,8 @@
     /// `epoch` distinguishes the catalogues of different processes.
     explicit endpoint_catalogue(std::uint64_t epoch) : m_epoch(epoch) { }
 
-    /// Replaces the contents by a list that was read completely.
-    void update(const std::vector<listed_endpoint> &list, core::instant now);
+    /// Replaces the contents by a list that was read completely. The read began at `readAt`.
+    void update(const std::vector<listed_endpoint> &list, core::instant readAt);
 
     /// Whether a host at this position needs the complete list.
     bool needsCompleteList(std::uint64_t epoch, std::uint64_t version) const;
@@ -54,16 +54,21 @@
 class endpoint_replica
 {
 public:
-    /// Returns whether anything changed.
-    bool apply(const endpoint_changes &changes);
+    /// The changes came in the answer to a request that was sent at `requestedAt`. Returns whether
+    /// anything changed.
+    bool apply(const endpoint_changes &changes, core::instant requestedAt);
 
     std::uint64_t epoch() const { return m_epoch; }
     std::uint64_t version() const { return m_version; }
+    /// The control host began to read the list then, or later. The age in an answer counts from the
+    /// arrival of the request at the earliest; how long the answer waited on its way is unknown.
+    std::optional<core::instant> readAt() const { return m_readAt; }
     const std::map<std::string, listed_endpoint> &entries() const { return m_entries; }
 
 private:
     std::uint64_t m_epoch = 0;
     std::uint64_t m_version = 0;
+    std::optional<core::instant> m_readAt;
     std::map<std::string, listed_endpoint> m_entries;
 };
 
--- a/Tests/Forward/test_endpoint_list_reader.cpp
+++ b/Tests/Forward/test_endpoint_list_reader.cpp
@@ -39,11 +39,11 @@
         options.address = {"127.0.0.1", m_platform.port()};
         options.interval = std::chrono::milliseconds(20);
         inLoop([&] {
-            m_reader
-                = std::make_shared<reader>(m_forwarder->pool(), m_log, options,
-                                           [this](const std::vector<listed_endpoint> &endpoints) {
-                                               m_lists.push_back(endpoints.front().incarnation);
-                                           });
+            m_reader = std::make_shared<reader>(
+                m_forwarder->pool(), m_log, options,
+                [this](const std::vector<listed_endpoint> &endpoints, core::instant) {
+                    m_lists.push_back(endpoints.front().incarnation);
+                });
             m_reader->start();
         });
     }
--- a/Tests/Peer/addressed_fleet.h
+++ b/Tests/Peer/addressed_fleet.h
@@ -7,6 +7,7 @@
 #include "LibPeer/configuration_publisher.h"
 #include "LibPeer/configuration_writer.h"
 #include "LibPeer/control_service.h"
+#include "LibPeer/endpoint_catalogue.h"
 #include "LibPeer/peer_network.h"
 #include "event_loop.h"
 
@@ -36,6 +37,7 @@
         std::shared_ptr<configuration_publisher> publisher;
         std::shared_ptr<control_service> service;
         std::shared_ptr<configuration_writer> writer;
+        std::shared_ptr<endpoint_catalogue> catalogue; ///< Names one endpoint.
     };
 
     struct entry_host
@@ -85,6 +87,9 @@
         auto service = control_service::create(host.network, host.feed, host.publisher, options);
         ASSERT_TRUE(service) << service.error().message();
         host.service = std::move(service).value();
+        host.catalogue = std::make_shared<endpoint_catalogue>(host.network->incarnation());
+        host.catalogue->update({{"i1", "s", "10.0.0.1", 80, "dc", 6, false}}, options.now());
+        host.service->setCatalogue(host.catalogue);
         host.writer = configuration_writer::create(
             host.network, host.service, 3, [](const std::string &document) {
                 return static_cast<std::uint64_t>(std::stoull(document));
--- a/Tests/Peer/test_configuration_lease.cpp
+++ b/Tests/Peer/test_configuration_lease.cpp
@@ -146,6 +146,23 @@
     EXPECT_TRUE(until([&] { return entry().lease->age() < 600ms; }));
 }
 
+/// Guards against a list of endpoints that seems to be recent because the answer with it came late,
+/// so that the host goes on with endpoints that leave.
+TEST_F(configuration_fleet, ListInALateAnswerIsNotRecent)
+{
+    using namespace std::chrono_literals;
+    EXPECT_EQ(write(4), write_outcome::Accepted);
+    // Asks once, and not again during the test.
+    configuration_lease_options options;
+    options.interval = 100h;
+    options.maximumInterval = options.interval;
+    startEntry("127.0.1.21", options);
+    auto &late = entries.at("127.0.1.21");
+    suspend("127.0.1.21", 1h);
+    EXPECT_TRUE(until([&] { return late.lease->listAge() < 2h; }));
+    EXPECT_GE(late.lease->listAge(), 1h);
+}
+
 /// Guards against a leader that returns its configuration as the newest after a suspension in which
 /// another host may have been elected.
 TEST_F(configuration_fleet, SuspendedLeaderConfirmsNothing)
@@ -287,7 +304,7 @@
     const auto exchange = [&] {
         endpoint_changes changes;
         catalogue.fill(changes, replica.epoch(), replica.version(), now);
-        replica.apply(changes);
+        replica.apply(changes, now);
         return changes;
     };
     EXPECT_EQ(exchange().epoch, 0U);
@@ -311,10 +328,51 @@
     endpoint_changes changes;
     other.fill(changes, replica.epoch(), replica.version(), now);
     EXPECT_TRUE(changes.isComplete);
-    EXPECT_TRUE(replica.apply(changes));
+    EXPECT_TRUE(replica.apply(changes, now));
     EXPECT_EQ(replica.entries().begin()->first, "i1");
 }
 
+/// Guards against requests that still reach an endpoint which the list shows as leaving, at a host
+/// whose answers wait on a full link: by the time of their arrival, their lists seemed to be
+/// recent, so the host did not read the platform's list itself (umgodi-warn-grown, with a
+/// configuration that grew by 6,000 routes).
+TEST(endpoint_replica, AgeCountsFromTheRequest)
+{
+    using namespace std::chrono_literals;
+    const core::instant start{1h};
+    endpoint_catalogue catalogue(9);
+    endpoint_replica replica;
+    EXPECT_FALSE(replica.readAt());
+    catalogue.update({{"i1", "s", "10.0.0.1", 80, "dc", 6, false}}, start);
+    const auto answerTo = [&](core::instant requestedAt, core::instant answeredAt) {
+        endpoint_changes changes;
+        catalogue.fill(changes, replica.epoch(), replica.version(), answeredAt);
+        replica.apply(changes, requestedAt);
+    };
+    // Whenever it arrives, the list is not taken to be newer than it was at the request.
+    answerTo(start + 300ms, start + 400ms);
+    EXPECT_EQ(replica.readAt(), start - 100ms);
+    // An answer without changes tells that the list was read again.
+    catalogue.update({{"i1", "s", "10.0.0.1", 80, "dc", 6, false}}, start + 500ms);
+    answerTo(start + 600ms, start + 650ms);
+    EXPECT_EQ(replica.readAt(), start + 450ms);
+    // One that took longer makes a list no older than it is known to be.
+    answerTo(start + 700ms, start + 5s);
+    EXPECT_EQ(replica.readAt(), start + 450ms);
+    // A host that led before has read its list before.
+    endpoint_catalogue former(8);
+    former.update({{"i1", "s", "10.0.0.1", 80, "dc", 6, false}}, start - 20s);
+    endpoint_changes changes;
+    former.fill(changes, replica.epoch(), replica.version(), start + 1s);
+    EXPECT_TRUE(replica.apply(changes, start + 1s));
+    EXPECT_EQ(replica.readAt(), start - 20s);
+    // Of another process of the deployment; it must not overflow.
+    changes.epoch = 7;
+    changes.ageMilliseconds = ~std::uint64_t{0};
+    EXPECT_TRUE(replica.apply(changes, start + 1s));
+    EXPECT_LT(*replica.readAt(), start);
+}
+
 /// Guards against lists that fill the links of a large fleet as it starts, and against damaged
 /// data that is accepted as a list.
 TEST(endpoint_list_codec, RoundTripIsCompact)
