Soak: Play large configurations and a slow list, and keep the outages of the list

The schedule may now let the configuration grow by thousands of routes for some changes, and let the platform's list answer late while an endpoint leaves.

The checks are the same; they excuse what they were written to excuse.

--- a/Tests/Soak/callers.py
+++ b/Tests/Soak/callers.py
@@ -281,6 +281,7 @@
         self.acknowledged = 0
         self.removed_keys = {}  # Key: time at which the version without it was acknowledged.
         self.keys = ["stable", "rotating-1"]
+        self.unused_routes = 0  # In each document, beside those that callers use.
 
     def document(self, version, keys):
         route = {"host": "soak.example", "timeout-ms": 6000, "slo-ms": 400, "priority": 1,
@@ -298,6 +299,9 @@
              "timeout-ms": STREAM_TIMEOUT_MS},
             {**route, "name": "r5", "path-prefix": "/open/", "kind": "idempotent",
              "service": "desk", "max-attempts": 2, "public": True}]
+        routes += [{**route, "name": f"unused-{number}", "path-prefix": f"/{number * 7919:x}/",
+                    "host": f"{number * 104729:x}.example", "kind": "idempotent",
+                    "service": "desk", "max-attempts": 2} for number in range(self.unused_routes)]
         services = [{"name": name, "health-path": "/health", "max-conns": 200, "protocol": "h1",
                      "tls": False} for name in ("desk", "pool")]
         return json.dumps({"version": version, "routes": routes, "services": services,
--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -174,12 +174,14 @@
     def __init__(self, endpoints, proxies, zones):
         self.endpoints, self.proxies, self.zones = endpoints, proxies, zones
         self.answers = True
+        self.delay = 0.0  # Seconds until each answer.
 
     async def serve(self, reader, writer):
         try:
             while await read_head(reader):
                 while not self.answers:
                     await asyncio.sleep(0.05)
+                await asyncio.sleep(self.delay)
                 entries = [{"id": e.id, "service": e.service,
                             "address": self.proxies[e.name].address,
                             "zone": self.zones[index % len(self.zones)], "version": "v1",
--- a/Tests/Soak/fault_soak.py
+++ b/Tests/Soak/fault_soak.py
@@ -48,12 +48,11 @@
                                for each in self.endpoints}
         self.entry_proxies = [Proxy(entry.ip, 9002, (entry.ip, PORTS["front"]))
                               for entry in self.fleet.entries]
+        self.list_outages = Disturbances()  # Also those of the path to it by way of control hosts.
 
     def log_event(self, text):
         self.log.append(f"{time.monotonic() - self.started_at:7.3f} {text}")
 
-        self.list_outages = Disturbances()  # Also those of the path to it by way of control hosts.
-
     async def execute(self):
         self.started_at = time.monotonic()
         for each in self.endpoints:
@@ -91,7 +90,7 @@
         kinds = [self.kill, self.pause, self.terminate, self.terminate_busy_entry,
                  self.send_hangups, self.crash_endpoint, self.drain_endpoint, self.delay,
                  self.reset, self.silence, self.cut, self.wipe, self.change_burst,
-                 self.leave_by_answers, self.refuse]
+                 self.leave_by_answers, self.refuse, self.grow_configuration, self.slow_list]
         pending = set()
         for number in itertools.count():
             if time.monotonic() > end:
@@ -325,6 +324,24 @@
         for _ in range(6):
             await self.operator.change(False)
 
+    async def grow_configuration(self, rng):
+        """The configuration grows by thousands of routes, changes, and shrinks again."""
+        self.operator.unused_routes = rng.choice((1000, 3000))
+        self.log_event(f"configuration grows by {self.operator.unused_routes} routes")
+        for _ in range(3):
+            await self.operator.change(rng.random() < 0.4)
+        self.operator.unused_routes = 0
+        await self.operator.change(False)
+
+    async def slow_list(self, rng):
+        """Endpoints leave while the list answers late."""
+        outage = self.list_outages.begin()
+        self.platform.delay = rng.choice((0.3, 1.2, 2.0))  # The hosts wait 1.5 s for a page.
+        self.log_event(f"list answers after {self.platform.delay} s")
+        await asyncio.gather(self.drain_endpoint(rng), asyncio.sleep(rng.uniform(1, 4)))
+        self.platform.delay = 0.0
+        outage[1] = time.monotonic() + RECOVERY_SECONDS
+
     async def recover(self):
         """Waits after the faults until each control host returns the newest acknowledged
         configuration and a request is answered; reports a problem if that takes too long."""
