--- a/Tests/Peer/test_configuration_lease.cpp
+++ b/Tests/Peer/test_configuration_lease.cpp
@@ -16,6 +16,18 @@
     }
 
     entry_host &entry() { return entries.at("127.0.1.20"); }
+
+    /// A host that asks once, and is suspended for an hour before the answer arrives.
+    entry_host &startEntryWithLateAnswer()
+    {
+        configuration_lease_options options;
+        options.interval = std::chrono::hours(100);
+        options.maximumInterval = options.interval;
+        startEntry("127.0.1.21", options);
+        suspend("127.0.1.21", std::chrono::hours(1));
+        return entries.at("127.0.1.21");
+    }
+
     bool entryHas(std::uint64_t version)
     {
         return until(
@@ -130,13 +142,7 @@
 {
     using namespace std::chrono_literals;
     EXPECT_EQ(write(4), write_outcome::Accepted);
-    // Asks once, and not again during the test.
-    configuration_lease_options options;
-    options.interval = 100h;
-    options.maximumInterval = options.interval;
-    startEntry("127.0.1.21", options);
-    auto &late = entries.at("127.0.1.21");
-    suspend("127.0.1.21", 1h);
+    auto &late = startEntryWithLateAnswer();
     EXPECT_TRUE(until([&] { return late.lease->age() < 2h; }));
     EXPECT_GE(late.lease->age(), 1h);
 
@@ -152,13 +158,7 @@
 {
     using namespace std::chrono_literals;
     EXPECT_EQ(write(4), write_outcome::Accepted);
-    // Asks once, and not again during the test.
-    configuration_lease_options options;
-    options.interval = 100h;
-    options.maximumInterval = options.interval;
-    startEntry("127.0.1.21", options);
-    auto &late = entries.at("127.0.1.21");
-    suspend("127.0.1.21", 1h);
+    auto &late = startEntryWithLateAnswer();
     EXPECT_TRUE(until([&] { return late.lease->listAge() < 2h; }));
     EXPECT_GE(late.lease->listAge(), 1h);
 }
