--- a/Libraries/LibPeer/configuration_distributor.cpp
+++ b/Libraries/LibPeer/configuration_distributor.cpp
@@ -110,7 +110,7 @@
         known.unreportedSince = now;
     known.sent = newest.revision;
     known.sentAt = now;
-    known.sentBytes = patch == nullptr ? compressedDocument().size() : 0;
+    known.sentBytes = answer.compressedDocument.size();
     return true;
 }
 
