LibPeer, LibFleet: Read documents on one path, and tell a changed list by its version

A document from a patch and a compressed one were read by two copies of the same steps, which differed in the text of the log line. The handler of changed lists only set a flag, which the version of the list tells as well; both are gone. Behaviour is unchanged but for the wording of that line; test_peer_configuration passes.

--- a/Libraries/LibFleet/entry_node.h
+++ b/Libraries/LibFleet/entry_node.h
@@ -216,10 +216,6 @@
                   if (const auto self = weak.lock())
                       self->applyLoads(loads, hosts);
               };
-        handlers.endpoints = [weak](const std::map<std::string, peer::listed_endpoint> &) {
-            if (const auto self = weak.lock())
-                self->m_controlListChanged = true;
-        };
         handlers.addCrashes = [weak](peer::configuration_lease_request &request) {
             if (const auto self = weak.lock())
                 self->m_crashReporter->addTo(request, self->m_forwarder->now());
@@ -283,7 +279,7 @@
         const bool wasInForce = m_newestList.isFrom(list.epoch());
         if (!m_newestList.offer(list.epoch(), *list.readAt()))
             return;
-        if (std::exchange(m_controlListChanged, false) || !wasInForce)
+        if (std::exchange(m_controlListVersion, list.version()) != list.version() || !wasInForce)
             applyEntries(list.entries());
         confirmIfRecent();
     }
@@ -452,7 +448,7 @@
     std::optional<peer::crash_reporter> m_crashReporter; ///< Of what m_forwarder has seen.
     std::uint32_t m_hosts = 0;
     policy::newest_list m_newestList;
-    bool m_controlListChanged = false; ///< Since it was last in force.
+    std::uint64_t m_controlListVersion = 0; ///< Of the last list of a control host in force.
     bool m_readsList = false;
     bool m_wasReady = false;
 };
--- a/Libraries/LibPeer/configuration_lease.cpp
+++ b/Libraries/LibPeer/configuration_lease.cpp
@@ -154,8 +154,7 @@
     if (!m_confirmedAt || requestedAt > *m_confirmedAt)
         m_confirmedAt = requestedAt;
     m_requestTimes.erase(m_requestTimes.begin(), std::next(requestTime));
-    if (m_endpoints.apply(answer.endpoints, requestedAt) && m_handlers.endpoints)
-        m_handlers.endpoints(m_endpoints.entries());
+    m_endpoints.apply(answer.endpoints, requestedAt);
     if (m_handlers.quarantine)
         m_handlers.quarantine(answer);
     if (m_handlers.loads)
@@ -167,30 +166,22 @@
 void configuration_lease::applyConfiguration(const configuration_lease_answer &answer)
 {
     auto newest = answer.configuration;
-    if (answer.patch.baseRevision != 0) {
-        // The patch has another base; the next request reports the revision that this host has.
-        if (answer.patch.baseRevision != m_revision)
-            return;
-        auto document = applyPatch(m_document, answer.patch);
-        m_needsDocument = !document;
-        if (!document) {
-            log().warning("cannot apply the patch to revision " + std::to_string(newest.revision)
-                          + " to revision " + std::to_string(m_revision)
-                          + "; requesting the complete document");
-            return;
-        }
-        newest.document = std::move(*document);
-    } else {
-        auto document = decompressText(answer.compressedDocument, state::maximumDocumentBytes);
-        m_needsDocument = !document;
-        if (!document) {
-            log().warning("cannot decompress the document of revision "
-                          + std::to_string(newest.revision) + "; requesting it again");
-            return;
-        }
-        newest.document = std::move(*document);
+    const bool isPatch = answer.patch.baseRevision != 0;
+    // The patch has another base; the next request reports the revision that this host has.
+    if (isPatch && answer.patch.baseRevision != m_revision)
+        return;
+    auto document = isPatch
+        ? applyPatch(m_document, answer.patch)
+        : decompressText(answer.compressedDocument, state::maximumDocumentBytes);
+    m_needsDocument = !document;
+    if (!document) {
+        log().warning((isPatch ? "cannot apply the patch to revision "
+                               : "cannot decompress the document of revision ")
+                      + std::to_string(newest.revision) + " at revision "
+                      + std::to_string(m_revision) + "; requesting the complete document");
+        return;
     }
-    m_needsDocument = false;
+    newest.document = std::move(*document);
     m_revision = newest.revision;
     m_document = newest.document;
     if (m_handlers.changed)
--- a/Libraries/LibPeer/configuration_lease.h
+++ b/Libraries/LibPeer/configuration_lease.h
@@ -42,10 +42,9 @@
     {
         configuration_handler changed; ///< A newer configuration.
         std::function<std::vector<endpoint_load>()> ownLoads;
-        /// The sums of the loads of all other hosts, and the number of hosts.
+        /// The sums of the loads of all other hosts, and the number of hosts. Called for each
+        /// answer of a leader, with its list of endpoints in endpoints().
         std::function<void(const std::vector<endpoint_load> &, std::uint32_t)> loads;
-        /// The complete list of endpoints, after a change; see also listAge().
-        std::function<void(const std::map<std::string, listed_endpoint> &)> endpoints;
         /// Adds what this host has seen of crashes of engines.
         std::function<void(configuration_lease_request &)> addCrashes;
         /// The answer of a leader to one of the requests.
